--- /dev/null
+++ b/src/controller/jobstatus.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/enumnames.h"
+#include "core/error.h"
+#include "core/ids.h"
+#include "core/workclass.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// Where a task stands.
+enum class TaskState : std::uint8_t { Waiting, Placed, Succeeded, Failed, Cancelled, Unknown };
+
+inline constexpr EnumNames<TaskState, 6> taskStateNames{{
+    {TaskState::Waiting, "waiting"},
+    {TaskState::Placed, "placed"},
+    {TaskState::Succeeded, "succeeded"},
+    {TaskState::Failed, "failed"},
+    {TaskState::Cancelled, "cancelled"},
+    {TaskState::Unknown, "unknown"},
+}};
+
+/// One task of a JobStatus.
+struct TaskStatus
+{
+    TaskId task = TaskId::None;
+    TaskState state = TaskState::Waiting;
+    AttemptNumber attempt = 0;
+    std::string target; ///< name; empty while waiting
+    std::string targetAddress;
+    std::uint64_t answerLength = 0;
+    std::string answerDigest;
+    Ran ran = Ran::No;
+    std::string message;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->task, this->state, this->attempt, this->target, this->targetAddress,
+                this->answerLength, this->answerDigest, this->ran, this->message);
+    }
+};
+
+/// Where a job stands.
+struct JobStatus
+{
+    JobId job = JobId::None;
+    std::string team;
+    WorkClass workClass = WorkClass::Prompt;
+    bool finished = false; ///< every task is in a final state
+    std::int64_t waitedMs = 0; ///< from acceptance to its first start
+    std::vector<TaskStatus> tasks;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->job, this->team, this->workClass, this->finished, this->waitedMs,
+                this->tasks);
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/replicas/statemachine.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/error.h"
+
+#include <cstdint>
+#include <string>
+
+namespace guavavalve {
+
+/// Position of an entry in the replicated log; the first entry has index 1.
+using LogIndex = std::uint64_t;
+
+/// What the replicated log drives. Called by one thread at a time, in the order of the log.
+class StateMachine
+{
+public:
+    virtual ~StateMachine() = default;
+
+    /// Applies one committed \a command and returns its outcome, encoded. Deterministic: the
+    /// same commands in the same order give the same state on every replica.
+    virtual std::string apply(LogIndex index, const std::string &command) = 0;
+
+    /// The whole state as bytes that restoreSnapshot() takes.
+    virtual std::string takeSnapshot() = 0;
+
+    /// Replaces the state. An error leaves the state as it was.
+    virtual Result<void> restoreSnapshot(const std::string &snapshot) = 0;
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/test/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
