--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,6 +1,6 @@
 # Helpers that keep each folder's CMakeLists.txt to a line or two.
 
-set(GUAVAVALVE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror)
+set(GUAVAVALVE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow=local -Werror)
 
 # guavavalve_module(NAME LIBRARIES...) builds every .cpp of the folder as the library
 # guavavalve_NAME. Includes are written from src: #include "decisions/scheduler.h".
