State: commands, records and the cluster state's interface

The outcome of an attempt and the state of a task move down to core, because the state needs them and knows nobody above it.

--- a/src/controller/jobstatus.h
+++ b/src/controller/jobstatus.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/enumnames.h"
 #include "core/error.h"
 #include "core/ids.h"
+#include "core/taskstate.h"
 #include "core/workclass.h"
 
 #include <cstdint>
@@ -11,18 +11,6 @@
 
 namespace guavavalve {
 
-/// Where a task stands.
-enum class TaskState : std::uint8_t { Waiting, Placed, Succeeded, Failed, Cancelled, Unknown };
-
-inline constexpr EnumNames<TaskState, 6> taskStateNames{{
-    {TaskState::Waiting, "waiting"},
-    {TaskState::Placed, "placed"},
-    {TaskState::Succeeded, "succeeded"},
-    {TaskState::Failed, "failed"},
-    {TaskState::Cancelled, "cancelled"},
-    {TaskState::Unknown, "unknown"},
-}};
-
 /// One task of a JobStatus.
 struct TaskStatus
 {
--- /dev/null
+++ b/src/state/command.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "state/commands/acceptjob.h"
+#include "state/commands/canceljob.h"
+#include "state/commands/endattempt.h"
+#include "state/commands/forgetjobs.h"
+#include "state/commands/grantkey.h"
+#include "state/commands/lapsetarget.h"
+#include "state/commands/placegang.h"
+#include "state/commands/placetask.h"
+#include "state/commands/reassigndispatcher.h"
+#include "state/commands/registertarget.h"
+#include "state/commands/retiretarget.h"
+#include "state/commands/settargetdraining.h"
+#include "state/commands/withdrawkey.h"
+#include "state/commands/writesection.h"
+
+#include <variant>
+
+namespace guavavalve {
+
+/// One change of the replicated state. The order of the alternatives is part of the format of
+/// the log: new ones go to the end.
+using Command =
+    std::variant<GrantKey, WithdrawKey, WriteSection, RegisterTarget, LapseTarget, RetireTarget,
+                 SetTargetDraining, AcceptJob, PlaceTask, PlaceGang, EndAttempt,
+                 ReassignDispatcher, CancelJob, ForgetJobs>;
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/state/commands/grantkey.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "state/keyrole.h"
+
+#include <string>
+
+namespace guavavalve {
+
+/// Grants a key. Only a keyed hash of its secret is ever replicated.
+/// \errors Conflict if the key identity was ever used; NotFound if the team is not configured.
+struct GrantKey
+{
+    std::string requestId; ///< a resend returns the first result
+    s; ///< t
+    std::string team; ///< empty for an operator who belongs to none
+    K; ///< e
+    std::string keyedHash; ///< see hashSecret()
+    std::string label; ///< for a person to read
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->requestId, this->s, this->team, this->K, this->keyedHash, this->label);
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/state/commands/lapsetarget.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/ids.h"
+
+namespace guavavalve {
+
+/// The target's lease is over: its attempts are known to be over, with outcome Lost.
+/// \errors NotFound; Conflict if \a incarnation is not the current one.
+struct LapseTarget
+{
+    T; ///< a
+    I; ///< n
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->T, this->I);
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/state/commands/placegang.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "state/commands/placetask.h"
+
+#include <vector>
+
+namespace guavavalve {
+
+/// Places several tasks of one job, all or none.
+/// \errors those of PlaceTask, for the first place that cannot be had.
+struct PlaceGang
+{
+    s; ///< t
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->s);
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/state/commands/placetask.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <cstdint>
+
+namespace guavavalve {
+
+/// Places a waiting task. After its commit the dispatcher may send the start.
+/// \errors NotFound; Conflict if the task is not waiting, \a attempt is not the next one or the
+/// target has another incarnation or takes no work; LimitExceeded if the target has no room
+/// or the team would pass its upper limit.
+struct PlaceTask
+{
+    T; ///< a
+    AttemptNumber attempt = 0; ///< one more than the task's last
+    T; ///< a
+    I; ///< n
+    InstanceId dispatcher; ///< the entry that sends the start
+    std::int64_t placedAt = 0; ///< cell time in ms, for reports only
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->T, this->attempt, this->T, this->I, this->dispatcher, this->placedAt);
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/state/configuration.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/resources.h"
+#include "state/cellpolicy.h"
+#include "state/commands/grantkey.h"
+#include "state/commands/withdrawkey.h"
+#include "state/commands/writesection.h"
+#include "state/commandoutcome.h"
+#include "state/configurationchanges.h"
+#include "state/keyrecord.h"
+#include "state/section.h"
+#include "state/sectionpreview.h"
+#include "state/teampolicy.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// The configuration document and the keys. Each accepted change raises the document's version
+/// by one; nothing ever lowers it.
+class Configuration
+{
+public:
+    /// Bounds, so that the state stays small whatever is written to it.
+    static constexpr std::size_t maxSections = 2000;
+    static constexpr std::size_t maxSectionBytes = std::size_t{64} * 1024;
+    static constexpr std::size_t maxHistory = 32; ///< versions a section
+    static constexpr std::size_t maxHistoryBytes = std::size_t{128} * 1024; ///< a section
+    static constexpr std::size_t maxKeys = 20000; ///< in use
+    static constexpr std::size_t maxWithdrawnKeys = 20000; ///< oldest released
+
+    std::uint64_t version() const { return this->documentVersion; }
+    const std::map<std::string, Section> &sections() const { return this->sectionTable; }
+    const std::map<std::string, KeyRecord> &keys() const { return this->keyTable; }
+
+    /// Each of these gives null if there is no such record.
+    const Section *section(const std::string &name) const;
+    const KeyRecord *key(const std::string &id) const;
+    const TeamPolicy *team(const std::string &name) const;
+
+    /// The cell's policy: what its section says, or the defaults.
+    const CellPolicy &cell() const { return this->cellPolicy; }
+
+    /// \errors see WriteSection.
+    Result<ConfigurationChanged> write(const WriteSection &command);
+
+    /// What write() would do, without doing it.
+    SectionPreview preview(const WriteSection &command) const;
+
+    /// \errors see GrantKey.
+    Result<ConfigurationChanged> grant(const GrantKey &command);
+
+    /// \errors see WithdrawKey.
+    Result<ConfigurationChanged> withdraw(const WithdrawKey &command);
+
+    /// What differs for an entry that holds \a heldVersion of the document. An entry that holds
+    /// more than this copy does gets nothing: a lagging replica takes nothing back.
+    ConfigurationChanges changesSince(std::uint64_t heldVersion) const;
+
+    /// Reads the policies anew from the sections, as after a restored snapshot.
+    /// \errors Corrupt if a section does not pass the checks it has once passed.
+    Result<void> readPolicies();
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->documentVersion, this->keysReleasedAt, this->sectionTable, this->keyTable);
+    }
+
+private:
+    Result<void> checkBase(const WriteSection &command) const;
+    void releaseKeys();
+
+    std::uint64_t documentVersion = 0;
+    /// The newest change of a withdrawn key whose record has been released. Who holds an older
+    /// version is sent everything.
+    std::uint64_t keysReleasedAt = 0;
+    std::map<std::string, Section> sectionTable;
+    std::map<std::string, KeyRecord> keyTable;
+    // Read from the sections.
+    CellPolicy cellPolicy;
+    std::map<std::string, TeamPolicy> teamPolicies;
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/state/taskend.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/attemptoutcome.h"
+#include "core/ids.h"
+
+#include <cstdint>
+#include <string>
+
+namespace guavavalve {
+
+/// How a task's last finished attempt ended; kept only for tasks that have had one.
+struct TaskEnd
+{
+    TaskId task = TaskId::None;
+    AttemptNumber attempt = 0;
+    AttemptOutcome outcome = AttemptOutcome::Failed;
+    std::uint64_t answerLength = 0; ///< bytes
+    std::string answerDigest;
+    std::string message;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->task, this->attempt, this->outcome, this->answerLength, this->answerDigest,
+                this->message);
+    }
+};
+
+} // namespace guavavalve
