state: names that do not clash with decisions; a command to refuse a job

Cause: state and decisions are used together by the controller, and both had a TaskEnd, a TeamPolicy and unlimitedResources in one namespace, which breaks the one-definition rule. And an accepted job that can no longer start by its deadline had no command that ends it as not run.

Ruled out: a namespace a module (every signature of the controller would carry it); CancelJob for refusals (a caller could not tell them apart).

Change: the state's parsed sections are TeamSection and CellSection, an attempt that is over is a FinishedAttempt, the unlimited amounts are in core; RefuseJob at the end of the variant.

--- a/src/state/cellpolicy.h
+++ b/src/state/cellsection.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/resourcelimit.h"
 #include "core/resources.h"
 #include "core/workclass.h"
-#include "state/resourcelimit.h"
 
 #include <array>
 #include <cstdint>
@@ -19,7 +19,7 @@
 };
 
 /// The section "cell", owned by the operators.
-struct CellPolicy
+struct CellSection
 {
     std::array<CellClassPolicy, workClassCount> classes;
     std::int64_t promptHeadroomPercent = 10; ///< of the fleet, kept free of other classes
--- a/src/state/clusterstate.h
+++ b/src/state/clusterstate.h
@@ -77,6 +77,7 @@
     CommandOutcome applyOne(const ReassignDispatcher &command);
     CommandOutcome applyOne(const CancelJob &command);
     CommandOutcome applyOne(const ForgetJobs &command);
+    CommandOutcome applyOne(const RefuseJob &command);
 
     CommandOutcome once(const std::string &requestId, const Command &command);
     Result<void> checkJob(const AcceptJob &command) const;
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -9,6 +9,7 @@
 #include "state/commands/placegang.h"
 #include "state/commands/placetask.h"
 #include "state/commands/reassigndispatcher.h"
+#include "state/commands/refusejob.h"
 #include "state/commands/registertarget.h"
 #include "state/commands/retiretarget.h"
 #include "state/commands/settargetdraining.h"
@@ -21,9 +22,8 @@
 
 /// One change of the replicated state. The order of the alternatives is part of the format of
 /// the log: new ones go to the end.
-using Command =
-    std::variant<GrantKey, WithdrawKey, WriteSection, RegisterTarget, LapseTarget, RetireTarget,
-                 SetTargetDraining, AcceptJob, PlaceTask, PlaceGang, EndAttempt,
-                 ReassignDispatcher, CancelJob, ForgetJobs>;
+using Command = std::variant<GrantKey, WithdrawKey, WriteSection, RegisterTarget, LapseTarget,
+                             RetireTarget, SetTargetDraining, AcceptJob, PlaceTask, PlaceGang,
+                             EndAttempt, ReassignDispatcher, CancelJob, ForgetJobs, RefuseJob>;
 
 } // namespace guavavalve
--- a/src/state/commands/acceptjob.h
+++ b/src/state/commands/acceptjob.h
@@ -35,7 +35,9 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->first, this->s, this->T, this->s, this->s, this->W, this->need, this->s, this->b, this->declaredRunTimeMs, this->acceptedAt, this->startBy, this->finishBy, this->s, this->entry);
+        archive(this->first, this->s, this->T, this->s, this->s, this->W, this->need, this->s,
+                this->b, this->declaredRunTimeMs, this->acceptedAt, this->startBy, this->finishBy,
+                this->s, this->entry);
     }
 };
 
--- a/src/state/commands/endattempt.h
+++ b/src/state/commands/endattempt.h
@@ -23,7 +23,8 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->T, this->A, this->A, this->answerLength, this->s, this->message, this->endedAt);
+        archive(this->T, this->A, this->A, this->answerLength, this->s, this->message,
+                this->endedAt);
     }
 };
 
--- a/src/state/commands/writesection.h
+++ b/src/state/commands/writesection.h
@@ -20,7 +20,8 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->requestId, this->section, this->baseVersion, this->author, this->content, this->writtenAt);
+        archive(this->requestId, this->section, this->baseVersion, this->author, this->content,
+                this->writtenAt);
     }
 };
 
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -2,16 +2,16 @@
 
 #include "core/error.h"
 #include "core/resources.h"
-#include "state/cellpolicy.h"
+#include "state/cellsection.h"
+#include "state/commandoutcome.h"
 #include "state/commands/grantkey.h"
 #include "state/commands/withdrawkey.h"
 #include "state/commands/writesection.h"
-#include "state/commandoutcome.h"
 #include "state/configurationchanges.h"
 #include "state/keyrecord.h"
 #include "state/section.h"
 #include "state/sectionpreview.h"
-#include "state/teampolicy.h"
+#include "state/teamsection.h"
 
 #include <cstdint>
 #include <map>
@@ -40,10 +40,10 @@
     /// Each of these gives null if there is no such record.
     const Section *section(const std::string &name) const;
     const KeyRecord *key(const std::string &id) const;
-    const TeamPolicy *team(const std::string &name) const;
+    const TeamSection *team(const std::string &name) const;
 
     /// The cell's policy: what its section says, or the defaults.
-    const CellPolicy &cell() const { return this->cellPolicy; }
+    const CellSection &cell() const { return this->cellPolicy; }
 
     /// \errors see WriteSection.
     Result<ConfigurationChanged> write(const WriteSection &command);
@@ -82,8 +82,8 @@
     std::map<std::string, Section> sectionTable;
     std::map<std::string, KeyRecord> keyTable;
     // Read from the sections.
-    CellPolicy cellPolicy;
-    std::map<std::string, TeamPolicy> teamPolicies;
+    CellSection cellPolicy;
+    std::map<std::string, TeamSection> teamPolicies;
 };
 
 } // namespace guavavalve
--- a/src/state/taskend.h
+++ b/src/state/finishedattempt.h
@@ -9,7 +9,7 @@
 namespace guavavalve {
 
 /// How a task's last finished attempt ended; kept only for tasks that have had one.
-struct TaskEnd
+struct FinishedAttempt
 {
     TaskId task = TaskId::None;
     AttemptNumber attempt = 0;
--- a/src/state/jobrecord.h
+++ b/src/state/jobrecord.h
@@ -3,7 +3,7 @@
 #include "core/ids.h"
 #include "core/resources.h"
 #include "core/workclass.h"
-#include "state/taskend.h"
+#include "state/finishedattempt.h"
 #include "state/taskrecord.h"
 
 #include <cstdint>
@@ -35,7 +35,7 @@
     std::string payload; ///< released when the job has finished
     InstanceId entry;
     std::vector<TaskRecord> tasks;
-    std::vector<TaskEnd> ends; ///< by task, ascending
+    std::vector<FinishedAttempt> ends; ///< by task, ascending
 
     bool finished() const { return this->unfinished == 0; }
     TaskId taskId(std::size_t position) const
@@ -46,7 +46,7 @@
     std::size_t position(TaskId task) const { return idValue(task) - idValue(this->id); }
 
     /// How \a task's last finished attempt ended, or null.
-    const TaskEnd *end(TaskId task) const;
+    const FinishedAttempt *end(TaskId task) const;
 
     template<typename Archive>
     void serialize(Archive &archive)
--- a/src/state/teampolicy.h
+++ b/src/state/teamsection.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/resourcelimit.h"
 #include "core/resources.h"
 #include "core/workclass.h"
-#include "state/resourcelimit.h"
 
 #include <array>
 #include <cstdint>
@@ -19,7 +19,7 @@
 };
 
 /// The section "team.NAME", owned by that team; the operators' fields are share and limit.
-struct TeamPolicy
+struct TeamSection
 {
     std::string description;
     std::string contact;
