--- /dev/null
+++ b/src/controller/clusterstatemachine.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "replicas/statemachine.h"
+#include "state/clusterstate.h"
+
+#include <functional>
+#include <shared_mutex>
+#include <string>
+
+namespace guavavalve {
+
+/// Puts the replicated log in front of the cluster's state, and lets many read it at once.
+class ClusterStateMachine : public StateMachine
+{
+public:
+    explicit ClusterStateMachine(std::uint8_t shard = 0);
+
+    /// \sa encodeOutcomes for the bytes returned.
+    std::string apply(LogIndex index, const std::string &command) override;
+    std::string takeSnapshot() override;
+    Result<void> restoreSnapshot(const std::string &snapshot) override;
+
+    /// Calls \a reader with the state held still. The reader must not block.
+    template<typename Reader>
+    auto read(Reader &&reader) const
+    {
+        const std::shared_lock lock(this->mutex);
+        return reader(static_cast<const ClusterState &>(this->state));
+    }
+
+private:
+    mutable std::shared_mutex mutex;
+    ClusterState state;
+};
+
+} // namespace guavavalve
--- a/src/controller/dispatchorder.h
+++ b/src/controller/dispatchorder.h
@@ -12,6 +12,8 @@
     Start, ///< send the start, then wait for the end
     Follow, ///< ask about the attempt; never send its start
     Stop, ///< have the target end it, or refuse it for ever if it has not started
+    Throttle, ///< have the target slow the attempt down; it goes on
+    Checkpoint, ///< have the target save the attempt's progress and end it; ends as Stopped
 };
 
 /// A committed order from the controller to an entry.
--- /dev/null
+++ b/src/controller/nameinterner.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace guavavalve {
+
+/// Gives each name a small number, in order of first use, as the scheduler wants them.
+class NameInterner
+{
+public:
+    std::uint16_t number(const std::string &name)
+    {
+        const auto next = static_cast<std::uint16_t>(this->numbers.size());
+        return this->numbers.try_emplace(name, next).first->second;
+    }
+
+private:
+    std::map<std::string, std::uint16_t> numbers;
+};
+
+} // namespace guavavalve
