decisions: the Scheduler interface and the first-fit baseline

The controller is written against the Scheduler interface, so it comes first, with the plain first-come first-fit implementation that later measurements stand beside.

--- /dev/null
+++ b/src/decisions/decisions.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// \file
+/// The scheduler: pure and deterministic. Events and a time in, decisions out.
+
+#include "decisions/decision.h"
+#include "decisions/explanation.h"
+#include "decisions/firstfitscheduler.h"
+#include "decisions/policy.h"
+#include "decisions/reason.h"
+#include "decisions/scheduler.h"
+#include "decisions/statistics.h"
+#include "decisions/targetinfo.h"
+#include "decisions/taskend.h"
+#include "decisions/taskrequest.h"
