--- a/src/replicas/statemachine.h
+++ b/src/replicas/statemachine.h
@@ -1,15 +1,12 @@
 #pragma once
 
 #include "core/error.h"
+#include "journal/logindex.h"
 
-#include <cstdint>
 #include <string>
 
 namespace guavavalve {
 
-/// Position of an entry in the replicated log; the first entry has index 1.
-using LogIndex = std::uint64_t;
-
 /// What the replicated log drives. Called by one thread at a time, in the order of the log.
 class StateMachine
 {
--- /dev/null
+++ b/src/replicas/tcpmessenger.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "replicas/messenger.h"
+#include "replicas/messengercounters.h"
+#include "replicas/messengeroptions.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace guavavalve {
+
+namespace internal {
+class TcpHub;
+}
+
+/// Messenger over TCP: one connection from each caller to each peer, calls multiplexed over it.
+/// docs/design/replication.md says what the frames protect and what they do not.
+class TcpMessenger : public Messenger
+{
+public:
+    explicit TcpMessenger(MessengerOptions options);
+    ~TcpMessenger() override;
+    TcpMessenger(const TcpMessenger &) = delete;
+    TcpMessenger &operator=(const TcpMessenger &) = delete;
+
+    /// Binds the listen address and starts the threads.
+    /// \errors InvalidArgument for bad options, Unavailable if the address cannot be bound.
+    Result<void> start();
+    /// Ends all connections; calls under way end with Unavailable. No handler runs afterwards.
+    void stop();
+    /// The port bound, once started.
+    std::uint16_t port() const;
+    MessengerCounters counters() const;
+
+    void handle(Method method, Handler handler) override;
+    void call(const std::string &address, Method method, std::string payload, Instant deadline,
+              Done<std::string> done) override;
+
+private:
+    std::shared_ptr<internal::TcpHub> hub;
+};
+
+} // namespace guavavalve
