Operators: the questions and replies between entry and controller

Cause: the operators' interface needs a way to reach the controller that does not depend on HTTP. One method carries a variant of typed questions, each of which names its reply, so that the messenger needs one method number and the controller one handler. Ruled out: a virtual method for each question, which would repeat encoding, forwarding and redirection seventeen times. Forming a group goes to a replica's own log, so it is not among the questions.

--- /dev/null
+++ b/src/controller/jobrequests.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "controller/jobstatus.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// One job in a list.
+struct JobSummary
+{
+    JobId job = JobId::None;
+    std::string team;
+    WorkClass workClass = WorkClass::Prompt;
+    std::uint32_t tasks = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t placed = 0;
+    bool finished = false;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->job, this->team, this->workClass, this->tasks, this->waiting, this->placed,
+                this->finished);
+    }
+};
+
+struct JobList
+{
+    std::vector<JobSummary> jobs; ///< newest first
+    bool more = false; ///< there are more than fit
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobs, this->more);
+    }
+};
+
+struct ListJobs
+{
+    using Reply = JobList;
+    std::string team; ///< empty: of every team
+    bool unfinishedOnly = false;
+    std::uint32_t atMost = 100;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->team, this->unfinishedOnly, this->atMost);
+    }
+};
+
+/// Why a job is where it is.
+struct JobExplanation
+{
+    JobStatus status;
+    std::vector<std::string> reasons; ///< for a person to read; the newest decision first
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->status, this->reasons);
+    }
+};
+
+struct ExplainJob
+{
+    using Reply = JobExplanation;
+    JobId job = JobId::None;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->job);
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/controller/operatorrequest.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "controller/cellstatus.h"
+#include "controller/configurationrequests.h"
+#include "controller/jobrequests.h"
+#include "controller/keyrequests.h"
+#include "controller/operatoridentity.h"
+#include "controller/replicarequests.h"
+#include "controller/targetrequests.h"
+
+#include <cereal/types/variant.hpp>
+
+#include <variant>
+
+namespace guavavalve {
+
+/// Everything that an operator may ask of the controller. The order is part of the wire format.
+using OperatorQuestion =
+    std::variant<ShowConfiguration, CheckConfiguration, WriteSection, SectionHistory,
+                 AskConfigurationInForce, GrantKey, ListKeys, WithdrawKey, ListTargets, DrainTarget,
+                 AskReplicaStatus, AddReplica, RemoveReplica, ListJobs, ExplainJob, ListTeams,
+                 AskCellStatus>;
+
+/// The answer: always the question's Reply.
+using OperatorReply =
+    std::variant<ConfigurationDocument, ConfigurationCheck, SectionWritten, SectionVersions,
+                 ConfigurationInForce, KeyGranted, KeyList, KeySummary, TargetList, TargetSummary,
+                 ReplicaStatus, JobList, JobExplanation, TeamList, CellStatus>;
+
+/// A question and who asks it: the payload of Method::Operate.
+struct OperatorRequest
+{
+    OperatorIdentity identity;
+    OperatorQuestion question;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->identity, this->question);
+    }
+};
+
+} // namespace guavavalve
