Operators: questions named as requests, apart from the state's commands; platform parts

Cause: WriteSection and GrantKey are names of state commands, and one class cannot mean both. Change: each question ends in Request.

Conclusion: the headers compile alone; nothing of it has run.

--- a/src/controller/cellstatus.h
+++ b/src/controller/cellstatus.h
@@ -43,7 +43,7 @@
     }
 };
 
-struct ListTeams
+struct ListTeamsRequest
 {
     using Reply = TeamList;
 
@@ -100,7 +100,7 @@
     }
 };
 
-struct AskCellStatus
+struct CellStatusRequest
 {
     using Reply = CellStatus;
 
--- a/src/controller/configurationrequests.h
+++ b/src/controller/configurationrequests.h
@@ -39,7 +39,7 @@
 };
 
 /// Asks for the document.
-struct ShowConfiguration
+struct ShowConfigurationRequest
 {
     using Reply = ConfigurationDocument;
     std::string section; ///< empty: all of them
@@ -91,7 +91,7 @@
     }
 };
 
-/// The outcome of CheckConfiguration: acceptable if there are no problems.
+/// The outcome of CheckConfigurationRequest: acceptable if there are no problems.
 struct ConfigurationCheck
 {
     std::vector<ConfigurationProblem> problems;
@@ -106,7 +106,7 @@
 
 /// Checks drafts together with the rest of the document, and previews what they would change.
 /// Changes nothing.
-struct CheckConfiguration
+struct CheckConfigurationRequest
 {
     using Reply = ConfigurationCheck;
     std::vector<SectionDraft> drafts;
@@ -118,7 +118,7 @@
     }
 };
 
-/// The outcome of an accepted WriteSection.
+/// The outcome of an accepted WriteSectionRequest.
 struct SectionWritten
 {
     std::uint64_t version = 0; ///< the section's new version
@@ -134,7 +134,7 @@
 
 /// Replaces a section, if it is still at \a baseVersion (compare and set).
 /// \errors Conflict, which names the version that is there and who wrote it.
-struct WriteSection
+struct WriteSectionRequest
 {
     using Reply = SectionWritten;
     SectionDraft draft;
@@ -149,7 +149,7 @@
 };
 
 /// The versions of one section that are kept, newest first.
-struct SectionVersions
+struct SectionHistory
 {
     std::vector<ConfigurationSection> versions;
 
@@ -160,9 +160,9 @@
     }
 };
 
-struct SectionHistory
+struct SectionHistoryRequest
 {
-    using Reply = SectionVersions;
+    using Reply = SectionHistory;
     std::string section;
 
     template<typename Archive>
@@ -200,7 +200,7 @@
     }
 };
 
-struct AskConfigurationInForce
+struct InForceRequest
 {
     using Reply = ConfigurationInForce;
 
--- a/src/controller/jobrequests.h
+++ b/src/controller/jobrequests.h
@@ -42,7 +42,7 @@
     }
 };
 
-struct ListJobs
+struct ListJobsRequest
 {
     using Reply = JobList;
     std::string team; ///< empty: of every team
@@ -69,7 +69,7 @@
     }
 };
 
-struct ExplainJob
+struct ExplainJobRequest
 {
     using Reply = JobExplanation;
     JobId job = JobId::None;
--- a/src/controller/keyrequests.h
+++ b/src/controller/keyrequests.h
@@ -36,7 +36,7 @@
     }
 };
 
-struct GrantKey
+struct GrantKeyRequest
 {
     using Reply = KeyGranted;
     std::string team;
@@ -61,7 +61,7 @@
     }
 };
 
-struct ListKeys
+struct ListKeysRequest
 {
     using Reply = KeyList;
 
@@ -71,7 +71,7 @@
 };
 
 /// Withdraws a key. Entries refuse it within seconds, or stop accepting.
-struct WithdrawKey
+struct WithdrawKeyRequest
 {
     using Reply = KeySummary;
     std::string keyId;
--- a/src/controller/operatorrequest.h
+++ b/src/controller/operatorrequest.h
@@ -16,14 +16,15 @@
 
 /// Everything that an operator may ask of the controller. The order is part of the wire format.
 using OperatorQuestion =
-    std::variant<ShowConfiguration, CheckConfiguration, WriteSection, SectionHistory,
-                 AskConfigurationInForce, GrantKey, ListKeys, WithdrawKey, ListTargets, DrainTarget,
-                 AskReplicaStatus, AddReplica, RemoveReplica, ListJobs, ExplainJob, ListTeams,
-                 AskCellStatus>;
+    std::variant<ShowConfigurationRequest, CheckConfigurationRequest, WriteSectionRequest,
+                 SectionHistoryRequest, InForceRequest, GrantKeyRequest, ListKeysRequest,
+                 WithdrawKeyRequest, ListTargetsRequest, DrainTargetRequest, ReplicaStatusRequest,
+                 AddReplicaRequest, RemoveReplicaRequest, ListJobsRequest, ExplainJobRequest,
+                 ListTeamsRequest, CellStatusRequest>;
 
 /// The answer: always the question's Reply.
 using OperatorReply =
-    std::variant<ConfigurationDocument, ConfigurationCheck, SectionWritten, SectionVersions,
+    std::variant<ConfigurationDocument, ConfigurationCheck, SectionWritten, SectionHistory,
                  ConfigurationInForce, KeyGranted, KeyList, KeySummary, TargetList, TargetSummary,
                  ReplicaStatus, JobList, JobExplanation, TeamList, CellStatus>;
 
--- a/src/controller/replicarequests.h
+++ b/src/controller/replicarequests.h
@@ -8,7 +8,7 @@
 
 namespace guavavalve {
 
-struct AskReplicaStatus
+struct ReplicaStatusRequest
 {
     using Reply = ReplicaStatus;
 
@@ -19,7 +19,7 @@
 
 /// Forms the group. The one request that goes to a replica's own log and not to the controller,
 /// for there is none yet.
-struct FormGroup
+struct FormGroupRequest
 {
     using Reply = ReplicaStatus;
     std::vector<ReplicaMember> members;
@@ -32,7 +32,7 @@
 };
 
 /// Adds a replica; the reply comes once it votes.
-struct AddReplica
+struct AddReplicaRequest
 {
     using Reply = ReplicaStatus;
     ReplicaMember member;
@@ -44,7 +44,7 @@
     }
 };
 
-struct RemoveReplica
+struct RemoveReplicaRequest
 {
     using Reply = ReplicaStatus;
     InstanceId instance;
--- a/src/controller/targetrequests.h
+++ b/src/controller/targetrequests.h
@@ -42,7 +42,7 @@
     }
 };
 
-struct ListTargets
+struct ListTargetsRequest
 {
     using Reply = TargetList;
 
@@ -52,7 +52,7 @@
 };
 
 /// Closes a target to new work, or opens it again. What runs on it goes on.
-struct DrainTarget
+struct DrainTargetRequest
 {
     using Reply = TargetSummary;
     std::string target;
--- /dev/null
+++ b/src/platform/logging.cpp
@@ -0,0 +1,105 @@
+#include "platform/logging.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+
+namespace guavavalve {
+
+namespace {
+
+spdlog::level::level_enum spdlogLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return spdlog::level::debug;
+    case LogLevel::Information:
+        return spdlog::level::info;
+    case LogLevel::Warning:
+        return spdlog::level::warn;
+    case LogLevel::Error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+}
+
+nlohmann::json fieldsAsJson(std::string_view what, std::initializer_list<LogField> fields)
+{
+    nlohmann::json line{{"event", std::string(what)}};
+    for (const auto &[key, value] : fields)
+        line[std::string(key)] = value;
+    return line;
+}
+
+std::string fieldsAsText(std::string_view what, std::initializer_list<LogField> fields)
+{
+    std::string line(what);
+    for (const auto &[key, value] : fields) {
+        line.append(" ").append(key).append("=");
+        const bool plain = value.find_first_of(" \"\n\r\t") == std::string::npos;
+        line += plain
+            ? value
+            : nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+    return line;
+}
+
+/// The fields are an object already; the pattern puts time and level into it.
+constexpr const char *jsonPattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%f%z","level":"%l",%v})";
+constexpr const char *textPattern = "%Y-%m-%d %H:%M:%S.%e %l %v";
+
+bool writesJson = false; // set before the first thread starts
+
+std::shared_ptr<spdlog::sinks::sink> makeSink(const std::string &file)
+{
+    if (file.empty())
+        return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    return std::make_shared<spdlog::sinks::basic_file_sink_mt>(file);
+}
+
+} // namespace
+
+Logging::Logging(const LogOptions &options)
+{
+    writesJson = options.format == LogFormat::Json;
+    spdlog::init_thread_pool(options.queueLines, 1);
+    auto logger = std::make_shared<spdlog::async_logger>(
+        "guavavalve", makeSink(options.file), spdlog::thread_pool(),
+        spdlog::async_overflow_policy::overrun_oldest);
+    logger->set_level(spdlogLevel(options.level));
+    logger->set_pattern(writesJson ? jsonPattern : textPattern);
+    logger->flush_on(spdlog::level::info);
+    spdlog::set_default_logger(std::move(logger));
+}
+
+Logging::~Logging()
+{
+    spdlog::shutdown();
+}
+
+std::uint64_t Logging::droppedLines()
+{
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
+void logChange(LogLevel level, std::string_view what, std::initializer_list<LogField> fields)
+{
+    spdlog::logger *logger = spdlog::default_logger_raw();
+    if (logger == nullptr || !logger->should_log(spdlogLevel(level)))
+        return;
+    if (!writesJson) {
+        logger->log(spdlogLevel(level), fieldsAsText(what, fields));
+        return;
+    }
+    const std::string object =
+        fieldsAsJson(what, fields).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    logger->log(spdlogLevel(level), object.substr(1, object.size() - 2));
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/platform/metrics.cpp
@@ -0,0 +1,210 @@
+#include "platform/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <array>
+#include <cassert>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <string_view>
+#include <utility>
+
+namespace guavavalve {
+
+namespace {
+
+constexpr std::size_t maxLabelLength = 64;
+constexpr std::string_view overflowLabel = "other";
+
+std::vector<std::string> splitLabels(std::string_view names)
+{
+    std::vector<std::string> result;
+    while (!names.empty()) {
+        const std::size_t comma = names.find(',');
+        result.emplace_back(names.substr(0, comma));
+        names = comma == std::string_view::npos ? std::string_view() : names.substr(comma + 1);
+    }
+    return result;
+}
+
+/// The series of one metric, each made when its labels are first seen.
+struct Series
+{
+    std::mutex mutex;
+    std::vector<std::string> labelNames;
+    prometheus::Family<prometheus::Counter> *counters = nullptr;
+    prometheus::Family<prometheus::Gauge> *gauges = nullptr;
+    prometheus::Family<prometheus::Histogram> *histograms = nullptr;
+    // A map of our own: the family's would copy and sort the labels for each observation.
+    std::map<std::vector<std::string>, void *> known;
+};
+
+} // namespace
+
+struct Metrics::Private
+{
+    prometheus::Registry registry;
+    std::array<Series, metricCount> series;
+    std::size_t maxSeries = 0;
+    std::mutex sourcesMutex;
+    std::vector<std::function<void(Metrics &)>> sources;
+
+    void registerAll();
+    void *find(Metric metric, const LabelValues &labels);
+    void *add(Series &family, const LabelValues &labels) const;
+    void countOverflow();
+};
+
+void Metrics::Private::registerAll()
+{
+    for (const MetricDescription &row : metricTable()) {
+        Series &family = this->series[static_cast<std::size_t>(row.metric)];
+        const std::string name(row.name);
+        const std::string help(row.doc);
+        family.labelNames = splitLabels(row.labels);
+        switch (row.type) {
+        case MetricType::Counter:
+            family.counters =
+                &prometheus::BuildCounter().Name(name).Help(help).Register(this->registry);
+            break;
+        case MetricType::Gauge:
+            family.gauges =
+                &prometheus::BuildGauge().Name(name).Help(help).Register(this->registry);
+            break;
+        case MetricType::Histogram:
+            family.histograms =
+                &prometheus::BuildHistogram().Name(name).Help(help).Register(this->registry);
+            break;
+        }
+    }
+}
+
+void *Metrics::Private::add(Series &family, const LabelValues &values) const
+{
+    prometheus::Labels labels;
+    for (std::size_t i = 0; i < values.size(); ++i)
+        labels.emplace(family.labelNames[i], values[i].substr(0, maxLabelLength));
+    if (family.counters != nullptr)
+        return &family.counters->Add(labels);
+    if (family.gauges != nullptr)
+        return &family.gauges->Add(labels);
+    return &family.histograms->Add(labels, Metrics::waitingBuckets());
+}
+
+void Metrics::Private::countOverflow()
+{
+    static_cast<prometheus::Counter *>(this->find(Metric::SeriesDroppedTotal, {}))->Increment();
+}
+
+void *Metrics::Private::find(Metric metric, const LabelValues &labels)
+{
+    Series &family = this->series[static_cast<std::size_t>(metric)];
+    assert(labels.size() == family.labelNames.size()
+           && "give one value for each label of the metric's row");
+    std::unique_lock<std::mutex> lock(family.mutex);
+    const auto found = family.known.find(labels);
+    if (found != family.known.end())
+        return found->second;
+    if (family.known.size() < this->maxSeries) {
+        void *series = this->add(family, labels);
+        family.known.emplace(labels, series);
+        return series;
+    }
+    const LabelValues other(labels.size(), std::string(overflowLabel));
+    void *series = this->add(family, other);
+    lock.unlock();
+    this->countOverflow();
+    return series;
+}
+
+Metrics::Metrics(std::size_t maxSeries)
+    : d(std::make_unique<Private>())
+{
+    this->d->maxSeries = maxSeries;
+    this->d->registerAll();
+}
+
+Metrics::~Metrics() = default;
+
+const std::vector<double> &Metrics::waitingBuckets()
+{
+    static const std::vector<double> bounds{0.0001, 0.0003, 0.001, 0.002, 0.005, 0.01,
+                                            0.02,   0.05,   0.1,   0.25,  0.5,   1.0,
+                                            3.1,    10.0,   30.0,  60.0,  180.0, 600.0};
+    return bounds;
+}
+
+void Metrics::count(Metric metric, const LabelValues &labels, double by)
+{
+    assert(describe(metric).type == MetricType::Counter && "count() is for counters");
+    static_cast<prometheus::Counter *>(this->d->find(metric, labels))->Increment(by);
+}
+
+void Metrics::countUpTo(Metric metric, double total, const LabelValues &labels)
+{
+    assert(describe(metric).type == MetricType::Counter && "countUpTo() is for counters");
+    auto *counter = static_cast<prometheus::Counter *>(this->d->find(metric, labels));
+    const double missing = total - counter->Value();
+    if (missing > 0.0)
+        counter->Increment(missing);
+}
+
+void Metrics::set(Metric metric, double value, const LabelValues &labels)
+{
+    assert(describe(metric).type == MetricType::Gauge && "set() is for gauges");
+    static_cast<prometheus::Gauge *>(this->d->find(metric, labels))->Set(value);
+}
+
+void Metrics::observe(Metric metric, double value, const LabelValues &labels)
+{
+    assert(describe(metric).type == MetricType::Histogram && "observe() is for histograms");
+    static_cast<prometheus::Histogram *>(this->d->find(metric, labels))->Observe(value);
+}
+
+void Metrics::addSource(std::function<void(Metrics &)> refresh)
+{
+    const std::lock_guard<std::mutex> lock(this->d->sourcesMutex);
+    this->d->sources.push_back(std::move(refresh));
+}
+
+std::string Metrics::exposition()
+{
+    std::vector<std::function<void(Metrics &)>> sources;
+    {
+        const std::lock_guard<std::mutex> lock(this->d->sourcesMutex);
+        sources = this->d->sources;
+    }
+    for (const auto &refresh : sources)
+        refresh(*this);
+    return prometheus::TextSerializer().Serialize(this->d->registry.Collect());
+}
+
+void refreshProcessMetrics(Metrics &metrics)
+{
+    rusage usage{};
+    if (getrusage(RUSAGE_SELF, &usage) == 0) {
+        constexpr double microsecond = 1e-6;
+        const double seconds = static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
+            + microsecond * static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+        metrics.countUpTo(Metric::ControlCpuSeconds, seconds);
+    }
+    std::ifstream statm("/proc/self/statm");
+    std::int64_t total = 0;
+    std::int64_t resident = 0;
+    if (statm >> total >> resident) {
+        const double bytes =
+            static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
+        metrics.set(Metric::ControlMemoryBytes, bytes);
+    }
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/platform/metrictable.cpp
@@ -0,0 +1,86 @@
+#include "platform/metrictable.h"
+
+namespace guavavalve {
+
+namespace {
+
+constexpr std::array<MetricDescription, metricCount> table{{
+    {Metric::WaitingSeconds, "guavavalve_waiting_seconds", MetricType::Histogram, "seconds",
+     "team,class", "Time from acceptance of a task to its start on a target."},
+    {Metric::RequestsTotal, "guavavalve_requests_total", MetricType::Counter, "requests",
+     "team,class,outcome",
+     "Callers' requests by outcome: accepted, joined, or the code of the refusal."},
+    {Metric::AttemptsTotal, "guavavalve_attempts_total", MetricType::Counter, "attempts", "outcome",
+     "Attempts at running a task, by how they ended."},
+    {Metric::RequestsOpen, "guavavalve_requests_open", MetricType::Gauge, "requests", "",
+     "Requests taken by this instance and not yet answered."},
+    {Metric::TasksWaiting, "guavavalve_tasks_waiting", MetricType::Gauge, "tasks", "team,class",
+     "Accepted tasks without a place. Shown by the controller."},
+    {Metric::TasksPlaced, "guavavalve_tasks_placed", MetricType::Gauge, "tasks", "team,class",
+     "Tasks with a place that is not known to be over. Shown by the controller."},
+    {Metric::PackingRatio, "guavavalve_packing_ratio", MetricType::Gauge, "ratio", "",
+     "Dominant share of the ready targets' resources that is placed, 0 to 1. Shown by the "
+     "controller."},
+    {Metric::ShareDistanceRatio, "guavavalve_share_distance_ratio", MetricType::Gauge, "ratio",
+     "team",
+     "How far a team with waiting work is below its part of the cell, 0 (at or above it) to 1. "
+     "Shown by the controller."},
+    {Metric::TeamShareRatio, "guavavalve_team_share_ratio", MetricType::Gauge, "ratio", "team",
+     "Dominant share of the cell that the team's placed tasks take, 0 to 1. Shown by the "
+     "controller."},
+    {Metric::ControlCpuSeconds, "guavavalve_control_cpu_seconds_total", MetricType::Counter,
+     "seconds", "", "Processor time that this process has used, user and system."},
+    {Metric::ControlMemoryBytes, "guavavalve_control_memory_bytes", MetricType::Gauge, "bytes", "",
+     "Resident memory of this process."},
+    {Metric::ControlSentBytes, "guavavalve_control_sent_bytes_total", MetricType::Counter, "bytes",
+     "", "Bytes sent to other instances of the system."},
+    {Metric::ControlReceivedBytes, "guavavalve_control_received_bytes_total", MetricType::Counter,
+     "bytes", "", "Bytes received from other instances of the system."},
+    {Metric::Targets, "guavavalve_targets", MetricType::Gauge, "targets", "state",
+     "Targets by state: ready, draining, departing, quarantined, lost. Shown by the controller."},
+    {Metric::ReplicaRoleInfo, "guavavalve_replica_role", MetricType::Gauge, "", "role",
+     "1 for the role that this replica has now, 0 for the others."},
+    {Metric::ReplicaTerm, "guavavalve_replica_term", MetricType::Gauge, "", "",
+     "Term of the replica's group; it grows with each election."},
+    {Metric::ReplicaCommittedIndex, "guavavalve_replica_committed_index", MetricType::Gauge, "", "",
+     "Newest log entry that this replica knows to be committed."},
+    {Metric::ReplicaAppliedIndex, "guavavalve_replica_applied_index", MetricType::Gauge, "", "",
+     "Newest log entry that this replica has applied."},
+    {Metric::ConfigurationVersion, "guavavalve_configuration_version", MetricType::Gauge, "", "",
+     "Version of the configuration document in force on this instance."},
+    {Metric::ConfigurationLag, "guavavalve_configuration_lag_seconds", MetricType::Gauge, "seconds",
+     "", "Time since this instance last heard from a controller that it is current."},
+    {Metric::Ready, "guavavalve_ready", MetricType::Gauge, "", "",
+     "1 while /readyz says ready, else 0."},
+    {Metric::FramesRejectedTotal, "guavavalve_frames_rejected_total", MetricType::Counter, "frames",
+     "", "Frames from the network that were not authentic, foreign, cut or too long."},
+    {Metric::LogLinesDroppedTotal, "guavavalve_log_lines_dropped_total", MetricType::Counter,
+     "lines", "", "Log lines dropped because the queue was full."},
+    {Metric::SeriesDroppedTotal, "guavavalve_series_dropped_total", MetricType::Counter,
+     "observations", "",
+     "Observations counted under the label \"other\" because their metric had its most series."},
+}};
+
+constexpr bool inOrder()
+{
+    for (std::size_t i = 0; i < table.size(); ++i) {
+        if (static_cast<std::size_t>(table[i].metric) != i)
+            return false;
+    }
+    return true;
+}
+static_assert(inOrder(), "rows stand in the order of Metric");
+
+} // namespace
+
+const std::array<MetricDescription, metricCount> &metricTable()
+{
+    return table;
+}
+
+const MetricDescription &describe(Metric metric)
+{
+    return table[static_cast<std::size_t>(metric)];
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/platform/metrictable.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace guavavalve {
+
+/// Every metric that an instance shows on /metrics. Named and measured in base units by the
+/// conventions of Prometheus.
+enum class Metric : std::uint8_t {
+    WaitingSeconds,
+    RequestsTotal,
+    AttemptsTotal,
+    RequestsOpen,
+    TasksWaiting,
+    TasksPlaced,
+    PackingRatio,
+    ShareDistanceRatio,
+    TeamShareRatio,
+    ControlCpuSeconds,
+    ControlMemoryBytes,
+    ControlSentBytes,
+    ControlReceivedBytes,
+    Targets,
+    ReplicaRoleInfo,
+    ReplicaTerm,
+    ReplicaCommittedIndex,
+    ReplicaAppliedIndex,
+    ConfigurationVersion,
+    ConfigurationLag,
+    Ready,
+    FramesRejectedTotal,
+    LogLinesDroppedTotal,
+    SeriesDroppedTotal,
+};
+
+inline constexpr std::size_t metricCount = 24;
+
+enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
+
+/// One row of the table from which registration, exposition and the operators' page come.
+struct MetricDescription
+{
+    Metric metric;
+    std::string_view name;
+    MetricType type;
+    std::string_view unit;
+    std::string_view labels; ///< names, separated by commas
+    std::string_view doc;
+};
+
+/// The table, in the order of Metric.
+const std::array<MetricDescription, metricCount> &metricTable();
+
+/// The row of \a metric.
+const MetricDescription &describe(Metric metric);
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/platform/platformroutes.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace guavavalve {
+
+class HttpServer;
+class Metrics;
+class Readiness;
+
+/// Serves GET /healthz (200 while the process answers), /readyz (200, or 503 with the reasons)
+/// and /metrics. Both objects must outlive \a server.
+void addPlatformRoutes(HttpServer &server, const Readiness &readiness, Metrics &metrics);
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/platform/signalwatcher.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+#include <thread>
+
+namespace guavavalve {
+
+/// Turns SIGTERM and SIGINT into one call of a function on a thread of its own.
+class SignalWatcher
+{
+public:
+    /// Blocks both signals for this thread and those that it starts. Called first thing in
+    /// main(): a thread started earlier would take the signal and end the process, and with it
+    /// every open request.
+    static void blockSignals();
+
+    /// Calls \a onFirst once, at the first of the signals.
+    ///
+    /// Later signals change nothing. An operator or a supervisor that sends a second one while
+    /// requests are being finished would otherwise cut them off; whoever wants that has SIGKILL.
+    explicit SignalWatcher(std::function<void(int signal)> onFirst);
+    ~SignalWatcher();
+    SignalWatcher(const SignalWatcher &) = delete;
+    SignalWatcher &operator=(const SignalWatcher &) = delete;
+
+private:
+    void watch(const std::function<void(int signal)> &onFirst) const;
+
+    int signals = -1; ///< signalfd
+    int wakeUp = -1; ///< eventfd that ends the thread
+    std::thread thread;
+};
+
+} // namespace guavavalve
