decisions: the attempt's outcome and the unlimited amounts come from core

Cause: decisions had its own TaskEnd with the five values that core's AttemptOutcome has, and its own unlimited amounts beside the state's.

Ruled out: converting between the two at the controller (a table to keep in step for nothing).

Change: decisions uses core/attemptoutcome.h and core/resourcelimit.h.

--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -3,6 +3,7 @@
 /// \file
 /// The scheduler: pure and deterministic. Events and a time in, decisions out.
 
+#include "core/attemptoutcome.h"
 #include "decisions/decision.h"
 #include "decisions/explanation.h"
 #include "decisions/firstfitscheduler.h"
@@ -11,5 +12,4 @@
 #include "decisions/scheduler.h"
 #include "decisions/statistics.h"
 #include "decisions/targetinfo.h"
-#include "decisions/taskend.h"
 #include "decisions/taskrequest.h"
--- a/src/decisions/firstfitscheduler.cpp
+++ b/src/decisions/firstfitscheduler.cpp
@@ -144,7 +144,7 @@
     this->tasks.erase(task);
 }
 
-void FirstFitScheduler::taskEnded(TaskId id, TaskEnd, Instant)
+void FirstFitScheduler::taskEnded(TaskId id, AttemptOutcome, Instant)
 {
     const auto task = this->tasks.find(id);
     if (task == this->tasks.end())
@@ -156,7 +156,7 @@
     this->forget(task);
 }
 
-void FirstFitScheduler::requeue(TaskId id, TaskEnd, Instant)
+void FirstFitScheduler::requeue(TaskId id, AttemptOutcome, Instant)
 {
     const auto task = this->tasks.find(id);
     if (task == this->tasks.end() || task->second.target == TargetId::None)
@@ -174,14 +174,14 @@
     if (task == this->tasks.end() || task->second.target == TargetId::None)
         return;
     if (task->second.request.workClass != WorkClass::Gang)
-        return this->requeue(id, TaskEnd::Stopped, now);
+        return this->requeue(id, AttemptOutcome::Stopped, now);
     std::vector<TaskId> members;
     for (const auto &[memberId, member] : this->tasks) {
         if (member.request.job == task->second.request.job && member.target != TargetId::None)
             members.push_back(memberId);
     }
     for (const TaskId member : members)
-        this->requeue(member, TaskEnd::Stopped, now);
+        this->requeue(member, AttemptOutcome::Stopped, now);
 }
 
 bool FirstFitScheduler::cancel(TaskId id, Instant)
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/attemptoutcome.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/ids.h"
@@ -9,7 +10,6 @@
 #include "decisions/policy.h"
 #include "decisions/statistics.h"
 #include "decisions/targetinfo.h"
-#include "decisions/taskend.h"
 #include "decisions/taskrequest.h"
 
 #include <vector>
@@ -49,11 +49,11 @@
                                Instant now) = 0;
 
     /// A placed task is over for good; a waiting one is forgotten. Unknown tasks are ignored.
-    virtual void taskEnded(TaskId task, TaskEnd end, Instant now) = 0;
+    virtual void taskEnded(TaskId task, AttemptOutcome end, Instant now) = 0;
 
     /// A placed task's attempt is over and it waits again, before others of its queue. If it was
     /// cancelled meanwhile it is forgotten.
-    virtual void requeue(TaskId task, TaskEnd end, Instant now) = 0;
+    virtual void requeue(TaskId task, AttemptOutcome end, Instant now) = 0;
 
     /// The decision to place was not committed: as if it had not been made, and nobody is to
     /// blame. For a gang one call undoes the placements of all its tasks of that decision.
--- a/src/decisions/teampolicy.h
+++ b/src/decisions/teampolicy.h
@@ -1,25 +1,13 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/resourcelimit.h"
 #include "core/resources.h"
 
 #include <cstdint>
-#include <limits>
 
 namespace guavavalve {
 
-/// The amount that stands for "no upper limit".
-inline constexpr std::int64_t unlimitedAmount = std::numeric_limits<std::int64_t>::max() / 4;
-
-/// No upper limit of any kind.
-constexpr Resources unlimitedResources()
-{
-    Resources resources;
-    for (std::int64_t &amount : resources.amounts)
-        amount = unlimitedAmount;
-    return resources;
-}
-
 /// What operators set for one team.
 struct TeamPolicy
 {
--- a/test/decisions/firstfittest.cpp
+++ b/test/decisions/firstfittest.cpp
@@ -45,7 +45,7 @@
     REQUIRE(decisions.size() == 1);
     CHECK(decisions.front().task == TaskId(1));
     CHECK(scheduler.explain(TaskId(2)).reason == Reason::TeamLimit);
-    scheduler.taskEnded(TaskId(1), TaskEnd::Succeeded, start);
+    scheduler.taskEnded(TaskId(1), AttemptOutcome::Succeeded, start);
     scheduler.decide(start, decisions);
     REQUIRE(decisions.size() == 2);
     CHECK(decisions.back().task == TaskId(2));
