--- a/src/platform/metrics.cpp
+++ b/src/platform/metrics.cpp
@@ -115,15 +115,15 @@
     if (found != family.known.end())
         return found->second;
     if (family.known.size() < this->maxSeries) {
-        void *series = this->add(family, labels);
-        family.known.emplace(labels, series);
-        return series;
+        void *added = this->add(family, labels);
+        family.known.emplace(labels, added);
+        return added;
     }
     const LabelValues other(labels.size(), std::string(overflowLabel));
-    void *series = this->add(family, other);
+    void *overflow = this->add(family, other);
     lock.unlock();
     this->countOverflow();
-    return series;
+    return overflow;
 }
 
 Metrics::Metrics(std::size_t maxSeries)
--- a/src/platform/metrictable.cpp
+++ b/src/platform/metrictable.cpp
@@ -1,9 +1,17 @@
 #include "platform/metrictable.h"
 
+#include "core/enumnames.h"
+
 namespace guavavalve {
 
 namespace {
 
+constexpr EnumNames<MetricType, 3> metricTypeNames{{
+    {MetricType::Counter, "counter"},
+    {MetricType::Gauge, "gauge"},
+    {MetricType::Histogram, "histogram"},
+}};
+
 constexpr std::array<MetricDescription, metricCount> table{{
     {Metric::WaitingSeconds, "guavavalve_waiting_seconds", MetricType::Histogram, "seconds",
      "team,class", "Time from acceptance of a task to its start on a target."},
@@ -83,4 +91,17 @@
     return table[static_cast<std::size_t>(metric)];
 }
 
+std::string metricsReference()
+{
+    std::string page =
+        "| name | type | unit | labels | meaning |\n| --- | --- | --- | --- | --- |\n";
+    for (const MetricDescription &row : table) {
+        page.append("| `").append(row.name).append("` | ");
+        page.append(enumName(metricTypeNames, row.type)).append(" | ");
+        page.append(row.unit).append(" | ").append(row.labels).append(" | ");
+        page.append(row.doc).append(" |\n");
+    }
+    return page;
+}
+
 } // namespace guavavalve
--- a/src/platform/metrictable.h
+++ b/src/platform/metrictable.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace guavavalve {
@@ -57,4 +58,7 @@
 /// The row of \a metric.
 const MetricDescription &describe(Metric metric);
 
+/// The table in Markdown, as docs/operators/metrics.md has it (`guavavalve help metrics`).
+std::string metricsReference();
+
 } // namespace guavavalve
--- /dev/null
+++ b/test/platform/loggingtest.cpp
@@ -0,0 +1,70 @@
+#include "platform/logging.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+
+using namespace guavavalve;
+
+namespace {
+
+/// A file of the test's own, removed with it.
+class TemporaryFile
+{
+public:
+    TemporaryFile()
+    {
+        const int file = mkstemp(this->path.data());
+        REQUIRE(file >= 0);
+    }
+    ~TemporaryFile() { std::remove(this->path.c_str()); }
+    TemporaryFile(const TemporaryFile &) = delete;
+    TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+    std::string firstLine() const
+    {
+        std::ifstream stream(this->path);
+        std::string line;
+        std::getline(stream, line);
+        return line;
+    }
+
+    std::string path = "/tmp/guavavalve-log-XXXXXX";
+};
+
+} // namespace
+
+TEST_CASE("A JSON log line is whole JSON whatever its fields hold")
+{
+    const TemporaryFile file;
+    {
+        LogOptions options;
+        options.format = LogFormat::Json;
+        options.file = file.path;
+        const Logging logging(options);
+        logChange(LogLevel::Warning, "target quarantined",
+                  {{"target", "press \"7\"\n"}, {"reason", std::string("\xff")}});
+    }
+    const nlohmann::json line = nlohmann::json::parse(file.firstLine());
+    CHECK(line["level"] == "warning");
+    CHECK(line["event"] == "target quarantined");
+    CHECK(line["target"] == "press \"7\"\n");
+    CHECK(line.contains("time"));
+}
+
+TEST_CASE("A text log line quotes the fields that need it and levels below are left out")
+{
+    const TemporaryFile file;
+    {
+        LogOptions options;
+        options.file = file.path;
+        const Logging logging(options);
+        logChange(LogLevel::Debug, "not written");
+        logChange(LogLevel::Information, "leader", {{"instance", "r1"}, {"why", "a b"}});
+    }
+    CHECK(file.firstLine().find("leader instance=r1 why=\"a b\"") != std::string::npos);
+}
--- /dev/null
+++ b/test/platform/metricstest.cpp
@@ -0,0 +1,89 @@
+#include "platform/metrics.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <string>
+
+using namespace guavavalve;
+
+namespace {
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("Metric names follow the conventions of Prometheus")
+{
+    std::set<std::string_view> names;
+    for (const MetricDescription &row : metricTable()) {
+        INFO(row.name);
+        CHECK(names.insert(row.name).second);
+        CHECK(row.name.substr(0, 11) == "guavavalve_");
+        CHECK(row.name.find_first_not_of("abcdefghijklmnopqrstuvwxyz_") == std::string_view::npos);
+        const bool total = row.name.size() > 6 && row.name.substr(row.name.size() - 6) == "_total";
+        CHECK(total == (row.type == MetricType::Counter));
+        if (row.unit == "seconds" || row.unit == "bytes" || row.unit == "ratio")
+            CHECK(row.name.find(row.unit) != std::string_view::npos);
+        CHECK_FALSE(row.doc.empty());
+    }
+}
+
+TEST_CASE("The operators' page of metrics is the table in the code")
+{
+    std::ifstream file(std::string(GUAVAVALVE_SOURCE_FOLDER) + "/docs/operators/metrics.md");
+    REQUIRE(file.good());
+    const std::string page{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    INFO("print the table anew with: guavavalve help metrics");
+    CHECK(contains(page, "\n" + metricsReference()));
+}
+
+TEST_CASE("Waiting time is a histogram by team and class from a tenth of a millisecond")
+{
+    Metrics metrics;
+    metrics.observe(Metric::WaitingSeconds, 0.00005, {"brandvold", "prompt"});
+    metrics.observe(Metric::WaitingSeconds, 700.0, {"brandvold", "batch"});
+    const std::string text = metrics.exposition();
+    CHECK(contains(text, "# TYPE guavavalve_waiting_seconds histogram"));
+    CHECK(contains(text,
+                   "guavavalve_waiting_seconds_bucket{class=\"prompt\",team=\"brandvold\","
+                   "le=\"0.0001\"} 1"));
+    CHECK(contains(text,
+                   "guavavalve_waiting_seconds_bucket{class=\"batch\",team=\"brandvold\","
+                   "le=\"600\"} 0"));
+    CHECK(Metrics::waitingBuckets().front() == 0.0001);
+    CHECK(Metrics::waitingBuckets().back() == 600.0);
+}
+
+// A team's name is chosen by people and teams come and go. A metric that keeps a series for each
+// name that it has ever seen grows until the process is over its memory: with the bound, the
+// names that come late are counted together.
+TEST_CASE("Series beyond the bound are counted together as other")
+{
+    Metrics metrics(2);
+    for (const char *team : {"a", "b", "c", "d"})
+        metrics.set(Metric::TeamShareRatio, 0.25, {team});
+    const std::string text = metrics.exposition();
+    CHECK(contains(text, "guavavalve_team_share_ratio{team=\"b\"}"));
+    CHECK_FALSE(contains(text, "guavavalve_team_share_ratio{team=\"c\"}"));
+    CHECK(contains(text, "guavavalve_team_share_ratio{team=\"other\"}"));
+    CHECK(contains(text, "guavavalve_series_dropped_total 2"));
+}
+
+TEST_CASE("Sources are asked before each exposition and counters never fall")
+{
+    Metrics metrics;
+    double total = 5.0;
+    metrics.addSource([&total](Metrics &m) { m.countUpTo(Metric::FramesRejectedTotal, total); });
+    metrics.addSource(refreshProcessMetrics);
+    CHECK(contains(metrics.exposition(), "guavavalve_frames_rejected_total 5"));
+    total = 3.0;
+    const std::string text = metrics.exposition();
+    CHECK(contains(text, "guavavalve_frames_rejected_total 5"));
+    CHECK(contains(text, "guavavalve_control_memory_bytes "));
+}
