--- a/src/controller/keyrequests.h
+++ b/src/controller/keyrequests.h
@@ -14,20 +14,21 @@
     std::string keyId;
     std::string team;
     bool isOperator = false;
+    std::string label;
     bool withdrawn = false;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->keyId, this->team, this->isOperator, this->withdrawn);
+        archive(this->keyId, this->team, this->isOperator, this->label, this->withdrawn);
     }
 };
 
-/// A newly granted key. The token is shown this once.
+/// A newly granted key. The token is kept nowhere, and shown only to this request.
 struct KeyGranted
 {
     std::string keyId;
-    std::string token; ///< the bearer token; empty when the same request was granted before
+    std::string token; ///< the bearer token
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -41,12 +42,13 @@
     using Reply = KeyGranted;
     std::string team;
     bool isOperator = false;
-    std::string requestId; ///< a resend under the same identity grants no second key
+    std::string label; ///< for a person to read
+    std::string requestId; ///< a resend under the same identity gets the same key
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->team, this->isOperator, this->requestId);
+        archive(this->team, this->isOperator, this->label, this->requestId);
     }
 };
 
