--- /dev/null
+++ b/test/platform/httpservertest.cpp
@@ -0,0 +1,139 @@
+#include <catch2/catch.hpp>
+
+#include "platform/httpserver.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace guavavalve;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr auto patience = std::chrono::seconds(20);
+
+/// A caller that writes what it likes.
+class RawCaller
+{
+public:
+    explicit RawCaller(std::uint16_t port)
+    {
+        this->socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(this->socket, boost::asio::buffer(bytes));
+    }
+
+    /// Sends what it can; the server may close meanwhile.
+    void trySend(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// Reads until \a end has come or the server has closed.
+    std::string readUntil(const std::string &end)
+    {
+        std::string got;
+        char c = 0;
+        boost::system::error_code error;
+        while (got.find(end) == std::string::npos) {
+            if (this->socket.read_some(boost::asio::buffer(&c, 1), error) == 0)
+                break;
+            got.push_back(c);
+        }
+        return got;
+    }
+
+private:
+    boost::asio::io_context context;
+    tcp::socket socket{context};
+};
+
+std::string request(const std::string &method, const std::string &path, const std::string &body)
+{
+    return method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("a request reaches the handler of its longest prefix and gets its own answer", "[http]")
+{
+    HttpServer server({});
+    server.route("POST", "/v1", [](const HttpRequest &, const HttpReply &reply) {
+        reply({500, {}, "the short prefix", "text/plain"});
+    });
+    server.route("POST", "/v1/jobs", [](const HttpRequest &incoming, const HttpReply &reply) {
+        reply({201,
+               {},
+               incoming.body + "|" + incoming.parameter("wait") + "|" + incoming.path,
+               "text/plain"});
+    });
+    REQUIRE(server.start());
+    RawCaller caller(server.port());
+    caller.send(request("POST", "/v1/jobs/7?wait=a%20b", "body"));
+    const std::string answer = caller.readUntil("/v1/jobs/7");
+    CHECK(answer.find(" 201 ") != std::string::npos);
+    CHECK(answer.find("body|a b|/v1/jobs/7") != std::string::npos);
+    caller.send(request("GET", "/v1/jobs", ""));
+    CHECK(caller.readUntil("}").find(" 405 ") != std::string::npos);
+    caller.send(request("GET", "/v2", ""));
+    CHECK(caller.readUntil("}").find(" 404 ") != std::string::npos);
+}
+
+TEST_CASE("an oversized body is refused with its bound and is not kept", "[http]")
+{
+    // A caller sends far more than is allowed. Without the bound the instance would hold it all.
+    HttpServerOptions options;
+    options.maxBodyBytes = 1000;
+    HttpServer server(options);
+    server.route("POST", "/", [](const HttpRequest &, const HttpReply &reply) { reply({}); });
+    REQUIRE(server.start());
+    RawCaller caller(server.port());
+    caller.trySend(request("POST", "/", std::string(1U << 20U, 'x')));
+    const std::string answer = caller.readUntil("}");
+    CHECK(answer.find(" 413 ") != std::string::npos);
+    CHECK(answer.find("over 1000 bytes") != std::string::npos);
+    CHECK(server.waitUntilIdle(monotonicNow() + patience));
+}
+
+TEST_CASE("open requests are finished after the server has stopped accepting", "[http]")
+{
+    // A rolling restart: one request is open when the instance begins to shut down. It must get
+    // its answer, a later one a true refusal, and only then is the server idle.
+    HttpServer server({});
+    std::mutex mutex;
+    std::condition_variable arrived;
+    HttpReply held;
+    server.route("GET", "/slow", [&](const HttpRequest &, HttpReply reply) {
+        const std::lock_guard lock(mutex);
+        held = std::move(reply);
+        arrived.notify_all();
+    });
+    REQUIRE(server.start());
+    RawCaller open(server.port());
+    open.send(request("GET", "/slow", ""));
+    {
+        std::unique_lock lock(mutex);
+        REQUIRE(arrived.wait_for(lock, patience, [&] { return held != nullptr; }));
+    }
+    server.stopAccepting();
+    RawCaller late(server.port());
+    late.send(request("GET", "/slow", ""));
+    CHECK(late.readUntil("}").find(" 503 ") != std::string::npos);
+    CHECK(server.inFlight() == 1);
+    held({200, {}, "whole", "text/plain"});
+    held = nullptr;
+    CHECK(open.readUntil("whole").find("whole") != std::string::npos);
+    CHECK(server.waitUntilIdle(monotonicNow() + patience));
+}
