controller: tests over a log of one replica

Cause: the controller's rules (accept, place, lapse, follow, refuse, cancel) had no proof.

Ruled out: a fake state; the real one is pure and quick.

Change: ControllerFixture over InMemoryLog and eight tests.

--- a/src/controller/cellcontrollerplace.cpp
+++ b/src/controller/cellcontrollerplace.cpp
@@ -49,8 +49,7 @@
         PlaceGang gang;
         for (std::size_t i = first; i < last; ++i)
             gang.places.push_back(this->placement(decisions[i]));
-        const bool single = last - first == 1;
-        Command command = single ? Command(gang.places.front()) : Command(gang);
+        Command command = job == JobId::None ? Command(gang.places.front()) : Command(gang);
         this->add(std::move(command),
                   [this, places = gang.places](const Result<CommandValue> &outcome) {
                       for (const PlaceTask &place : places)
--- /dev/null
+++ b/test/controller/cellcontrollertest.cpp
@@ -0,0 +1,191 @@
+#include <catch2/catch.hpp>
+
+#include "controller/controllerfixture.h"
+
+using namespace guavavalve;
+
+TEST_CASE("a submitted job is placed with its acceptance and ends when its attempt ends",
+          "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    const auto reply = cell.submit(ControllerFixture::request("a"));
+    REQUIRE(reply);
+    REQUIRE(reply.value().dispatches.size() == 1);
+    const DispatchOrder &order = reply.value().dispatches.front();
+    CHECK(order.action == DispatchAction::Start);
+    CHECK(order.payload == "gauge sequence");
+
+    REQUIRE(cell.end(order, AttemptOutcome::Succeeded));
+    const auto status = cell.awaitEnd(reply.value().job);
+    REQUIRE(status);
+    CHECK(status.value().tasks.front().state == TaskState::Succeeded);
+}
+
+TEST_CASE("a resent request joins the first job and one with another body is refused",
+          "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    const auto first = cell.submit(ControllerFixture::request("a"));
+    const auto again = cell.submit(ControllerFixture::request("a"));
+    REQUIRE(first);
+    REQUIRE(again);
+    CHECK(again.value().joined);
+    CHECK(again.value().job == first.value().job);
+
+    SubmitRequest other = ControllerFixture::request("a");
+    other.digest = "another digest";
+    const auto refused = cell.submit(other);
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().code == ErrorCode::Conflict);
+}
+
+// A caller's request waits because the fleet is full. Its deadline to start passes. The caller
+// must be told at once that it was not run, and it must not start later on.
+TEST_CASE("a job that cannot start by its deadline ends at once and has not run", "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    SubmitRequest whole = ControllerFixture::request("a");
+    whole.need = Resources{{4000, 4096, 0, 4, 4}};
+    REQUIRE(cell.submit(whole));
+    SubmitRequest late = ControllerFixture::request("b");
+    late.startWithinMs = 50;
+    const auto reply = cell.submit(late);
+    REQUIRE(reply);
+    CHECK(reply.value().dispatches.empty());
+    const auto status = cell.awaitEnd(reply.value().job);
+    REQUIRE(status);
+    CHECK(status.value().finished);
+    CHECK(status.value().tasks.front().ran == Ran::No);
+}
+
+// An order confirmation was sent to a target that then falls silent. Its lease runs out. Whether
+// the confirmation was made nobody can know, so the caller is told "unknown", never "not run",
+// and it is not sent anywhere else. A repeatable request is placed again.
+TEST_CASE("a silent target's lease runs out and only repeatable work goes elsewhere",
+          "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    SubmitRequest once = ControllerFixture::request("once");
+    once.repeatable = false;
+    const auto confirmation = cell.submit(once);
+    const auto recalculation = cell.submit(ControllerFixture::request("again"));
+    REQUIRE(confirmation);
+    REQUIRE(recalculation);
+
+    const auto status = cell.awaitEnd(confirmation.value().job);
+    REQUIRE(status);
+    CHECK(status.value().tasks.front().state == TaskState::Unknown);
+    CHECK(status.value().tasks.front().ran == Ran::Unknown);
+
+    REQUIRE(cell.announce(ControllerFixture::target("t2")));
+    const TaskId task = static_cast<TaskId>(idValue(recalculation.value().job));
+    CHECK(ControllerFixture::waitUntil([&] {
+        static_cast<void>(cell.synchronise("e1"));
+        static_cast<void>(cell.announce(ControllerFixture::target("t2")));
+        return cell.state.read([&](const ClusterState &cluster) {
+            const TaskRecord *record = cluster.task(task);
+            return record->state == TaskState::Placed && record->attempt == 2;
+        });
+    }));
+}
+
+// The entry that follows a running attempt dies. The task must not be lost: another entry is
+// told to follow it, and is never told to start it.
+TEST_CASE("a dead entry's attempts are followed by another entry", "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    const auto reply = cell.submit(ControllerFixture::request("a"));
+    REQUIRE(reply);
+    const TaskId task = reply.value().dispatches.front().task;
+    CHECK(ControllerFixture::waitUntil([&] {
+        static_cast<void>(cell.synchronise("e2"));
+        static_cast<void>(cell.announce(ControllerFixture::target("t1")));
+        return cell.state.read(
+            [&](const ClusterState &cluster) { return cluster.task(task)->dispatcher == "e2"; });
+    }));
+    CHECK(cell.waitForOrder("e2", [&](const DispatchOrder &order) {
+        return order.task == task && order.action == DispatchAction::Follow;
+    }));
+}
+
+// A controller is deposed while requests are open. It must not answer as if it still led: an
+// entry that took its answer would keep an old configuration in force.
+TEST_CASE("a deposed controller renews no lease and takes no request", "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    cell.log.setLeads(false);
+    const auto lease = cell.synchronise("e1");
+    REQUIRE(lease.has_error());
+    const auto announced = cell.announce(ControllerFixture::target("t1"));
+    REQUIRE(announced.has_error());
+    cell.controller.leadershipChanged(false);
+    const auto refused = cell.submit(ControllerFixture::request("a"));
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().code == ErrorCode::NotLeader);
+}
+
+TEST_CASE("a cancelled job that waits ends at once and one that runs is stopped", "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    const auto cancel = [&](JobId job) {
+        return cell.await<JobStatus>([&](Done<JobStatus> done) {
+            cell.controller.cancelJob("mills", job, std::move(done));
+        });
+    };
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    SubmitRequest whole = ControllerFixture::request("a");
+    whole.need = Resources{{4000, 4096, 0, 4, 4}};
+    const auto running = cell.submit(whole);
+    const auto waiting = cell.submit(ControllerFixture::request("b"));
+    REQUIRE(running);
+    REQUIRE(waiting);
+    const auto cancelled = cancel(waiting.value().job);
+    REQUIRE(cancelled);
+    CHECK(cancelled.value().finished);
+    CHECK(cancelled.value().tasks.front().state == TaskState::Cancelled);
+
+    REQUIRE(cancel(running.value().job));
+    const DispatchOrder order = running.value().dispatches.front();
+    CHECK(cell.waitForOrder("e1", [&](const DispatchOrder &sent) {
+        return sent.task == order.task && sent.action == DispatchAction::Stop;
+    }));
+    REQUIRE(cell.end(order, AttemptOutcome::Stopped));
+    const auto status = cell.awaitEnd(running.value().job);
+    REQUIRE(status);
+    CHECK(status.value().tasks.front().state == TaskState::Cancelled);
+}
+
+TEST_CASE("a gang is placed whole or not at all", "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    SubmitRequest gang = ControllerFixture::request("a");
+    gang.workClass = WorkClass::Gang;
+    gang.tasks = 6;
+    const auto reply = cell.submit(gang);
+    if (reply)
+        CHECK(reply.value().dispatches.empty());
+    REQUIRE(cell.announce(ControllerFixture::target("t2")));
+    const auto again = cell.submit(gang);
+    REQUIRE(again);
+    CHECK(ControllerFixture::waitUntil([&] {
+        return cell.state.read([&](const ClusterState &cluster) {
+            const JobRecord *job = cluster.job(again.value().job);
+            return job != nullptr && job->tasks.front().state == TaskState::Placed
+                && job->tasks.back().state == TaskState::Placed;
+        });
+    }));
+}
