--- /dev/null
+++ b/src/schema/fieldspec.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/enumnames.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// The JSON type of a field.
+enum class FieldType : std::uint8_t { Boolean, Integer, Text, TextList };
+
+inline constexpr EnumNames<FieldType, 4> fieldTypeNames{{
+    {FieldType::Boolean, "boolean"},
+    {FieldType::Integer, "integer"},
+    {FieldType::Text, "text"},
+    {FieldType::TextList, "list of texts"},
+}};
+
+/// What a field's number counts.
+enum class Unit : std::uint8_t { None, Ms, Bytes, Percent };
+
+inline constexpr EnumNames<Unit, 4> unitNames{{
+    {Unit::None, ""},
+    {Unit::Ms, "ms"},
+    {Unit::Bytes, "bytes"},
+    {Unit::Percent, "%"},
+}};
+
+/// What a text, or each of a list, must look like.
+enum class TextFormat : std::uint8_t {
+    Any,
+    Name, ///< letters, digits, '-', '_' and '.', beginning with a letter or digit
+    Endpoint, ///< "ip:port", by IP number
+};
+
+inline constexpr EnumNames<TextFormat, 3> textFormatNames{{
+    {TextFormat::Any, "any text"},
+    {TextFormat::Name, "a name of letters, digits, '-', '_' and '.'"},
+    {TextFormat::Endpoint, "an IP number and port such as 127.0.0.1:7000"},
+}};
+
+/// A row of a table of fields: everything that is said of a field, said once. The checks, the
+/// help text and the reference page come from it.
+struct FieldSpec
+{
+    std::string path; ///< names joined by dots
+    FieldType type = FieldType::Text;
+    Unit unit = Unit::None;
+    std::int64_t minimum = 0; ///< of an integer; of a text or list, its length
+    std::int64_t maximum = 0;
+    TextFormat format = TextFormat::Any;
+    std::vector<std::string> choices; ///< the only texts allowed; empty: any of the format
+    bool required = false;
+    bool operatorsOnly = false; ///< in a team's section: only an operator's key may change it
+    std::string doc;
+    std::string defaultText; ///< JSON text, filled in by the table
+
+    /// What is allowed, for a person to read.
+    std::string allowed() const;
+};
+
+} // namespace guavavalve
--- a/src/state/cellpolicy.h
+++ b/src/state/cellpolicy.h
@@ -13,7 +13,6 @@
 struct CellClassPolicy
 {
     bool enabled = true;
-    std::int64_t maxAttempts = 5; ///< of a repeatable task that fails to run
     std::int64_t maxRunTimeMs = 0; ///< 0: no limit
     std::int64_t startWithinMs = 0; ///< for requests that name none; 0: no deadline
 };
--- a/src/state/clusterstate.h
+++ b/src/state/clusterstate.h
@@ -57,6 +57,11 @@
     /// The state as bytes, versioned and checksummed.
     std::string snapshot() const;
 
+    /// Counts everything anew from the tasks and compares: room used, what teams run and have
+    /// waiting, what is placed where.
+    /// \errors Corrupt, naming the first count that differs. Cost: once through all records.
+    Result<void> recount() const;
+
     /// Replaces the state by that of \a bytes.
     /// \errors Corrupt if they are not a whole snapshot of this shard and format; the state is
     /// then left as it was.
@@ -78,15 +83,26 @@
     CommandOutcome applyOne(const CancelJob &command);
     CommandOutcome applyOne(const ForgetJobs &command);
 
-    CommandOutcome once(const std::string &requestId, const Command &command);
+    /// Room that earlier places of the same gang have taken in thought.
+    struct Taken
+    {
+        std::map<TargetId, Resources> onTargets;
+        Resources byTeam;
+    };
+
+    template<typename OperatorCommand, typename Change>
+    CommandOutcome once(const OperatorCommand &command, const std::string &summary, Change change);
     Result<void> checkJob(const AcceptJob &command) const;
-    Result<void> checkPlace(const PlaceTask &place) const;
-    Result<void> checkRoom(const PlaceTask &place) const;
-    void place(const PlaceTask &place);
-    void unplace(JobRecord &job, TaskRecord &task, TaskId id);
+    Result<void> checkWaiting(const AcceptJob &command, const TeamRecord &team) const;
+    Result<void> checkPlace(const PlaceTask &place, const JobRecord &job, const Taken &taken) const;
+    Result<void> checkRoom(const PlaceTask &place, const JobRecord &job, const Taken &taken) const;
+    Result<void> checkGang(const PlaceGang &command) const;
+    void place(const PlaceTask &place, JobRecord &job);
+    void unplace(JobRecord &job, TaskId id);
     void endAttempt(JobRecord &job, const EndAttempt &end);
-    void settle(JobRecord &job, TaskRecord &task, AttemptOutcome outcome);
-    void finishTask(JobRecord &job, TaskRecord &task, TaskState state);
+    void takeLateAnswer(JobRecord &job, const EndAttempt &end);
+    void settle(JobRecord &job, TaskId id, AttemptOutcome outcome, std::int64_t at);
+    void finishTask(JobRecord &job, TaskRecord &task, TaskState state, std::int64_t at);
     void loseAttempts(TargetRecord &target, const std::string &reason);
     JobRecord *findJobOf(TaskId task);
     TargetRecord *findTarget(TargetId id);
--- a/src/state/commands/canceljob.h
+++ b/src/state/commands/canceljob.h
@@ -11,14 +11,14 @@
 /// \errors NotFound, also if the job is not of \a team.
 struct CancelJob
 {
-    J; ///< o
+    JobId job = JobId::None;
     TeamId team = TeamId::None; ///< None: an operator asks
     std::int64_t cancelledAt = 0; ///< cell time in ms, for retention only
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->J, this->team, this->cancelledAt);
+        archive(this->job, this->team, this->cancelledAt);
     }
 };
 
--- a/src/state/commands/endattempt.h
+++ b/src/state/commands/endattempt.h
@@ -12,18 +12,18 @@
 /// \errors NotFound; Conflict if \a attempt is not the current one or has ended otherwise.
 struct EndAttempt
 {
-    T; ///< a
-    A; ///< t
-    A; ///< t
+    TaskId task = TaskId::None;
+    AttemptNumber attempt = 0;
+    AttemptOutcome outcome = AttemptOutcome::Failed;
     std::uint64_t answerLength = 0; ///< bytes
-    s; ///< t
+    std::string answerDigest;
     std::string message; ///< of a failure, for a person to read
     std::int64_t endedAt = 0; ///< cell time in ms, for retention only
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->T, this->A, this->A, this->answerLength, this->s, this->message, this->endedAt);
+        archive(this->task, this->attempt, this->outcome, this->answerLength, this->answerDigest, this->message, this->endedAt);
     }
 };
 
--- a/src/state/commands/forgetjobs.h
+++ b/src/state/commands/forgetjobs.h
@@ -10,12 +10,12 @@
 /// are left alone.
 struct ForgetJobs
 {
-    s; ///< t
+    std::vector<JobId> jobs;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->s);
+        archive(this->jobs);
     }
 };
 
--- a/src/state/commands/grantkey.h
+++ b/src/state/commands/grantkey.h
@@ -11,16 +11,16 @@
 struct GrantKey
 {
     std::string requestId; ///< a resend returns the first result
-    s; ///< t
+    std::string keyId;
     std::string team; ///< empty for an operator who belongs to none
-    K; ///< e
+    KeyRole role = KeyRole::Team;
     std::string keyedHash; ///< see hashSecret()
     std::string label; ///< for a person to read
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->requestId, this->s, this->team, this->K, this->keyedHash, this->label);
+        archive(this->requestId, this->keyId, this->team, this->role, this->keyedHash, this->label);
     }
 };
 
--- a/src/state/commands/lapsetarget.h
+++ b/src/state/commands/lapsetarget.h
@@ -8,13 +8,13 @@
 /// \errors NotFound; Conflict if \a incarnation is not the current one.
 struct LapseTarget
 {
-    T; ///< a
-    I; ///< n
+    TargetId target = TargetId::None;
+    Incarnation incarnation = 0;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->T, this->I);
+        archive(this->target, this->incarnation);
     }
 };
 
--- a/src/state/commands/placegang.h
+++ b/src/state/commands/placegang.h
@@ -10,12 +10,12 @@
 /// \errors those of PlaceTask, for the first place that cannot be had.
 struct PlaceGang
 {
-    s; ///< t
+    std::vector<PlaceTask> places;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->s);
+        archive(this->places);
     }
 };
 
--- a/src/state/commands/placetask.h
+++ b/src/state/commands/placetask.h
@@ -12,17 +12,17 @@
 /// or the team would pass its upper limit.
 struct PlaceTask
 {
-    T; ///< a
+    TaskId task = TaskId::None;
     AttemptNumber attempt = 0; ///< one more than the task's last
-    T; ///< a
-    I; ///< n
+    TargetId target = TargetId::None;
+    Incarnation incarnation = 0;
     InstanceId dispatcher; ///< the entry that sends the start
     std::int64_t placedAt = 0; ///< cell time in ms, for reports only
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->T, this->attempt, this->T, this->I, this->dispatcher, this->placedAt);
+        archive(this->task, this->attempt, this->target, this->incarnation, this->dispatcher, this->placedAt);
     }
 };
 
--- a/src/state/commands/reassigndispatcher.h
+++ b/src/state/commands/reassigndispatcher.h
@@ -8,14 +8,14 @@
 /// \errors NotFound; Conflict if the attempt is not the current one or is over.
 struct ReassignDispatcher
 {
-    T; ///< a
-    A; ///< t
-    I; ///< n
+    TaskId task = TaskId::None;
+    AttemptNumber attempt = 0;
+    InstanceId entry;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->T, this->A, this->I);
+        archive(this->task, this->attempt, this->entry);
     }
 };
 
--- a/src/state/commands/registertarget.h
+++ b/src/state/commands/registertarget.h
@@ -15,17 +15,17 @@
 struct RegisterTarget
 {
     std::string name; ///< identity, kept over restarts
-    I; ///< n
+    Incarnation incarnation = 0;
     std::string address; ///< "ip:port" of its HTTP listener
-    s; ///< t
-    s; ///< t
-    R; ///< e
+    std::string failureDomain;
+    std::string rack;
+    Resources total;
     bool departing = false; ///< receives no new work
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->name, this->I, this->address, this->s, this->s, this->R, this->departing);
+        archive(this->name, this->incarnation, this->address, this->failureDomain, this->rack, this->total, this->departing);
     }
 };
 
--- a/src/state/commands/retiretarget.h
+++ b/src/state/commands/retiretarget.h
@@ -8,12 +8,12 @@
 /// \errors NotFound; Conflict while it may hold work.
 struct RetireTarget
 {
-    T; ///< a
+    TargetId target = TargetId::None;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->T);
+        archive(this->target);
     }
 };
 
--- a/src/state/commands/settargetdraining.h
+++ b/src/state/commands/settargetdraining.h
@@ -8,13 +8,13 @@
 /// \errors NotFound.
 struct SetTargetDraining
 {
-    T; ///< a
-    b; ///< o
+    TargetId target = TargetId::None;
+    bool draining = false;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->T, this->b);
+        archive(this->target, this->draining);
     }
 };
 
--- a/src/state/commands/withdrawkey.h
+++ b/src/state/commands/withdrawkey.h
@@ -9,12 +9,12 @@
 struct WithdrawKey
 {
     std::string requestId; ///< a resend returns the first result
-    s; ///< t
+    std::string keyId;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->requestId, this->s);
+        archive(this->requestId, this->keyId);
     }
 };
 
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -1,17 +1,15 @@
 #pragma once
 
 #include "core/error.h"
-#include "core/resources.h"
-#include "state/cellpolicy.h"
+#include "state/commandoutcome.h"
 #include "state/commands/grantkey.h"
 #include "state/commands/withdrawkey.h"
 #include "state/commands/writesection.h"
-#include "state/commandoutcome.h"
 #include "state/configurationchanges.h"
 #include "state/keyrecord.h"
+#include "state/policydocument.h"
 #include "state/section.h"
 #include "state/sectionpreview.h"
-#include "state/teampolicy.h"
 
 #include <cstdint>
 #include <map>
@@ -43,7 +41,7 @@
     const TeamPolicy *team(const std::string &name) const;
 
     /// The cell's policy: what its section says, or the defaults.
-    const CellPolicy &cell() const { return this->cellPolicy; }
+    const CellPolicy &cell() const { return this->policies.cell; }
 
     /// \errors see WriteSection.
     Result<ConfigurationChanged> write(const WriteSection &command);
@@ -72,8 +70,11 @@
     }
 
 private:
+    Result<void> checkAuthor(const WriteSection &command) const;
     Result<void> checkBase(const WriteSection &command) const;
-    void releaseKeys();
+    DocumentReading readWith(const WriteSection &command) const;
+    std::size_t operatorKeys() const;
+    void releaseOldestWithdrawn();
 
     std::uint64_t documentVersion = 0;
     /// The newest change of a withdrawn key whose record has been released. Who holds an older
@@ -81,9 +82,9 @@
     std::uint64_t keysReleasedAt = 0;
     std::map<std::string, Section> sectionTable;
     std::map<std::string, KeyRecord> keyTable;
-    // Read from the sections.
-    CellPolicy cellPolicy;
-    std::map<std::string, TeamPolicy> teamPolicies;
+    // Found again from the tables by readPolicies().
+    PolicyDocument policies;
+    std::size_t withdrawnKeys = 0;
 };
 
 } // namespace guavavalve
--- /dev/null
+++ b/src/state/policydocument.cpp
@@ -0,0 +1,246 @@
+#include "state/policydocument.h"
+
+#include "state/configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavavalve {
+namespace internal {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t longestTimeMs = std::int64_t{30} * 24 * 3600 * 1000;
+constexpr std::int64_t mostTasks = 10000000;
+
+template<typename Policy>
+void addResources(FieldTable<Policy> &table, const std::string &group,
+                  Resources Policy::*member, bool operatorsOnly, const std::string &doc)
+{
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
+        auto amount = [member, kind](Policy &policy) -> std::int64_t & {
+            return (policy.*member).amounts[kind];
+        };
+        table
+            .integer(joinPath(group, std::string(resourceKindNames[kind])), amount, Unit::None,
+                     {0, unlimitedAmount}, doc)
+            .operatorsOnly = operatorsOnly;
+    }
+}
+
+template<typename Policy>
+void addClasses(FieldTable<Policy> &table)
+{
+    for (std::size_t i = 0; i < workClassCount; ++i) {
+        const std::string name(enumName(workClassNames, static_cast<WorkClass>(i)));
+        const std::string path = "classes." + name;
+        table.boolean(
+            path + ".enabled", [i](Policy &policy) -> bool & { return policy.classes[i].enabled; },
+            "Whether work of class " + name + " is accepted.");
+        table.integer(
+            path + ".maxRunTimeMs",
+            [i](Policy &policy) -> std::int64_t & { return policy.classes[i].maxRunTimeMs; },
+            Unit::Ms, {0, longestTimeMs}, "Longest run time; 0: no limit of its own.");
+        table.integer(
+            path + ".startWithinMs",
+            [i](Policy &policy) -> std::int64_t & { return policy.classes[i].startWithinMs; },
+            Unit::Ms, {0, longestTimeMs},
+            "Time to start for requests that name none; 0: none of its own.");
+    }
+}
+
+FieldTable<CellPolicy> makeCellTable()
+{
+    FieldTable<CellPolicy> table;
+    table.integer("promptHeadroomPercent", &CellPolicy::promptHeadroomPercent, Unit::Percent,
+                  {0, 90}, "Part of the fleet kept free of other classes for prompt work.");
+    table.integer("totalShares", &CellPolicy::totalShares, Unit::None, {0, 1000000000},
+                  "The most that all teams' shares may add up to; 0: any.");
+    table.integer("defaultShare", &CellPolicy::defaultShare, Unit::None, {1, 1000000},
+                  "Share of a team whose section names none.");
+    addResources(table, "defaultLimit", &CellPolicy::defaultLimit, false,
+                 "Upper limit of a team whose section names none.");
+    addResources(table, "maxTeamLimit", &CellPolicy::maxTeamLimit, false,
+                 "The most that a team's upper limit may be.");
+    table.integer("maxWaitingTasks", &CellPolicy::maxWaitingTasks, Unit::None, {1, mostTasks},
+                  "Tasks that a team may have waiting; more are refused.");
+    table.integer("maxTasksPerJob", &CellPolicy::maxTasksPerJob, Unit::None, {1, 100000},
+                  "Tasks that one job may have.");
+    table.integer("maxPayloadBytes", &CellPolicy::maxPayloadBytes, Unit::Bytes, {1024, 8388608},
+                  "Largest payload of a job.");
+    table.integer("targetLeaseMs", &CellPolicy::targetLeaseMs, Unit::Ms, {200, 600000},
+                  "Lease of a target, counted from when it sent its announcement.");
+    table.integer("driftMarginMs", &CellPolicy::driftMarginMs, Unit::Ms, {0, 60000},
+                  "Added to a lease by whoever waits for its end, for clocks that run unlike.");
+    table.integer("quarantinePercent", &CellPolicy::quarantinePercent, Unit::Percent, {0, 50},
+                  "The most of the fleet that may be in quarantine for failing.");
+    addClasses(table);
+    return table;
+}
+
+FieldTable<TeamPolicy> makeTeamTable()
+{
+    FieldTable<TeamPolicy> table;
+    table.text("description", &TeamPolicy::description, TextFormat::Any, {0, 1000},
+               "What the team does, for people.");
+    table.text("contact", &TeamPolicy::contact, TextFormat::Any, {0, 200},
+               "Whom to ask about its work.");
+    table
+        .integer("share", &TeamPolicy::share, Unit::None, {1, 1000000},
+                 "Weight against other teams when the cell is full.")
+        .operatorsOnly = true;
+    addResources(table, "limit", &TeamPolicy::limit, true,
+                 "Upper limit on what the team may have running.");
+    table.integer("maxWaitingTasks", &TeamPolicy::maxWaitingTasks, Unit::None, {0, mostTasks},
+                  "Tasks that may wait; 0: as the cell says. The cell's bound holds beside it.");
+    addClasses(table);
+    return table;
+}
+
+/// What a team has whose section says nothing.
+TeamPolicy teamDefaults(const CellPolicy &cell)
+{
+    TeamPolicy policy;
+    policy.share = cell.defaultShare;
+    for (std::size_t i = 0; i < resourceKindCount; ++i) {
+        policy.limit.amounts[i] =
+            std::min(cell.defaultLimit.amounts[i], cell.maxTeamLimit.amounts[i]);
+    }
+    for (std::size_t i = 0; i < workClassCount; ++i) {
+        policy.classes[i].enabled = cell.classes[i].enabled;
+        policy.classes[i].maxRunTimeMs = cell.classes[i].maxRunTimeMs;
+        policy.classes[i].startWithinMs = cell.classes[i].startWithinMs;
+    }
+    return policy;
+}
+
+class DocumentReader
+{
+public:
+    explicit DocumentReader(DocumentReading &into) : reading(into) {}
+
+    template<typename Policy>
+    void readSection(const std::string &section, const std::string &text,
+                     const FieldTable<Policy> &table, Policy &policy)
+    {
+        JsonDocument document = parseJson(text, Configuration::maxSectionBytes);
+        std::vector<Problem> problems = std::move(document.problems);
+        if (problems.empty())
+            problems = table.read(document.value, policy);
+        for (Problem &problem : problems)
+            this->report(section, std::move(problem));
+    }
+
+    void readTeam(const std::string &section, const std::string &text)
+    {
+        TeamPolicy policy = teamDefaults(this->reading.policies.cell);
+        this->readSection(section, text, teamPolicyTable(), policy);
+        this->checkTeam(section, policy);
+        this->reading.policies.teams[teamOfSection(section)] = policy;
+    }
+
+    void checkShares()
+    {
+        const std::int64_t most = this->reading.policies.cell.totalShares;
+        std::int64_t sum = 0;
+        for (const auto &[name, team] : this->reading.policies.teams)
+            sum += team.share;
+        if (most > 0 && sum > most)
+            this->report(cellSection,
+                         {"totalShares", "teams' shares adding up to " + std::to_string(sum),
+                          "at most " + std::to_string(most)});
+    }
+
+private:
+    void checkTeam(const std::string &section, const TeamPolicy &team)
+    {
+        const CellPolicy &cell = this->reading.policies.cell;
+        for (std::size_t i = 0; i < resourceKindCount; ++i) {
+            if (team.limit.amounts[i] > cell.maxTeamLimit.amounts[i])
+                this->report(section,
+                             {"limit." + std::string(resourceKindNames[i]),
+                              std::to_string(team.limit.amounts[i]),
+                              "at most the cell's maxTeamLimit, "
+                                  + std::to_string(cell.maxTeamLimit.amounts[i])});
+        }
+        for (std::size_t i = 0; i < workClassCount; ++i)
+            this->checkClass(section, static_cast<WorkClass>(i), team);
+    }
+
+    void checkClass(const std::string &section, WorkClass workClass, const TeamPolicy &team)
+    {
+        const CellClassPolicy &allowed = this->reading.policies.cell.classPolicy(workClass);
+        const TeamClassPolicy &asked = team.classPolicy(workClass);
+        const std::string path = "classes." + std::string(enumName(workClassNames, workClass));
+        if (asked.enabled && !allowed.enabled)
+            this->report(section, {path + ".enabled", "true", "false, as the cell has it off"});
+        if (allowed.maxRunTimeMs > 0
+            && (asked.maxRunTimeMs == 0 || asked.maxRunTimeMs > allowed.maxRunTimeMs))
+            this->report(section,
+                         {path + ".maxRunTimeMs", std::to_string(asked.maxRunTimeMs),
+                          "from 1 to the cell's " + std::to_string(allowed.maxRunTimeMs) + " ms"});
+    }
+
+    void report(const std::string &section, Problem problem)
+    {
+        problem.path = problem.path.empty() ? section : section + ": " + problem.path;
+        this->reading.problems.push_back(std::move(problem));
+    }
+
+    DocumentReading &reading;
+};
+
+} // namespace
+
+} // namespace internal
+
+const FieldTable<CellPolicy> &cellPolicyTable()
+{
+    static const FieldTable<CellPolicy> table = internal::makeCellTable();
+    return table;
+}
+
+const FieldTable<TeamPolicy> &teamPolicyTable()
+{
+    static const FieldTable<TeamPolicy> table = internal::makeTeamTable();
+    return table;
+}
+
+std::string teamOfSection(const std::string &section)
+{
+    const std::string prefix = teamSectionPrefix;
+    if (section.compare(0, prefix.size(), prefix) != 0)
+        return "";
+    std::string team = section.substr(prefix.size());
+    return isName(team) ? team : "";
+}
+
+DocumentReading readDocument(const SectionTexts &texts)
+{
+    DocumentReading reading;
+    internal::DocumentReader reader(reading);
+    const auto cell = texts.find(cellSection);
+    if (cell != texts.end())
+        reader.readSection(cell->first, cell->second, cellPolicyTable(), reading.policies.cell);
+    for (const auto &[section, text] : texts) {
+        if (!teamOfSection(section).empty())
+            reader.readTeam(section, text);
+    }
+    reader.checkShares();
+    return reading;
+}
+
+DocumentReading readTeamChange(const PolicyDocument &before, const std::string &section,
+                               const std::string &text)
+{
+    DocumentReading reading;
+    reading.policies = before;
+    internal::DocumentReader reader(reading);
+    reader.readTeam(section, text);
+    reader.checkShares();
+    return reading;
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/state/policydocument.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "schema/fieldtable.h"
+#include "schema/problem.h"
+#include "state/cellpolicy.h"
+#include "state/teampolicy.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// The sections of the configuration document, read into policies.
+struct PolicyDocument
+{
+    CellPolicy cell;
+    std::map<std::string, TeamPolicy> teams; ///< by name
+};
+
+/// What may stand in a section "cell", and in a section "team.NAME".
+const FieldTable<CellPolicy> &cellPolicyTable();
+const FieldTable<TeamPolicy> &teamPolicyTable();
+
+/// The name of the operators' section, and what a team's section begins with.
+inline constexpr const char *cellSection = "cell";
+inline constexpr const char *teamSectionPrefix = "team.";
+
+/// The team whose section \a section is; empty if it is no team's.
+std::string teamOfSection(const std::string &section);
+
+/// The JSON texts of a document, by section.
+using SectionTexts = std::map<std::string, std::string>;
+
+/// A document read whole, with everything that is wrong in it.
+struct DocumentReading
+{
+    PolicyDocument policies;
+    std::vector<Problem> problems; ///< paths begin with the section's name
+};
+
+/// Reads every section of \a texts, and checks them against each other.
+DocumentReading readDocument(const SectionTexts &texts);
+
+/// The document \a before with one team's section replaced. Gives what readDocument() of the
+/// whole would give, at the cost of reading one section.
+DocumentReading readTeamChange(const PolicyDocument &before, const std::string &section,
+                               const std::string &text);
+
+} // namespace guavavalve
--- a/src/state/requestlog.h
+++ b/src/state/requestlog.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace guavavalve {
 
@@ -18,11 +19,17 @@
     /// About two hours of the 41,000 changes a day that the design allows for.
     static constexpr std::size_t capacity = 4096;
 
-    /// The first result of \a requestId, Conflict if it stood for another request, or null if it
-    /// is not known. \a digest stands for the request's content.
-    const CommandOutcome *find(const std::string &requestId, std::uint64_t digest);
+    struct Entry
+    {
+        std::uint64_t digest = 0; ///< of the request's content
+        std::string summary; ///< who asked for what
+        CommandOutcome outcome = CommandValue(Nothing());
+    };
+
+    /// The first request that came as \a requestId, or null.
+    const Entry *find(const std::string &requestId) const;
 
-    void keep(const std::string &requestId, std::uint64_t digest, const CommandOutcome &outcome);
+    void keep(const std::string &requestId, Entry entry);
 
     std::size_t size() const { return this->entries.size(); }
 
@@ -32,15 +39,8 @@
     void load(Archive &archive);
 
 private:
-    struct Entry
-    {
-        std::uint64_t digest = 0;
-        CommandOutcome outcome = CommandValue(Nothing());
-    };
-
     std::map<std::string, Entry> entries;
     std::deque<std::string> order; ///< oldest first
-    CommandOutcome reused = CommandValue(Nothing());
 };
 
 } // namespace guavavalve
--- /dev/null
+++ b/src/state/sectiondiff.cpp
@@ -0,0 +1,75 @@
+#include "state/sectiondiff.h"
+
+#include "schema/jsondocument.h"
+#include "state/configuration.h"
+
+#include <map>
+
+namespace guavavalve {
+namespace internal {
+
+namespace {
+
+using Leaves = std::map<std::string, std::string>;
+
+void collectLeaves(const nlohmann::json &object, const std::string &path, Leaves &leaves)
+{
+    for (const auto &[name, value] : object.items()) {
+        const std::string at = joinPath(path, name);
+        if (value.is_object())
+            collectLeaves(value, at, leaves);
+        else
+            leaves[at] = shortJson(value);
+    }
+}
+
+Leaves leavesOf(const std::string &text)
+{
+    Leaves leaves;
+    const JsonDocument document = parseJson(text, Configuration::maxSectionBytes);
+    if (document.problems.empty())
+        collectLeaves(document.value, "", leaves);
+    return leaves;
+}
+
+} // namespace
+
+} // namespace internal
+
+std::vector<FieldChange> sectionChanges(const std::string &before, const std::string &after)
+{
+    internal::Leaves old = internal::leavesOf(before);
+    std::map<std::string, FieldChange> changes;
+    for (const auto &[path, value] : internal::leavesOf(after)) {
+        const auto was = old.find(path);
+        if (was == old.end())
+            changes[path] = {path, "", value};
+        else if (was->second != value)
+            changes[path] = {path, was->second, value};
+        if (was != old.end())
+            old.erase(was);
+    }
+    for (const auto &[path, value] : old)
+        changes[path] = {path, value, ""};
+    std::vector<FieldChange> list;
+    list.reserve(changes.size());
+    for (auto &row : changes)
+        list.push_back(std::move(row.second));
+    return list;
+}
+
+std::string changesText(const std::string &before, const std::string &after)
+{
+    constexpr std::size_t longest = 600;
+    std::string text;
+    for (const FieldChange &change : sectionChanges(before, after)) {
+        if (text.size() > longest)
+            return text + ", and more";
+        text += (text.empty() ? "" : ", ") + change.path + ": "
+            + (change.before.empty() ? "not set" : change.before) + " -> "
+            + (change.after.empty() ? "not set" : change.after);
+    }
+    return text.empty() ? "nothing" : text;
+}
+
+} // namespace guavavalve
