State, settings and their shared table of fields: commands applied, settings read

The controller and the daemon are written against these. Each command is checked again when it is applied and rejected without effect if it no longer holds. The settings and the sections of the configuration document need the same checks (unknown, doubled, wrongly typed, out of range, all told at once), so the typed table is a module of its own, schema, below both.

--- a/src/controller/clusterstatemachine.cpp
+++ b/src/controller/clusterstatemachine.cpp
@@ -3,40 +3,36 @@
 #include "state/commandbatch.h"
 #include "state/commandoutcome.h"
 
+#include <mutex>
+#include <utility>
+
 namespace guavavalve {
 
-std::string ClusterStateMachine::apply(LogIndex index, const std::string &command)
+ClusterStateMachine::ClusterStateMachine(std::uint8_t shard)
+    : state(shard)
+{}
+
+std::string ClusterStateMachine::apply(LogIndex, const std::string &command)
 {
-    const auto batch = decodeBatch(command);
-    const std::lock_guard<std::mutex> guard(this->lock);
-    this->applied = index;
-    if (batch.has_error())
+    const Result<CommandBatch> batch = decodeBatch(command);
+    if (!batch) {
+        // Every replica holds the same bytes, so each rejects them alike.
         return encodeOutcomes({CommandOutcome(batch.error())});
+    }
+    const std::unique_lock lock(this->mutex);
     return encodeOutcomes(this->state.apply(batch.value()));
 }
 
 std::string ClusterStateMachine::takeSnapshot()
 {
-    const std::lock_guard<std::mutex> guard(this->lock);
+    const std::shared_lock lock(this->mutex);
     return this->state.snapshot();
 }
 
 Result<void> ClusterStateMachine::restoreSnapshot(const std::string &snapshot)
 {
-    const std::lock_guard<std::mutex> guard(this->lock);
+    const std::unique_lock lock(this->mutex);
     return this->state.restore(snapshot);
 }
 
-LogIndex ClusterStateMachine::appliedIndex() const
-{
-    const std::lock_guard<std::mutex> guard(this->lock);
-    return this->applied;
-}
-
-void ClusterStateMachine::read(const std::function<void(const ClusterState &)> &reader) const
-{
-    const std::lock_guard<std::mutex> guard(this->lock);
-    reader(this->state);
-}
-
 } // namespace guavavalve
--- a/src/controller/clusterstatemachine.h
+++ b/src/controller/clusterstatemachine.h
@@ -4,37 +4,33 @@
 #include "state/clusterstate.h"
 
 #include <functional>
-#include <mutex>
+#include <shared_mutex>
 #include <string>
 
 namespace guavavalve {
 
-/// The cluster's state as the replicated log drives it. Readers of other threads come in through
-/// read(); the log's own thread applies.
+/// Puts the replicated log in front of the cluster's state, and lets many read it at once.
 class ClusterStateMachine : public StateMachine
 {
 public:
-    /// The state of replica group \a shard, empty.
-    explicit ClusterStateMachine(std::uint8_t shard = 0) : state(shard) {}
+    explicit ClusterStateMachine(std::uint8_t shard = 0);
 
-    /// The outcomes of a CommandBatch, for decodeOutcomes(). Bytes that are no batch change
-    /// nothing, on every replica alike, and give a single Corrupt.
+    /// \sa encodeOutcomes for the bytes returned.
     std::string apply(LogIndex index, const std::string &command) override;
-
     std::string takeSnapshot() override;
     Result<void> restoreSnapshot(const std::string &snapshot) override;
 
-    /// Index of the last entry applied since the process started.
-    LogIndex appliedIndex() const;
-
-    /// Runs \a reader on the state, which stands still meanwhile. It must be short, and must not
-    /// call back into this object.
-    void read(const std::function<void(const ClusterState &)> &reader) const;
+    /// Calls \a reader with the state held still. The reader must not block.
+    template<typename Reader>
+    auto read(Reader &&reader) const
+    {
+        const std::shared_lock lock(this->mutex);
+        return reader(static_cast<const ClusterState &>(this->state));
+    }
 
 private:
-    mutable std::mutex lock;
+    mutable std::shared_mutex mutex;
     ClusterState state;
-    LogIndex applied = 0;
 };
 
 } // namespace guavavalve
--- a/src/schema/fieldcheck.cpp
+++ b/src/schema/fieldcheck.cpp
@@ -218,8 +218,8 @@
         return std::string(enumName(textFormatNames, this->format)) + ", " + range
             + " characters long";
     case FieldType::TextList:
-        return "a list of " + range + " of: "
-            + std::string(enumName(textFormatNames, this->format));
+        return "a list of " + range
+            + " of: " + std::string(enumName(textFormatNames, this->format));
     }
     return "";
 }
--- a/src/schema/fieldtable.h
+++ b/src/schema/fieldtable.h
@@ -51,8 +51,8 @@
     FieldSpec &text(std::string path, Member<std::string> member, TextFormat format, Range length,
                     std::string doc)
     {
-        FieldSpec &spec = this->add(std::move(path), FieldType::Text, length, std::move(member),
-                                    std::move(doc));
+        FieldSpec &spec =
+            this->add(std::move(path), FieldType::Text, length, std::move(member), std::move(doc));
         spec.format = format;
         return spec;
     }
--- a/src/schema/jsondocument.cpp
+++ b/src/schema/jsondocument.cpp
@@ -17,7 +17,9 @@
 class DocumentBuilder : public nlohmann::json_sax<json>
 {
 public:
-    explicit DocumentBuilder(JsonDocument &into) : document(into) {}
+    explicit DocumentBuilder(JsonDocument &into)
+        : document(into)
+    {}
 
     bool null() override { return this->add(json()); }
     bool boolean(bool value) override { return this->add(json(value)); }
@@ -46,7 +48,8 @@
     bool parse_error(std::size_t position, const std::string &,
                      const nlohmann::detail::exception &error) override
     {
-        this->report({"", "bad JSON at byte " + std::to_string(position) + " (" + error.what() + ")",
+        this->report({"",
+                      "bad JSON at byte " + std::to_string(position) + " (" + error.what() + ")",
                       "one JSON object"});
         return false;
     }
@@ -109,7 +112,8 @@
     }
 
     JsonDocument &document;
-    std::vector<json *> stack; ///< open objects and arrays; none is added to while one is open in it
+    std::vector<json *>
+        stack; ///< open objects and arrays; none is added to while one is open in it
     std::vector<std::string> names;
 };
 
@@ -126,7 +130,7 @@
         return document;
     }
     internal::DocumentBuilder builder(document);
-    nlohmann::json::sax_parse(text, &builder);
+    document.whole = nlohmann::json::sax_parse(text, &builder);
     if (document.problems.empty() && !document.value.is_object())
         document.problems.push_back({"", shortJson(document.value), "one JSON object"});
     return document;
@@ -141,8 +145,7 @@
 
 std::string shortJson(const nlohmann::json &value)
 {
-    std::string text =
-        value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (text.size() > internal::maxShownLength) {
         text.resize(internal::maxShownLength);
         text += "...";
--- a/src/schema/jsondocument.h
+++ b/src/schema/jsondocument.h
@@ -17,6 +17,7 @@
 struct JsonDocument
 {
     nlohmann::json value;
+    bool whole = false; ///< read to its end; a name that stands twice does not prevent that
     std::vector<Problem> problems; ///< a name that stands twice, bad syntax, too deep, too long
 };
 
--- a/src/schema/reference.cpp
+++ b/src/schema/reference.cpp
@@ -29,8 +29,8 @@
     std::string page = "# " + title + "\n\n";
     page += "| name | type | allowed | default | what it is |\n| --- | --- | --- | --- | --- |\n";
     for (const FieldSpec &spec : specs) {
-        page += "| `" + spec.path + "` | " + std::string(enumName(fieldTypeNames, spec.type)) + " | "
-            + spec.allowed() + " | `" + internal::defaultOf(spec) + "` | " + spec.doc
+        page += "| `" + spec.path + "` | " + std::string(enumName(fieldTypeNames, spec.type))
+            + " | " + spec.allowed() + " | `" + internal::defaultOf(spec) + "` | " + spec.doc
             + (spec.operatorsOnly ? " Only operators change it." : "") + " |\n";
     }
     return page;
--- a/src/state/clusterstate.cpp
+++ b/src/state/clusterstate.cpp
@@ -8,8 +8,8 @@
 namespace guavavalve {
 
 ClusterState::ClusterState(std::uint8_t shard)
-    : shardNumber(shard),
-      next(static_cast<TaskId>((std::uint64_t{shard} << internal::shardShift) + 1))
+    : shardNumber(shard)
+    , next(static_cast<TaskId>((std::uint64_t{shard} << internal::shardShift) + 1))
 {}
 
 std::vector<CommandOutcome> ClusterState::apply(const CommandBatch &batch)
@@ -22,8 +22,7 @@
         else
             outcomes.emplace_back(failure(ErrorCode::InvalidArgument,
                                           "the batch is for shard " + std::to_string(batch.shard)
-                                              + ", this is "
-                                              + std::to_string(this->shardNumber)));
+                                              + ", this is " + std::to_string(this->shardNumber)));
     }
     return outcomes;
 }
@@ -97,8 +96,7 @@
 Resources ClusterState::limitOf(TeamId team) const
 {
     const TeamRecord *record = this->team(team);
-    const TeamPolicy *policy =
-        record == nullptr ? nullptr : this->document.team(record->name);
+    const TeamSection *policy = record == nullptr ? nullptr : this->document.team(record->name);
     return policy == nullptr ? Resources() : policy->limit;
 }
 
--- a/src/state/clusterstate.h
+++ b/src/state/clusterstate.h
@@ -82,6 +82,7 @@
     CommandOutcome applyOne(const ReassignDispatcher &command);
     CommandOutcome applyOne(const CancelJob &command);
     CommandOutcome applyOne(const ForgetJobs &command);
+    CommandOutcome applyOne(const RefuseJob &command);
 
     /// Room that earlier places of the same gang have taken in thought.
     struct Taken
@@ -103,6 +104,7 @@
     void takeLateAnswer(JobRecord &job, const EndAttempt &end);
     void settle(JobRecord &job, TaskId id, AttemptOutcome outcome, std::int64_t at);
     void finishTask(JobRecord &job, TaskRecord &task, TaskState state, std::int64_t at);
+    void cancelWaiting(JobRecord &job, std::int64_t at);
     void loseAttempts(TargetRecord &target, const std::string &reason);
     JobRecord *findJobOf(TaskId task);
     TargetRecord *findTarget(TargetId id);
--- a/src/state/commandbatch.cpp
+++ b/src/state/commandbatch.cpp
@@ -1,6 +1,10 @@
 #include "state/commandbatch.h"
 
-#include "state/bytecodec.h"
+#include "core/codec.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
 
 #include <algorithm>
 
@@ -43,6 +47,10 @@
     {
         return isNamed(attemptOutcomeNames, command.outcome);
     }
+    bool operator()(const RefuseJob &command) const
+    {
+        return isNamed(errorCodeNames, command.code);
+    }
     template<typename Other>
     bool operator()(const Other &) const
     {
@@ -58,7 +66,7 @@
 {
     internal::EncodedBatch encoded;
     encoded.batch = batch;
-    std::string bytes = encodeBytes(encoded);
+    std::string bytes = encode(encoded);
     if (bytes.size() > maxBatchBytes)
         return failure(ErrorCode::InvalidArgument,
                        "a batch of " + std::to_string(bytes.size()) + " bytes is over the limit of "
@@ -70,7 +78,7 @@
 {
     if (bytes.size() > maxBatchBytes)
         return failure(ErrorCode::Corrupt, "a command batch is over its largest size");
-    auto encoded = decodeBytes<internal::EncodedBatch>(bytes, "a command batch");
+    auto encoded = decode<internal::EncodedBatch>(bytes);
     if (encoded.has_error())
         return encoded.error();
     if (encoded.value().format != internal::batchFormat)
--- a/src/state/commandoutcome.cpp
+++ b/src/state/commandoutcome.cpp
@@ -1,6 +1,6 @@
 #include "state/commandoutcome.h"
 
-#include "state/bytecodec.h"
+#include "core/codec.h"
 #include "state/outcomearchive.h"
 
 namespace guavavalve {
@@ -11,12 +11,12 @@
     stored.reserve(outcomes.size());
     for (const CommandOutcome &outcome : outcomes)
         stored.emplace_back(outcome);
-    return encodeBytes(stored);
+    return encode(stored);
 }
 
 Result<std::vector<CommandOutcome>> decodeOutcomes(const std::string &bytes)
 {
-    auto stored = decodeBytes<std::vector<internal::StoredOutcome>>(bytes, "a list of outcomes");
+    auto stored = decode<std::vector<internal::StoredOutcome>>(bytes);
     if (stored.has_error())
         return stored.error();
     std::vector<CommandOutcome> outcomes;
--- a/src/state/commands/acceptjob.h
+++ b/src/state/commands/acceptjob.h
@@ -35,7 +35,9 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->first, this->keyId, this->team, this->idempotencyKey, this->digest, this->workClass, this->need, this->tasks, this->repeatable, this->declaredRunTimeMs, this->acceptedAt, this->startBy, this->finishBy, this->payload, this->entry);
+        archive(this->first, this->keyId, this->team, this->idempotencyKey, this->digest,
+                this->workClass, this->need, this->tasks, this->repeatable, this->declaredRunTimeMs,
+                this->acceptedAt, this->startBy, this->finishBy, this->payload, this->entry);
     }
 };
 
--- a/src/state/commands/endattempt.h
+++ b/src/state/commands/endattempt.h
@@ -23,7 +23,8 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->task, this->attempt, this->outcome, this->answerLength, this->answerDigest, this->message, this->endedAt);
+        archive(this->task, this->attempt, this->outcome, this->answerLength, this->answerDigest,
+                this->message, this->endedAt);
     }
 };
 
--- a/src/state/commands/placetask.h
+++ b/src/state/commands/placetask.h
@@ -22,7 +22,8 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->task, this->attempt, this->target, this->incarnation, this->dispatcher, this->placedAt);
+        archive(this->task, this->attempt, this->target, this->incarnation, this->dispatcher,
+                this->placedAt);
     }
 };
 
--- a/src/state/commands/registertarget.h
+++ b/src/state/commands/registertarget.h
@@ -25,7 +25,8 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->name, this->incarnation, this->address, this->failureDomain, this->rack, this->total, this->departing);
+        archive(this->name, this->incarnation, this->address, this->failureDomain, this->rack,
+                this->total, this->departing);
     }
 };
 
--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -52,8 +52,9 @@
 Result<void> checkGrantTexts(const GrantKey &command)
 {
     if (!isName(command.keyId))
-        return failure(ErrorCode::InvalidArgument, "a key's identity is a name of letters, digits, "
-                                                   "'-', '_' and '.', at most 64 long");
+        return failure(ErrorCode::InvalidArgument,
+                       "a key's identity is a name of letters, digits, "
+                       "'-', '_' and '.', at most 64 long");
     if (command.keyedHash.empty() || command.keyedHash.size() > longestId)
         return failure(ErrorCode::InvalidArgument, "a key needs the keyed hash of its secret");
     if (command.label.size() > longestLabel)
@@ -77,7 +78,7 @@
     return found == this->keyTable.end() ? nullptr : &found->second;
 }
 
-const TeamPolicy *Configuration::team(const std::string &name) const
+const TeamSection *Configuration::team(const std::string &name) const
 {
     const auto found = this->policies.teams.find(name);
     return found == this->policies.teams.end() ? nullptr : &found->second;
@@ -226,8 +227,7 @@
 {
     const auto found = this->keyTable.find(command.keyId);
     if (found == this->keyTable.end())
-        return failure(ErrorCode::NotFound,
-                       "there is no key " + internal::quoted(command.keyId));
+        return failure(ErrorCode::NotFound, "there is no key " + internal::quoted(command.keyId));
     KeyRecord &key = found->second;
     ConfigurationChanged changed;
     if (key.withdrawn) {
@@ -236,8 +236,9 @@
     }
     // Without any operator's key nobody could ever grant one again.
     if (key.role == KeyRole::Operator && this->operatorKeys() == 1)
-        return failure(ErrorCode::Conflict, "this is the last operator's key in use; grant another "
-                                            "before it is withdrawn");
+        return failure(ErrorCode::Conflict,
+                       "this is the last operator's key in use; grant another "
+                       "before it is withdrawn");
     key.withdrawn = true;
     key.keyedHash.clear();
     key.changedAt = ++this->documentVersion;
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -38,10 +38,10 @@
     /// Each of these gives null if there is no such record.
     const Section *section(const std::string &name) const;
     const KeyRecord *key(const std::string &id) const;
-    const TeamPolicy *team(const std::string &name) const;
+    const TeamSection *team(const std::string &name) const;
 
     /// The cell's policy: what its section says, or the defaults.
-    const CellPolicy &cell() const { return this->policies.cell; }
+    const CellSection &cell() const { return this->policies.cell; }
 
     /// \errors see WriteSection.
     Result<ConfigurationChanged> write(const WriteSection &command);
--- a/src/state/configurationchanges.cpp
+++ b/src/state/configurationchanges.cpp
@@ -1,17 +1,20 @@
 #include "state/configurationchanges.h"
 
-#include "state/bytecodec.h"
+#include "core/codec.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 
 namespace guavavalve {
 
 std::string encodeChanges(const ConfigurationChanges &changes)
 {
-    return encodeBytes(changes);
+    return encode(changes);
 }
 
 Result<ConfigurationChanges> decodeChanges(const std::string &bytes)
 {
-    return decodeBytes<ConfigurationChanges>(bytes, "a change of configuration");
+    return decode<ConfigurationChanges>(bytes);
 }
 
 } // namespace guavavalve
--- a/src/state/configurationview.cpp
+++ b/src/state/configurationview.cpp
@@ -10,7 +10,7 @@
     return found == this->keyTable.end() || found->second.withdrawn ? nullptr : &found->second;
 }
 
-const TeamPolicy *ConfigurationView::team(const std::string &name) const
+const TeamSection *ConfigurationView::team(const std::string &name) const
 {
     const auto found = this->policies.teams.find(name);
     return found == this->policies.teams.end() ? nullptr : &found->second;
--- a/src/state/configurationview.h
+++ b/src/state/configurationview.h
@@ -19,11 +19,11 @@
 
     const std::map<std::string, SectionContent> &sections() const { return this->sectionTable; }
     const std::map<std::string, KeyRecord> &keys() const { return this->keyTable; }
-    const CellPolicy &cell() const { return this->policies.cell; }
+    const CellSection &cell() const { return this->policies.cell; }
 
     /// Each of these gives null if there is no such record; a withdrawn key is not given.
     const KeyRecord *key(const std::string &id) const;
-    const TeamPolicy *team(const std::string &name) const;
+    const TeamSection *team(const std::string &name) const;
 
     /// Takes over \a changes. An answer that is older than what is held, as a lagging replica or
     /// a delayed message brings it, is refused: a withdrawn key would work again.
--- a/src/state/jobcommands.cpp
+++ b/src/state/jobcommands.cpp
@@ -1,6 +1,7 @@
 #include "state/clusterstate.h"
 #include "state/clusterstatedetails.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace guavavalve {
@@ -8,7 +9,7 @@
 
 namespace {
 
-Result<void> checkShape(const AcceptJob &command, const CellPolicy &cell)
+Result<void> checkShape(const AcceptJob &command, const CellSection &cell)
 {
     if (command.tasks == 0 || command.tasks > cell.maxTasksPerJob)
         return failure(ErrorCode::InvalidArgument,
@@ -119,8 +120,8 @@
 
 Result<void> ClusterState::checkWaiting(const AcceptJob &command, const TeamRecord &team) const
 {
-    const TeamPolicy &policy = *this->document.team(team.name);
-    const CellPolicy &cell = this->document.cell();
+    const TeamSection &policy = *this->document.team(team.name);
+    const CellSection &cell = this->document.cell();
     const std::string className(enumName(workClassNames, command.workClass));
     if (!policy.classPolicy(command.workClass).enabled
         || !cell.classPolicy(command.workClass).enabled)
@@ -148,20 +149,43 @@
     const auto found = this->jobTable.find(command.job);
     if (found == this->jobTable.end()
         || (command.team != TeamId::None && found->second.team != command.team))
-        return failure(ErrorCode::NotFound,
-                       "there is no job " + internal::numberOf(command.job));
+        return failure(ErrorCode::NotFound, "there is no job " + internal::numberOf(command.job));
     JobRecord &job = found->second;
     if (job.cancelled || job.finished())
         return CommandValue(Nothing());
     job.cancelled = true;
+    this->cancelWaiting(job, command.cancelledAt);
+    return CommandValue(Nothing());
+}
+
+CommandOutcome ClusterState::applyOne(const RefuseJob &command)
+{
+    const auto found = this->jobTable.find(command.job);
+    if (found == this->jobTable.end())
+        return failure(ErrorCode::NotFound, "there is no job " + internal::numberOf(command.job));
+    JobRecord &job = found->second;
+    const bool waits = std::any_of(job.tasks.begin(), job.tasks.end(), [](const TaskRecord &task) {
+        return task.state == TaskState::Waiting;
+    });
+    if (!waits)
+        return failure(ErrorCode::Conflict,
+                       "no task of job " + internal::numberOf(command.job) + " waits");
+    job.refused = true;
+    job.refusalCode = command.code;
+    job.refusal = command.message.substr(0, internal::longestMessage);
+    this->cancelWaiting(job, command.refusedAt);
+    return CommandValue(Nothing());
+}
+
+void ClusterState::cancelWaiting(JobRecord &job, std::int64_t at)
+{
     TeamRecord &team = this->teamTable[job.team];
     for (TaskRecord &task : job.tasks) {
         if (task.state != TaskState::Waiting)
             continue;
         --team.waitingTasks;
-        this->finishTask(job, task, TaskState::Cancelled, command.cancelledAt);
+        this->finishTask(job, task, TaskState::Cancelled, at);
     }
-    return CommandValue(Nothing());
 }
 
 CommandOutcome ClusterState::applyOne(const ForgetJobs &command)
--- a/src/state/jobrecord.h
+++ b/src/state/jobrecord.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "core/error.h"
 #include "core/ids.h"
 #include "core/resources.h"
 #include "core/workclass.h"
-#include "state/taskend.h"
+#include "state/finishedattempt.h"
 #include "state/taskrecord.h"
 
 #include <cstdint>
@@ -21,6 +22,9 @@
     WorkClass workClass = WorkClass::Prompt;
     bool repeatable = true;
     bool cancelled = false; ///< asked for; tasks end as their attempts are known to be over
+    bool refused = false; ///< its waiting tasks were given up, for the reason below
+    ErrorCode refusalCode = ErrorCode::DeadlineExceeded;
+    std::string refusal; ///< for the caller to read
     std::uint32_t unfinished = 0; ///< tasks that are not in a final state
     Resources need; ///< of each task
     std::int64_t declaredRunTimeMs = 0; ///< 0: not declared
@@ -35,7 +39,7 @@
     std::string payload; ///< released when the job has finished
     InstanceId entry;
     std::vector<TaskRecord> tasks;
-    std::vector<TaskEnd> ends; ///< by task, ascending
+    std::vector<FinishedAttempt> ends; ///< by task, ascending
 
     bool finished() const { return this->unfinished == 0; }
     TaskId taskId(std::size_t position) const
@@ -46,16 +50,16 @@
     std::size_t position(TaskId task) const { return idValue(task) - idValue(this->id); }
 
     /// How \a task's last finished attempt ended, or null.
-    const TaskEnd *end(TaskId task) const;
+    const FinishedAttempt *end(TaskId task) const;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
         archive(this->id, this->team, this->workClass, this->repeatable, this->cancelled,
-                this->unfinished, this->need, this->declaredRunTimeMs, this->acceptedAt,
-                this->startBy, this->finishBy, this->firstPlacedAt, this->finishedAt, this->keyId,
-                this->idempotencyKey, this->digest, this->payload, this->entry, this->tasks,
-                this->ends);
+                this->refused, this->refusalCode, this->refusal, this->unfinished, this->need,
+                this->declaredRunTimeMs, this->acceptedAt, this->startBy, this->finishBy,
+                this->firstPlacedAt, this->finishedAt, this->keyId, this->idempotencyKey,
+                this->digest, this->payload, this->entry, this->tasks, this->ends);
     }
 };
 
--- a/src/state/operatorcommands.cpp
+++ b/src/state/operatorcommands.cpp
@@ -1,7 +1,9 @@
-#include "state/bytecodec.h"
+#include "core/codec.h"
 #include "state/clusterstate.h"
 #include "state/clusterstatedetails.h"
 
+#include <cereal/types/string.hpp>
+
 #include <xxhash.h>
 
 #include <utility>
@@ -14,7 +16,7 @@
 template<typename OperatorCommand>
 std::uint64_t digestOf(const OperatorCommand &command)
 {
-    const std::string bytes = encodeBytes(command);
+    const std::string bytes = encode(command);
     return XXH3_64bits(bytes.data(), bytes.size());
 }
 
@@ -67,16 +69,14 @@
 
 CommandOutcome ClusterState::applyOne(const GrantKey &command)
 {
-    return this->once(command, "grant of key " + internal::quoted(command.keyId), [&] {
-        return internal::outcomeOf(this->document.grant(command));
-    });
+    return this->once(command, "grant of key " + internal::quoted(command.keyId),
+                      [&] { return internal::outcomeOf(this->document.grant(command)); });
 }
 
 CommandOutcome ClusterState::applyOne(const WithdrawKey &command)
 {
-    return this->once(command, "withdrawal of key " + internal::quoted(command.keyId), [&] {
-        return internal::outcomeOf(this->document.withdraw(command));
-    });
+    return this->once(command, "withdrawal of key " + internal::quoted(command.keyId),
+                      [&] { return internal::outcomeOf(this->document.withdraw(command)); });
 }
 
 CommandOutcome ClusterState::applyOne(const WriteSection &command)
--- a/src/state/outcomearchive.h
+++ b/src/state/outcomearchive.h
@@ -1,8 +1,11 @@
 #pragma once
 
-#include "state/bytearchive.h"
+#include "core/memoryarchive.h"
 #include "state/commandoutcome.h"
 
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+
 namespace guavavalve::internal {
 
 /// A CommandOutcome as cereal can write it.
@@ -13,7 +16,8 @@
     Error error;
 
     StoredOutcome() = default;
-    explicit StoredOutcome(const CommandOutcome &outcome) : accepted(outcome.has_value())
+    explicit StoredOutcome(const CommandOutcome &outcome)
+        : accepted(outcome.has_value())
     {
         if (this->accepted)
             this->value = outcome.value();
--- a/src/state/placementcommands.cpp
+++ b/src/state/placementcommands.cpp
@@ -31,7 +31,7 @@
 /// had arrived before the target's lease was over, and nothing else was started since. Without
 /// this a confirmation whose entry was cut off for a moment would end as unknown although its
 /// answer is at hand.
-bool mayStillAnswer(const TaskRecord &task, const TaskEnd &last)
+bool mayStillAnswer(const TaskRecord &task, const FinishedAttempt &last)
 {
     return last.outcome == AttemptOutcome::Lost
         && (task.state == TaskState::Waiting || task.state == TaskState::Unknown);
@@ -41,8 +41,8 @@
 {
     const auto at =
         std::lower_bound(job.ends.begin(), job.ends.end(), command.task,
-                         [](const TaskEnd &end, TaskId id) { return end.task < id; });
-    TaskEnd end;
+                         [](const FinishedAttempt &end, TaskId id) { return end.task < id; });
+    FinishedAttempt end;
     end.task = command.task;
     end.attempt = command.attempt;
     end.outcome = command.outcome;
@@ -92,9 +92,8 @@
     if (job == nullptr)
         return internal::noTask(command.places.front().task);
     const auto waiting =
-        std::count_if(job->tasks.begin(), job->tasks.end(), [](const TaskRecord &task) {
-            return task.state == TaskState::Waiting;
-        });
+        std::count_if(job->tasks.begin(), job->tasks.end(),
+                      [](const TaskRecord &task) { return task.state == TaskState::Waiting; });
     if (static_cast<std::size_t>(waiting) != command.places.size())
         return failure(ErrorCode::Conflict,
                        "job " + internal::numberOf(job->id) + " has " + std::to_string(waiting)
@@ -205,7 +204,7 @@
         this->endAttempt(*job, command);
         return internal::recordedOf(task);
     }
-    const TaskEnd &last = *job->end(command.task);
+    const FinishedAttempt &last = *job->end(command.task);
     if (last.outcome == command.outcome)
         return internal::recordedOf(task);
     if (internal::isAnswer(command.outcome) && internal::mayStillAnswer(task, last)) {
@@ -236,8 +235,8 @@
     }
     // It had been counted as finished, as unknown; now more is known.
     task.ran = Ran::Yes;
-    task.state = end.outcome == AttemptOutcome::Succeeded ? TaskState::Succeeded
-                                                          : TaskState::Failed;
+    task.state =
+        end.outcome == AttemptOutcome::Succeeded ? TaskState::Succeeded : TaskState::Failed;
 }
 
 void ClusterState::settle(JobRecord &job, TaskId id, AttemptOutcome outcome, std::int64_t at)
@@ -245,10 +244,9 @@
     TaskRecord &task = job.tasks[job.position(id)];
     if (internal::isAnswer(outcome)) {
         task.ran = Ran::Yes;
-        this->finishTask(job, task,
-                         outcome == AttemptOutcome::Succeeded ? TaskState::Succeeded
-                                                              : TaskState::Failed,
-                         at);
+        this->finishTask(
+            job, task,
+            outcome == AttemptOutcome::Succeeded ? TaskState::Succeeded : TaskState::Failed, at);
         return;
     }
     if (outcome == AttemptOutcome::Stopped)
--- a/src/state/policydocument.cpp
+++ b/src/state/policydocument.cpp
@@ -16,8 +16,8 @@
 constexpr std::int64_t mostTasks = 10000000;
 
 template<typename Policy>
-void addResources(FieldTable<Policy> &table, const std::string &group,
-                  Resources Policy::*member, bool operatorsOnly, const std::string &doc)
+void addResources(FieldTable<Policy> &table, const std::string &group, Resources Policy::*member,
+                  bool operatorsOnly, const std::string &doc)
 {
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
         auto amount = [member, kind](Policy &policy) -> std::int64_t & {
@@ -51,58 +51,58 @@
     }
 }
 
-FieldTable<CellPolicy> makeCellTable()
+FieldTable<CellSection> makeCellTable()
 {
-    FieldTable<CellPolicy> table;
-    table.integer("promptHeadroomPercent", &CellPolicy::promptHeadroomPercent, Unit::Percent,
+    FieldTable<CellSection> table;
+    table.integer("promptHeadroomPercent", &CellSection::promptHeadroomPercent, Unit::Percent,
                   {0, 90}, "Part of the fleet kept free of other classes for prompt work.");
-    table.integer("totalShares", &CellPolicy::totalShares, Unit::None, {0, 1000000000},
+    table.integer("totalShares", &CellSection::totalShares, Unit::None, {0, 1000000000},
                   "The most that all teams' shares may add up to; 0: any.");
-    table.integer("defaultShare", &CellPolicy::defaultShare, Unit::None, {1, 1000000},
+    table.integer("defaultShare", &CellSection::defaultShare, Unit::None, {1, 1000000},
                   "Share of a team whose section names none.");
-    addResources(table, "defaultLimit", &CellPolicy::defaultLimit, false,
+    addResources(table, "defaultLimit", &CellSection::defaultLimit, false,
                  "Upper limit of a team whose section names none.");
-    addResources(table, "maxTeamLimit", &CellPolicy::maxTeamLimit, false,
+    addResources(table, "maxTeamLimit", &CellSection::maxTeamLimit, false,
                  "The most that a team's upper limit may be.");
-    table.integer("maxWaitingTasks", &CellPolicy::maxWaitingTasks, Unit::None, {1, mostTasks},
+    table.integer("maxWaitingTasks", &CellSection::maxWaitingTasks, Unit::None, {1, mostTasks},
                   "Tasks that a team may have waiting; more are refused.");
-    table.integer("maxTasksPerJob", &CellPolicy::maxTasksPerJob, Unit::None, {1, 100000},
+    table.integer("maxTasksPerJob", &CellSection::maxTasksPerJob, Unit::None, {1, 100000},
                   "Tasks that one job may have.");
-    table.integer("maxPayloadBytes", &CellPolicy::maxPayloadBytes, Unit::Bytes, {1024, 8388608},
+    table.integer("maxPayloadBytes", &CellSection::maxPayloadBytes, Unit::Bytes, {1024, 8388608},
                   "Largest payload of a job.");
-    table.integer("targetLeaseMs", &CellPolicy::targetLeaseMs, Unit::Ms, {200, 600000},
+    table.integer("targetLeaseMs", &CellSection::targetLeaseMs, Unit::Ms, {200, 600000},
                   "Lease of a target, counted from when it sent its announcement.");
-    table.integer("driftMarginMs", &CellPolicy::driftMarginMs, Unit::Ms, {0, 60000},
+    table.integer("driftMarginMs", &CellSection::driftMarginMs, Unit::Ms, {0, 60000},
                   "Added to a lease by whoever waits for its end, for clocks that run unlike.");
-    table.integer("quarantinePercent", &CellPolicy::quarantinePercent, Unit::Percent, {0, 50},
+    table.integer("quarantinePercent", &CellSection::quarantinePercent, Unit::Percent, {0, 50},
                   "The most of the fleet that may be in quarantine for failing.");
     addClasses(table);
     return table;
 }
 
-FieldTable<TeamPolicy> makeTeamTable()
+FieldTable<TeamSection> makeTeamTable()
 {
-    FieldTable<TeamPolicy> table;
-    table.text("description", &TeamPolicy::description, TextFormat::Any, {0, 1000},
+    FieldTable<TeamSection> table;
+    table.text("description", &TeamSection::description, TextFormat::Any, {0, 1000},
                "What the team does, for people.");
-    table.text("contact", &TeamPolicy::contact, TextFormat::Any, {0, 200},
+    table.text("contact", &TeamSection::contact, TextFormat::Any, {0, 200},
                "Whom to ask about its work.");
     table
-        .integer("share", &TeamPolicy::share, Unit::None, {1, 1000000},
+        .integer("share", &TeamSection::share, Unit::None, {1, 1000000},
                  "Weight against other teams when the cell is full.")
         .operatorsOnly = true;
-    addResources(table, "limit", &TeamPolicy::limit, true,
+    addResources(table, "limit", &TeamSection::limit, true,
                  "Upper limit on what the team may have running.");
-    table.integer("maxWaitingTasks", &TeamPolicy::maxWaitingTasks, Unit::None, {0, mostTasks},
+    table.integer("maxWaitingTasks", &TeamSection::maxWaitingTasks, Unit::None, {0, mostTasks},
                   "Tasks that may wait; 0: as the cell says. The cell's bound holds beside it.");
     addClasses(table);
     return table;
 }
 
 /// What a team has whose section says nothing.
-TeamPolicy teamDefaults(const CellPolicy &cell)
+TeamSection teamDefaults(const CellSection &cell)
 {
-    TeamPolicy policy;
+    TeamSection policy;
     policy.share = cell.defaultShare;
     for (std::size_t i = 0; i < resourceKindCount; ++i) {
         policy.limit.amounts[i] =
@@ -119,7 +119,9 @@
 class DocumentReader
 {
 public:
-    explicit DocumentReader(DocumentReading &into) : reading(into) {}
+    explicit DocumentReader(DocumentReading &into)
+        : reading(into)
+    {}
 
     template<typename Policy>
     void readSection(const std::string &section, const std::string &text,
@@ -135,7 +137,7 @@
 
     void readTeam(const std::string &section, const std::string &text)
     {
-        TeamPolicy policy = teamDefaults(this->reading.policies.cell);
+        TeamSection policy = teamDefaults(this->reading.policies.cell);
         this->readSection(section, text, teamPolicyTable(), policy);
         this->checkTeam(section, policy);
         this->reading.policies.teams[teamOfSection(section)] = policy;
@@ -154,9 +156,9 @@
     }
 
 private:
-    void checkTeam(const std::string &section, const TeamPolicy &team)
+    void checkTeam(const std::string &section, const TeamSection &team)
     {
-        const CellPolicy &cell = this->reading.policies.cell;
+        const CellSection &cell = this->reading.policies.cell;
         for (std::size_t i = 0; i < resourceKindCount; ++i) {
             if (team.limit.amounts[i] > cell.maxTeamLimit.amounts[i])
                 this->report(section,
@@ -169,7 +171,7 @@
             this->checkClass(section, static_cast<WorkClass>(i), team);
     }
 
-    void checkClass(const std::string &section, WorkClass workClass, const TeamPolicy &team)
+    void checkClass(const std::string &section, WorkClass workClass, const TeamSection &team)
     {
         const CellClassPolicy &allowed = this->reading.policies.cell.classPolicy(workClass);
         const TeamClassPolicy &asked = team.classPolicy(workClass);
@@ -196,15 +198,15 @@
 
 } // namespace internal
 
-const FieldTable<CellPolicy> &cellPolicyTable()
+const FieldTable<CellSection> &cellPolicyTable()
 {
-    static const FieldTable<CellPolicy> table = internal::makeCellTable();
+    static const FieldTable<CellSection> table = internal::makeCellTable();
     return table;
 }
 
-const FieldTable<TeamPolicy> &teamPolicyTable()
+const FieldTable<TeamSection> &teamPolicyTable()
 {
-    static const FieldTable<TeamPolicy> table = internal::makeTeamTable();
+    static const FieldTable<TeamSection> table = internal::makeTeamTable();
     return table;
 }
 
--- a/src/state/policydocument.h
+++ b/src/state/policydocument.h
@@ -2,8 +2,8 @@
 
 #include "schema/fieldtable.h"
 #include "schema/problem.h"
-#include "state/cellpolicy.h"
-#include "state/teampolicy.h"
+#include "state/cellsection.h"
+#include "state/teamsection.h"
 
 #include <map>
 #include <string>
@@ -14,13 +14,13 @@
 /// The sections of the configuration document, read into policies.
 struct PolicyDocument
 {
-    CellPolicy cell;
-    std::map<std::string, TeamPolicy> teams; ///< by name
+    CellSection cell;
+    std::map<std::string, TeamSection> teams; ///< by name
 };
 
 /// What may stand in a section "cell", and in a section "team.NAME".
-const FieldTable<CellPolicy> &cellPolicyTable();
-const FieldTable<TeamPolicy> &teamPolicyTable();
+const FieldTable<CellSection> &cellPolicyTable();
+const FieldTable<TeamSection> &teamPolicyTable();
 
 /// The name of the operators' section, and what a team's section begins with.
 inline constexpr const char *cellSection = "cell";
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -1,8 +1,12 @@
-#include "state/bytecodec.h"
+#include "core/codec.h"
 #include "state/clusterstate.h"
 #include "state/clusterstatedetails.h"
 #include "state/requestlogarchive.h"
 
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
 #include <xxhash.h>
 
 #include <utility>
@@ -49,7 +53,7 @@
 std::string ClusterState::snapshot() const
 {
     std::string bytes;
-    ByteWriter writer(bytes);
+    MemoryOutputArchive writer(bytes);
     writer(internal::snapshotMagic, internal::snapshotFormat, this->shardNumber);
     // cereal's serialize() functions serve both ways and so are not const; writing changes nothing.
     const_cast<ClusterState *>(this)->serializeRecords(writer);
@@ -68,11 +72,11 @@
         const std::string body = bytes.substr(0, bodySize);
         const std::string tail = bytes.substr(bodySize);
         std::uint64_t checksum = 0;
-        ByteReader tailReader(tail);
+        MemoryInputArchive tailReader(tail);
         tailReader(checksum);
         if (checksum != internal::checksumOf(body.data(), body.size()))
             return internal::corrupt("a snapshot does not have the checksum that it names");
-        ByteReader reader(body);
+        MemoryInputArchive reader(body);
         std::uint32_t magic = 0;
         std::uint16_t format = 0;
         std::uint8_t shard = 0;
@@ -83,7 +87,7 @@
             return internal::corrupt("a snapshot is of shard " + std::to_string(shard)
                                      + " and not of " + std::to_string(this->shardNumber));
         restored.serializeRecords(reader);
-        if (reader.left() != 0)
+        if (reader.bytesLeft() != 0)
             return internal::corrupt("a snapshot has bytes left over");
     } catch (const std::exception &error) {
         return internal::corrupt(std::string("a snapshot cannot be decoded: ") + error.what());
