--- a/test/core/codectest.cpp
+++ b/test/core/codectest.cpp
@@ -48,11 +48,12 @@
 // asks for that much memory and is killed; the caller sees a dropped connection.
 TEST_CASE("a message that claims an impossible length is refused", "[codec]")
 {
-    std::string bytes = encode(std::string("abc"));
-    bytes[7] = 0x10;
-    const auto read = decode<std::string>(bytes);
-    REQUIRE(read.has_error());
-    CHECK(read.error().code == ErrorCode::Corrupt);
+    const std::string claim = std::string(8, '\x80') + '\x10'; // seven bits a byte: 2^60
+    const auto text = decode<std::string>(claim + "abc");
+    REQUIRE(text.has_error());
+    CHECK(text.error().code == ErrorCode::Corrupt);
+    CHECK(decode<std::vector<Sample>>(claim + "abc").has_error());
+    CHECK(decode<std::string>(std::string(11, '\x80') + "abc").has_error());
 }
 
 TEST_CASE("no prefix and no damaged byte of a message stops the decoder", "[codec]")
