--- /dev/null
+++ b/src/controller/cellcontrollersync.cpp
@@ -0,0 +1,99 @@
+#include "controller/cellcontroller.h"
+
+#include "controller/clusterstatemachine.h"
+#include "replicas/replicatedlog.h"
+#include "state/configurationchanges.h"
+
+#include <utility>
+
+namespace guavavalve {
+
+void CellController::hold(HeldSync sync)
+{
+    const Instant now = this->options.clock();
+    this->entryTable.heard(sync.request.entry, sync.request.address, sync.request.heldVersion,
+                           now + this->options.entryTimeout + Milliseconds(sync.request.waitMs));
+    this->syncs.push_back(std::move(sync));
+    this->answerSyncs(false);
+}
+
+void CellController::answerSyncs(bool all)
+{
+    const Instant now = this->options.clock();
+    const std::uint64_t version = this->state.read(
+        [](const ClusterState &cluster) { return cluster.configuration().version(); });
+    std::vector<HeldSync> staying;
+    std::vector<HeldSync> answered;
+    for (HeldSync &sync : this->syncs) {
+        const bool due = all || sync.deadline <= now || sync.request.heldVersion != version;
+        (due ? answered : staying).push_back(std::move(sync));
+    }
+    this->syncs = std::move(staying);
+    for (const HeldSync &sync : answered) {
+        // Without a quorum this controller may have been deposed: an answer from it would keep
+        // an old configuration in force.
+        if (!this->log.holdsLeaderLease())
+            sync.done(failure(ErrorCode::Unavailable, "the controller has no quorum"));
+        else
+            sync.done(this->syncReply(sync.request));
+    }
+}
+
+SyncReply CellController::syncReply(const SyncRequest &request) const
+{
+    SyncReply reply;
+    reply.leaseMs = this->options.configurationLease.count();
+    reply.changes = this->state.read([&](const ClusterState &cluster) {
+        return encodeChanges(cluster.configuration().changesSince(request.heldVersion));
+    });
+    return reply;
+}
+
+void CellController::refreshPolicy()
+{
+    const std::uint64_t version = this->state.read(
+        [](const ClusterState &cluster) { return cluster.configuration().version(); });
+    if (version == this->policyVersion)
+        return;
+    this->policyVersion = version;
+    const Policy policy = this->state.read(
+        [this](const ClusterState &cluster) { return this->feed.policy(cluster); });
+    this->scheduler->applyPolicy(policy, this->options.clock());
+    this->retryRefusedTasks();
+    this->answerSyncs(false);
+}
+
+void CellController::retryRefusedTasks()
+{
+    const TimePair now = this->time();
+    const auto refused = std::exchange(this->refusedTasks, {});
+    for (const SchedulerFeed::Refused &waiting : refused) {
+        if (waiting.error.code == ErrorCode::DeadlineExceeded) {
+            RefuseJob command;
+            command.job = waiting.job;
+            command.code = waiting.error.code;
+            command.message = waiting.error.message;
+            command.refusedAt = now.cellMs;
+            this->add(std::move(command),
+                      [this, job = waiting.job](const Result<CommandValue> &outcome) {
+                          if (outcome && this->leading)
+                              this->jobChanged(job);
+                      });
+            continue;
+        }
+        const auto request = this->state.read([&](const ClusterState &cluster) {
+            const JobRecord *job = cluster.job(waiting.job);
+            const bool waits = job != nullptr
+                && job->tasks[job->position(waiting.task)].state == TaskState::Waiting;
+            return waits ? std::optional(this->feed.taskRequest(*job, waiting.task, now))
+                         : std::nullopt;
+        });
+        if (!request)
+            continue;
+        const Result<void> taken = this->scheduler->submit(*request, now.now);
+        if (!taken)
+            this->refusedTasks.push_back({waiting.job, waiting.task, taken.error()});
+    }
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/controller/controllerlink.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/done.h"
+#include "replicas/messenger.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// Finds the controller among the replicas and carries calls to it. Thread safe.
+///
+/// Requests are safe to send twice (submits by idempotency key, ends by attempt, operators'
+/// changes by request identity), so a call whose reply was lost goes again until its deadline.
+class ControllerLink : public std::enable_shared_from_this<ControllerLink>
+{
+public:
+    /// Runs an action after a while; the daemon's timer.
+    using Delay = std::function<void(Milliseconds, std::function<void()>)>;
+
+    /// \a replicas: addresses ("ip:port") of the replicas' messengers.
+    ControllerLink(Messenger &messenger, std::vector<std::string> replicas, Delay delay,
+                   Clock clock = monotonicNow);
+
+    /// Calls the controller. \errors the controller's own; Unavailable if none was found by
+    /// \a deadline, with Ran::Unknown if the request may have been taken.
+    void call(Method method, std::string payload, Instant deadline, Done<std::string> done);
+
+private:
+    struct Call;
+
+    void attempt(const std::shared_ptr<Call> &call);
+    void answered(const std::shared_ptr<Call> &call, const std::string &address,
+                  Result<std::string> reply);
+    std::string nextAddress();
+    void suspect(const std::string &address, const std::string &leader);
+
+    Messenger &messenger;
+    std::vector<std::string> replicas;
+    Delay delay;
+    Clock clock;
+    std::mutex mutex;
+    std::string leader; ///< address; empty: not known
+    std::size_t turn = 0;
+};
+
+} // namespace guavavalve
