--- a/src/platform/logging.h
+++ b/src/platform/logging.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "core/enumnames.h"
+#include "core/logformat.h"
+#include "core/loglevel.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -11,22 +12,6 @@
 
 namespace guavavalve {
 
-enum class LogLevel : std::uint8_t { Debug, Information, Warning, Error };
-
-inline constexpr EnumNames<LogLevel, 4> logLevelNames{{
-    {LogLevel::Debug, "debug"},
-    {LogLevel::Information, "info"},
-    {LogLevel::Warning, "warning"},
-    {LogLevel::Error, "error"},
-}};
-
-enum class LogFormat : std::uint8_t { Text, Json };
-
-inline constexpr EnumNames<LogFormat, 2> logFormatNames{{
-    {LogFormat::Text, "text"},
-    {LogFormat::Json, "json"},
-}};
-
 struct LogOptions
 {
     LogLevel level = LogLevel::Information;
--- a/src/state/jobrecord.h
+++ b/src/state/jobrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/error.h"
 #include "core/ids.h"
 #include "core/resources.h"
 #include "core/workclass.h"
@@ -21,6 +22,9 @@
     WorkClass workClass = WorkClass::Prompt;
     bool repeatable = true;
     bool cancelled = false; ///< asked for; tasks end as their attempts are known to be over
+    bool refused = false; ///< its waiting tasks were given up, for the reason below
+    ErrorCode refusalCode = ErrorCode::DeadlineExceeded;
+    std::string refusal; ///< for the caller to read
     std::uint32_t unfinished = 0; ///< tasks that are not in a final state
     Resources need; ///< of each task
     std::int64_t declaredRunTimeMs = 0; ///< 0: not declared
@@ -52,10 +56,10 @@
     void serialize(Archive &archive)
     {
         archive(this->id, this->team, this->workClass, this->repeatable, this->cancelled,
-                this->unfinished, this->need, this->declaredRunTimeMs, this->acceptedAt,
-                this->startBy, this->finishBy, this->firstPlacedAt, this->finishedAt, this->keyId,
-                this->idempotencyKey, this->digest, this->payload, this->entry, this->tasks,
-                this->ends);
+                this->refused, this->refusalCode, this->refusal, this->unfinished, this->need,
+                this->declaredRunTimeMs, this->acceptedAt, this->startBy, this->finishBy,
+                this->firstPlacedAt, this->finishedAt, this->keyId, this->idempotencyKey,
+                this->digest, this->payload, this->entry, this->tasks, this->ends);
     }
 };
 
