--- a/src/controller/operatorpermissions.cpp
+++ b/src/controller/operatorpermissions.cpp
@@ -10,9 +10,10 @@
 constexpr std::string_view teamSectionPrefix = "team.";
 
 template<typename Question>
-constexpr bool isForOperatorsOnly = std::is_same_v<Question, GrantKeyRequest>
-    || std::is_same_v<Question, WithdrawKeyRequest> || std::is_same_v<Question, DrainTargetRequest>
-    || std::is_same_v<Question, AddReplicaRequest> || std::is_same_v<Question, RemoveReplicaRequest>;
+constexpr bool isForOperatorsOnly =
+    std::is_same_v<
+        Question,
+        GrantKeyRequest> || std::is_same_v<Question, WithdrawKeyRequest> || std::is_same_v<Question, DrainTargetRequest> || std::is_same_v<Question, AddReplicaRequest> || std::is_same_v<Question, RemoveReplicaRequest>;
 
 Error denied(const std::string &why)
 {
--- a/src/operators/operatorjson.cpp
+++ b/src/operators/operatorjson.cpp
@@ -173,12 +173,9 @@
 
 json toJson(const TeamSummary &team)
 {
-    return {{"team", team.team},
-            {"share", team.share},
-            {"entitled", team.entitled},
-            {"inUse", team.inUse},
-            {"limit", toJson(team.limit)},
-            {"placed", toJson(team.placed)},
+    return {{"team", team.team},           {"share", team.share},
+            {"entitled", team.entitled},   {"inUse", team.inUse},
+            {"limit", toJson(team.limit)}, {"placed", toJson(team.placed)},
             {"waiting", team.waiting}};
 }
 
--- a/src/operators/operatorroutes.cpp
+++ b/src/operators/operatorroutes.cpp
@@ -24,7 +24,7 @@
 
 Result<OperatorIdentity> identify(const OperatorRoutesOptions &options, const HttpRequest &request)
 {
-    BOOST_OUTCOME_TRY(const std::string token, bearerToken(request));
+    BOOST_OUTCOME_TRY(token, bearerToken(request));
     return options.identify(token);
 }
 
@@ -74,8 +74,7 @@
 }
 
 /// How this instance itself sees the group; it answers when there is no controller, too.
-void showOwnStatus(const SharedOptions &options, const HttpRequest &request,
-                   const HttpReply &reply)
+void showOwnStatus(const SharedOptions &options, const HttpRequest &request, const HttpReply &reply)
 {
     const Result<OperatorIdentity> identity = identify(*options, request);
     reply(identity ? jsonResponse(toJson(options->ownStatus())) : errorResponse(identity.error()));
