--- /dev/null
+++ b/src/tool/configurationcommands.cpp
@@ -0,0 +1,219 @@
+#include "tool/commandgroups.h"
+#include "tool/files.h"
+#include "tool/toolcontext.h"
+#include "tool/toolflags.h"
+
+#include <absl/flags/flag.h>
+
+#include <chrono>
+#include <thread>
+
+namespace guavavalve {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char *base = "/v1/operators/configuration";
+
+void printSections(const ToolContext &context, const json &document)
+{
+    constexpr int indent = 2;
+    context.print("document version " + formatCell(document["version"]) + "\n");
+    for (const json &section : document["sections"]) {
+        context.print("\n# " + formatCell(section["name"]) + ", version "
+                      + formatCell(section["version"]) + ", owned by "
+                      + formatCell(section["owner"]) + ", written by "
+                      + formatCell(section["writtenBy"]) + "\n");
+        context.print(section["content"].dump(indent) + "\n");
+    }
+}
+
+ExitCode show(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    std::string path = base;
+    if (!arguments.empty())
+        path += "?section=" + encodeForQuery(arguments[0]);
+    return context.show(getRequest(path),
+                        [&](const json &document) { printSections(context, document); });
+}
+
+/// Pairs of SECTION FILE, or one folder or document of sections.
+Result<json> readDrafts(const std::vector<std::string> &arguments)
+{
+    json drafts = json::array();
+    for (std::size_t i = 0; i + 1 < arguments.size(); i += 2) {
+        BOOST_OUTCOME_TRY(content, readFile(arguments[i + 1]));
+        drafts.push_back({{"name", arguments[i]}, {"content", content}});
+    }
+    return drafts;
+}
+
+Result<json> checkDrafts(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    BOOST_OUTCOME_TRY(drafts, readDrafts(arguments));
+    return context.ask(jsonRequest("POST", std::string(base) + "/check", {{"drafts", drafts}}));
+}
+
+void printCheck(const ToolContext &context, const json &check, bool withDifferences)
+{
+    if (withDifferences)
+        context.print(formatTable({{"FIELD", "/path"}, {"BEFORE", "/before"}, {"AFTER", "/after"}},
+                                  check["differences"]));
+    for (const json &problem : check["problems"])
+        context.print(formatCell(problem["path"]) + ": " + formatCell(problem["message"]) + "\n");
+    const bool acceptable = check["acceptable"];
+    context.print(acceptable ? "acceptable as things stand\n" : "would be refused\n");
+}
+
+ExitCode checkOrPreview(const ToolContext &context, const std::vector<std::string> &arguments,
+                        bool withDifferences)
+{
+    if (arguments.size() % 2 != 0)
+        return context.usage("give pairs of SECTION FILE");
+    const Result<json> check = checkDrafts(context, arguments);
+    if (!check)
+        return context.fail(check.error());
+    constexpr int indent = 2;
+    if (context.forPrograms())
+        context.print(check.value().dump(indent) + "\n");
+    else
+        printCheck(context, check.value(), withDifferences);
+    return check.value()["acceptable"].get<bool>() ? ExitCode::Done : ExitCode::Refused;
+}
+
+ExitCode check(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    return checkOrPreview(context, arguments, false);
+}
+
+ExitCode preview(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    return checkOrPreview(context, arguments, true);
+}
+
+/// The version that a write replaces: as given, or as it is now.
+Result<std::int64_t> baseVersion(const ToolContext &context, const std::string &section)
+{
+    const std::int64_t given = absl::GetFlag(FLAGS_base_version);
+    if (given >= 0)
+        return given;
+    const Result<json> document =
+        context.ask(getRequest(std::string(base) + "?section=" + encodeForQuery(section)));
+    if (!document) {
+        if (document.error().code == ErrorCode::NotFound)
+            return 0;
+        return document.error();
+    }
+    return document.value()["sections"][0]["version"].get<std::int64_t>();
+}
+
+ExitCode waitUntilInForce(const ToolContext &context, std::uint64_t version)
+{
+    constexpr auto pause = std::chrono::milliseconds(100);
+    const auto end = std::chrono::steady_clock::now()
+        + std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms));
+    while (std::chrono::steady_clock::now() < end) {
+        const Result<json> answer = context.ask(getRequest(std::string(base) + "/in-force"));
+        if (!answer)
+            return context.fail(answer.error());
+        const bool newEnough = answer.value()["version"].get<std::uint64_t>() >= version;
+        if (newEnough && answer.value()["everywhere"].get<bool>()) {
+            if (!context.forPrograms())
+                context.print("in force on every instance\n");
+            return ExitCode::Done;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    Error error = failure(ErrorCode::Unavailable,
+                          "the change is accepted and not yet in force on every instance");
+    error.ran = Ran::Yes;
+    return context.fail(error);
+}
+
+ExitCode set(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    const std::string &section = arguments[0];
+    const Result<std::string> content = readFile(arguments[1]);
+    if (!content)
+        return context.fail(content.error());
+    const Result<std::int64_t> replaced = baseVersion(context, section);
+    if (!replaced)
+        return context.fail(replaced.error());
+    ToolRequest request;
+    request.method = "PUT";
+    request.path = std::string(base) + "/sections/" + encodeForQuery(section)
+        + "?baseVersion=" + std::to_string(replaced.value())
+        + "&requestId=" + encodeForQuery(requestId());
+    request.body = content.value();
+    std::uint64_t version = 0;
+    const ExitCode code = context.show(request, [&](const json &written) {
+        context.print(section + " is now version " + formatCell(written["version"])
+                      + ", document version " + formatCell(written["documentVersion"]) + "\n");
+        version = written["documentVersion"].get<std::uint64_t>();
+    });
+    if (code != ExitCode::Done || !absl::GetFlag(FLAGS_wait))
+        return code;
+    return waitUntilInForce(context, version);
+}
+
+ExitCode history(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    return context.showTable(
+        getRequest(std::string(base) + "/history?section=" + encodeForQuery(arguments[0])),
+        "versions",
+        {{"VERSION", "/version"}, {"WRITTEN BY", "/writtenBy"}, {"CONTENT", "/content"}});
+}
+
+ExitCode inForce(const ToolContext &context, const std::vector<std::string> &)
+{
+    return context.show(getRequest(std::string(base) + "/in-force"), [&](const json &answer) {
+        const bool everywhere = answer["everywhere"];
+        context.print("document version " + formatCell(answer["version"])
+                      + (everywhere ? " is in force everywhere\n" : " is not everywhere yet\n"));
+        context.print(formatTable(
+            {{"INSTANCE", "/instance"}, {"VERSION", "/version"}, {"ACCEPTS WORK", "/leased"}},
+            answer["instances"]));
+    });
+}
+
+} // namespace
+
+std::vector<Command> configurationCommands()
+{
+    constexpr std::size_t many = 4000;
+    return {
+        {"config show", "[SECTION]", 0, 1, "Shows the document, or one section of it.", {}, show},
+        {"config check",
+         "SECTION FILE [SECTION FILE ...]",
+         2,
+         many,
+         "Checks drafts together with the rest of the document. Changes nothing.",
+         {},
+         check},
+        {"config preview",
+         "SECTION FILE [SECTION FILE ...]",
+         2,
+         many,
+         "Shows each field that the drafts would change. Changes nothing.",
+         {},
+         preview},
+        {"config set",
+         "SECTION FILE",
+         2,
+         2,
+         "Replaces a section; refused if somebody changed it meanwhile.",
+         {"base_version", "request_id", "wait"},
+         set},
+        {"config history", "SECTION", 1, 1, "Lists the versions that are kept.", {}, history},
+        {"config in-force",
+         "",
+         0,
+         0,
+         "Shows which instances have the newest version in force.",
+         {},
+         inForce},
+    };
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/tool/toolmain.cpp
@@ -0,0 +1,136 @@
+#include "tool/toolmain.h"
+
+#include "tool/command.h"
+#include "tool/help.h"
+#include "tool/toolcontext.h"
+#include "tool/toolflags.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/reflection.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <optional>
+
+namespace guavavalve {
+
+namespace {
+
+/// A command line taken apart.
+struct CommandLine
+{
+    std::vector<std::string> words;
+    bool help = false;
+    std::string problem; ///< empty: none
+};
+
+/// Sets the flag that \a text, without its dashes, names. "noNAME" is a boolean's "false".
+std::string setFlag(const std::string &text)
+{
+    const std::size_t equals = text.find('=');
+    std::string name = text.substr(0, equals);
+    std::replace(name.begin(), name.end(), '-', '_');
+    std::string value = equals == std::string::npos ? "true" : text.substr(equals + 1);
+    absl::CommandLineFlag *flag = absl::FindCommandLineFlag(name);
+    if (flag == nullptr && equals == std::string::npos && name.compare(0, 2, "no") == 0) {
+        flag = absl::FindCommandLineFlag(name.substr(2));
+        value = "false";
+    }
+    if (flag == nullptr)
+        return "there is no flag --" + text.substr(0, equals) + "; see --help";
+    if (equals == std::string::npos && !flag->IsOfType<bool>())
+        return "--" + name + " needs a value: --" + name + "=...";
+    std::string problem;
+    if (!flag->ParseFrom(value, &problem))
+        return "--" + name + "=" + value + ": " + problem;
+    return "";
+}
+
+CommandLine parse(const std::vector<std::string> &arguments)
+{
+    CommandLine line;
+    bool flagsEnded = false;
+    for (const std::string &argument : arguments) {
+        const bool isFlag = !flagsEnded && argument.size() > 1 && argument[0] == '-';
+        if (!isFlag)
+            line.words.push_back(argument);
+        else if (argument == "--")
+            flagsEnded = true;
+        else if (argument == "--help" || argument == "-h")
+            line.help = true;
+        else if (line.problem.empty())
+            line.problem = setFlag(argument.substr(argument[1] == '-' ? 2 : 1));
+    }
+    return line;
+}
+
+bool startsWith(const std::vector<std::string> &words, const std::string &name,
+                std::size_t &wordsOfName)
+{
+    std::string joined;
+    for (std::size_t i = 0; i < words.size(); ++i) {
+        joined += (i == 0 ? "" : " ") + words[i];
+        if (joined == name) {
+            wordsOfName = i + 1;
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string keyToShow()
+{
+    std::string key = absl::GetFlag(FLAGS_key);
+    const char *fromEnvironment = std::getenv("GUAVAVALVE_KEY");
+    if (key.empty() && fromEnvironment != nullptr)
+        key = fromEnvironment;
+    return key;
+}
+
+std::string checkArguments(const Command &command, std::size_t given)
+{
+    if (given >= command.minArguments && given <= command.maxArguments)
+        return "";
+    return "use: guavavalve " + command.name + " " + command.arguments;
+}
+
+} // namespace
+
+int runTool(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err)
+{
+    const auto end = [](ExitCode code) { return static_cast<int>(code); };
+    const CommandLine line = parse(arguments);
+    if (line.help || line.words.empty() || line.words[0] == "help") {
+        std::vector<std::string> words = line.words;
+        if (!words.empty() && words[0] == "help")
+            words.erase(words.begin());
+        const bool asked = line.help || !line.words.empty();
+        (asked ? out : err) << helpFor(words);
+        return end(asked ? ExitCode::Done : ExitCode::Usage);
+    }
+    const auto format = enumFromName(outputFormatNames, absl::GetFlag(FLAGS_output));
+    SessionOptions options;
+    options.servers = absl::GetFlag(FLAGS_server);
+    options.key = keyToShow();
+    options.timeout = Milliseconds(absl::GetFlag(FLAGS_timeout_ms));
+    const ToolContext context(HttpSession(options), format.value_or(OutputFormat::Table), out, err);
+    if (!line.problem.empty())
+        return end(context.usage(line.problem));
+    if (!format)
+        return end(context.usage("--output must be table or json"));
+    for (const Command &command : commands()) {
+        std::size_t wordsOfName = 0;
+        if (!startsWith(line.words, command.name, wordsOfName))
+            continue;
+        const std::vector<std::string> rest(line.words.begin() + static_cast<long>(wordsOfName),
+                                            line.words.end());
+        const std::string problem = checkArguments(command, rest.size());
+        if (!problem.empty())
+            return end(context.usage(problem));
+        return end(command.run(context, rest));
+    }
+    err << "guavavalve: there is no command \"" << line.words[0] << "\"\n\n" << helpFor(line.words);
+    return end(ExitCode::Usage);
+}
+
+} // namespace guavavalve
