--- a/src/core/memoryarchive.h
+++ b/src/core/memoryarchive.h
@@ -5,10 +5,12 @@
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <cstdint>
 #include <cstring>
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 namespace guavavalve {
 
@@ -73,7 +75,14 @@
 std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(MemoryInputArchive &archive,
                                                                     T &value)
 {
-    archive.loadBinary(&value, sizeof(value));
+    // Any other byte than 0 or 1 in a bool is undefined behaviour.
+    if constexpr (std::is_same_v<T, bool>) {
+        std::uint8_t byte = 0;
+        archive.loadBinary(&byte, sizeof(byte));
+        value = byte != 0;
+    } else {
+        archive.loadBinary(&value, sizeof(value));
+    }
 }
 
 template<typename T>
@@ -100,22 +109,50 @@
     archive(pair.value);
 }
 
+/// Sizes take seven bits a byte, lowest first: one byte for most and not eight.
 template<typename T>
 void CEREAL_SAVE_FUNCTION_NAME(MemoryOutputArchive &archive, const cereal::SizeTag<T> &tag)
 {
-    archive(static_cast<cereal::size_type>(tag.size));
+    auto rest = static_cast<std::uint64_t>(tag.size);
+    while (rest >= 0x80) {
+        archive(static_cast<std::uint8_t>(0x80 | (rest & 0x7f)));
+        rest >>= 7;
+    }
+    archive(static_cast<std::uint8_t>(rest));
 }
 
 template<typename T>
 void CEREAL_LOAD_FUNCTION_NAME(MemoryInputArchive &archive, cereal::SizeTag<T> &tag)
 {
-    cereal::size_type size = 0;
-    archive(size);
+    constexpr unsigned lastShift = 63;
+    std::uint64_t size = 0;
+    std::uint8_t byte = 0x80;
+    for (unsigned shift = 0; (byte & 0x80) != 0; shift += 7) {
+        if (shift > lastShift)
+            throw cereal::Exception("a size takes too many bytes");
+        archive(byte);
+        size |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
+    }
     if (size > archive.bytesLeft())
         throw cereal::Exception("a container claims more elements than the message has bytes");
     tag.size = static_cast<std::remove_reference_t<T>>(size);
 }
 
+/// Element by element, so that memory follows what has arrived: elements are larger in memory
+/// than on the wire, and a count that passes the check above could still ask for gigabytes.
+template<typename T, typename Allocator>
+std::enable_if_t<!std::is_arithmetic_v<T>>
+CEREAL_LOAD_FUNCTION_NAME(MemoryInputArchive &archive, std::vector<T, Allocator> &elements)
+{
+    cereal::size_type size = 0;
+    archive(cereal::make_size_tag(size));
+    elements.clear();
+    for (cereal::size_type i = 0; i < size; ++i) {
+        elements.emplace_back();
+        archive(elements.back());
+    }
+}
+
 } // namespace guavavalve
 
 CEREAL_SETUP_ARCHIVE_TRAITS(guavavalve::MemoryInputArchive, guavavalve::MemoryOutputArchive)
--- /dev/null
+++ b/src/settings/daemonsettingstable.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "schema/fieldtable.h"
+#include "settings/daemonsettings.h"
+
+#include <string>
+
+namespace guavavalve {
+
+/// The table that the checks, the help text and the reference page come from.
+const FieldTable<DaemonSettings> &daemonSettingsTable();
+
+/// The text of `--help-settings`.
+std::string settingsHelp();
+
+/// The reference page, in Markdown.
+std::string settingsReferencePage();
+
+} // namespace guavavalve
