--- /dev/null
+++ b/src/controller/operatorservice.cpp
@@ -0,0 +1,327 @@
+#include "controller/operatorservice.h"
+
+#include "controller/operatorpermissions.h"
+#include "replicas/replicatedlog.h"
+#include "state/clusterstate.h"
+#include "state/keysecret.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavavalve {
+
+namespace {
+
+Error notFound(const std::string &what, const std::string &name)
+{
+    return failure(ErrorCode::NotFound, "there is no " + what + " \"" + name + "\"");
+}
+
+ConfigurationSection present(const Section &section, const SectionVersion &version)
+{
+    ConfigurationSection result;
+    result.name = section.name;
+    result.owner = section.owner;
+    result.version = version.version;
+    result.content = version.content;
+    result.writtenBy = version.author;
+    return result;
+}
+
+KeySummary summarize(const KeyRecord &key)
+{
+    return {key.id, key.team, key.role == KeyRole::Operator, key.label, key.withdrawn};
+}
+
+/// A command needs an identity by which a resend is known.
+Result<void> checkRequestId(const std::string &requestId)
+{
+    constexpr std::size_t longest = 128;
+    if (requestId.empty() || requestId.size() > longest)
+        return failure(ErrorCode::InvalidArgument,
+                       "give the request an identity of 1 to 128 bytes: a resend after a lost "
+                       "answer is known by it");
+    return boost::outcome_v2::success();
+}
+
+/// The identity of the key that a grant makes: the same for a resend.
+Result<KeyToken> tokenFor(const GrantKeyRequest &request, const std::string &clusterSecret)
+{
+    constexpr std::size_t idDigits = 16;
+    const auto idHash = hashSecret({"grant-id", request.requestId}, clusterSecret);
+    if (!idHash)
+        return idHash.error();
+    KeyToken token;
+    token.keyId = "key-" + idHash.value().substr(0, idDigits);
+    const auto secret = hashSecret({token.keyId, "grant " + request.requestId}, clusterSecret);
+    if (!secret)
+        return secret.error();
+    token.secret = secret.value();
+    return token;
+}
+
+} // namespace
+
+OperatorService::OperatorService(OperatorHooks serviceHooks)
+    : hooks(std::move(serviceHooks))
+{}
+
+void OperatorService::operate(OperatorRequest request, Instant, Done<OperatorReply> done)
+{
+    // A controller that was cut off would answer from a state that others have moved on from:
+    // a withdrawn key shown as valid, a drained target as ready. Under the leader's lease no
+    // other replica can have committed anything.
+    if (!this->hooks.log->holdsLeaderLease()) {
+        done(failure(ErrorCode::NotLeader, "this replica does not lead at the moment"));
+        return;
+    }
+    const Result<OperatorIdentity> identity = this->verify(request.identity);
+    if (!identity) {
+        done(identity.error());
+        return;
+    }
+    if (const auto permitted = this->permit(identity.value(), request.question); !permitted) {
+        done(permitted.error());
+        return;
+    }
+    std::visit([this, &identity,
+                &done](const auto &question) { this->answer(identity.value(), question, done); },
+               request.question);
+}
+
+Result<OperatorIdentity> OperatorService::verify(const OperatorIdentity &claimed) const
+{
+    if (claimed.keyId == clusterKeyId)
+        return OperatorIdentity{clusterKeyId, "", true};
+    Result<OperatorIdentity> result =
+        failure(ErrorCode::Unauthenticated, "the key is unknown or has been withdrawn");
+    this->read([&](const ClusterState &state) {
+        const KeyRecord *key = state.configuration().key(claimed.keyId);
+        if (key != nullptr && !key->withdrawn)
+            result = OperatorIdentity{key->id, key->team, key->role == KeyRole::Operator};
+    });
+    return result;
+}
+
+Result<void> OperatorService::permit(const OperatorIdentity &identity,
+                                     const OperatorQuestion &question) const
+{
+    std::string owner;
+    if (const auto *write = std::get_if<WriteSectionRequest>(&question)) {
+        this->read([&](const ClusterState &state) {
+            const Section *section = state.configuration().section(write->draft.name);
+            owner = section != nullptr ? section->owner : ownerOfNewSection(write->draft.name);
+        });
+    }
+    return checkPermission(identity, question, owner);
+}
+
+void OperatorService::answer(const OperatorIdentity &, const ShowConfigurationRequest &question,
+                             Reply reply)
+{
+    ConfigurationDocument document;
+    this->read([&](const ClusterState &state) {
+        document.version = state.configuration().version();
+        for (const auto &[name, section] : state.configuration().sections()) {
+            if (question.section.empty() || question.section == name)
+                document.sections.push_back(present(section, section.current()));
+        }
+    });
+    if (document.sections.empty() && !question.section.empty())
+        reply(notFound("section", question.section));
+    else
+        reply(OperatorReply(std::move(document)));
+}
+
+void OperatorService::answer(const OperatorIdentity &identity,
+                             const CheckConfigurationRequest &question, Reply reply)
+{
+    ConfigurationCheck check;
+    this->read([&](const ClusterState &state) {
+        // Drafts are checked in their order, each upon those before it, as they would be written.
+        Configuration document = state.configuration();
+        for (const SectionDraft &draft : question.drafts) {
+            WriteSection write;
+            write.section = draft.name;
+            write.content = draft.content;
+            write.author = identity.keyId;
+            const Section *section = document.section(draft.name);
+            write.baseVersion = section != nullptr ? section->current().version : 0;
+            const SectionPreview preview = document.preview(write);
+            for (const std::string &problem : preview.problems)
+                check.problems.push_back({draft.name, problem});
+            for (const FieldChange &change : preview.changes)
+                check.differences.push_back(
+                    {draft.name + "." + change.path, change.before, change.after});
+            if (preview.problems.empty())
+                (void)document.write(write);
+        }
+    });
+    reply(OperatorReply(std::move(check)));
+}
+
+void OperatorService::answer(const OperatorIdentity &identity, const WriteSectionRequest &question,
+                             Reply reply)
+{
+    if (const auto valid = checkRequestId(question.requestId); !valid) {
+        reply(valid.error());
+        return;
+    }
+    WriteSection command;
+    command.requestId = question.requestId;
+    command.section = question.draft.name;
+    command.baseVersion = question.baseVersion;
+    command.author = identity.keyId;
+    command.content = question.draft.content;
+    command.writtenAt = this->hooks.cellTimeMs();
+    this->hooks.propose(std::move(command), [reply](Result<CommandValue> outcome) {
+        if (!outcome) {
+            reply(outcome.error());
+            return;
+        }
+        SectionWritten written;
+        if (const auto *changed = std::get_if<ConfigurationChanged>(&outcome.value())) {
+            written.version = changed->sectionVersion;
+            written.documentVersion = changed->documentVersion;
+        }
+        reply(OperatorReply(written));
+    });
+}
+
+void OperatorService::answer(const OperatorIdentity &, const SectionHistoryRequest &question,
+                             Reply reply)
+{
+    SectionHistory history;
+    this->read([&](const ClusterState &state) {
+        const Section *section = state.configuration().section(question.section);
+        if (section == nullptr)
+            return;
+        for (const SectionVersion &version : section->history)
+            history.versions.push_back(present(*section, version));
+    });
+    std::reverse(history.versions.begin(), history.versions.end());
+    if (history.versions.empty())
+        reply(notFound("section", question.section));
+    else
+        reply(OperatorReply(std::move(history)));
+}
+
+ConfigurationInForce OperatorService::inForce() const
+{
+    ConfigurationInForce result;
+    this->read(
+        [&](const ClusterState &state) { result.version = state.configuration().version(); });
+    result.instances = this->hooks.instances();
+    result.everywhere = std::all_of(result.instances.begin(), result.instances.end(),
+                                    [&](const InstanceConfiguration &one) {
+                                        return one.version >= result.version || !one.leased;
+                                    });
+    return result;
+}
+
+void OperatorService::answer(const OperatorIdentity &, const InForceRequest &, Reply reply)
+{
+    reply(OperatorReply(this->inForce()));
+}
+
+void OperatorService::answer(const OperatorIdentity &, const GrantKeyRequest &question, Reply reply)
+{
+    if (const auto valid = checkRequestId(question.requestId); !valid) {
+        reply(valid.error());
+        return;
+    }
+    // The token is derived from the request's identity and not made by chance: a resend after a
+    // lost answer then gives the same token, although the secret is kept nowhere.
+    const Result<KeyToken> token = tokenFor(question, this->hooks.clusterSecret);
+    if (!token) {
+        reply(token.error());
+        return;
+    }
+    const auto keyedHash = hashSecret(token.value(), this->hooks.clusterSecret);
+    if (!keyedHash) {
+        reply(keyedHash.error());
+        return;
+    }
+    GrantKey command;
+    command.requestId = question.requestId;
+    command.keyId = token.value().keyId;
+    command.team = question.team;
+    command.role = question.isOperator ? KeyRole::Operator : KeyRole::Team;
+    command.keyedHash = keyedHash.value();
+    command.label = question.label;
+    const KeyGranted granted{token.value().keyId, token.value().keyId + ":" + token.value().secret};
+    this->hooks.propose(std::move(command), [reply, granted](Result<CommandValue> outcome) {
+        if (!outcome)
+            reply(outcome.error());
+        else
+            reply(OperatorReply(granted));
+    });
+}
+
+void OperatorService::answer(const OperatorIdentity &identity, const ListKeysRequest &, Reply reply)
+{
+    KeyList list;
+    this->read([&](const ClusterState &state) {
+        for (const auto &[id, key] : state.configuration().keys()) {
+            if (identity.isOperator || key.team == identity.team)
+                list.keys.push_back(summarize(key));
+        }
+    });
+    reply(OperatorReply(std::move(list)));
+}
+
+void OperatorService::answer(const OperatorIdentity &, const WithdrawKeyRequest &question,
+                             Reply reply)
+{
+    if (const auto valid = checkRequestId(question.requestId); !valid) {
+        reply(valid.error());
+        return;
+    }
+    WithdrawKey command;
+    command.requestId = question.requestId;
+    command.keyId = question.keyId;
+    this->hooks.propose(std::move(command),
+                        [this, reply, id = question.keyId](Result<CommandValue> outcome) {
+                            if (!outcome) {
+                                reply(outcome.error());
+                                return;
+                            }
+                            KeySummary summary;
+                            this->read([&](const ClusterState &state) {
+                                if (const KeyRecord *key = state.configuration().key(id))
+                                    summary = summarize(*key);
+                            });
+                            summary.keyId = id;
+                            summary.withdrawn = true;
+                            reply(OperatorReply(summary));
+                        });
+}
+
+Done<Nothing> OperatorService::replyWithStatus(Reply reply) const
+{
+    return [log = this->hooks.log, reply = std::move(reply)](Result<Nothing> outcome) {
+        if (!outcome)
+            reply(outcome.error());
+        else
+            reply(OperatorReply(log->status()));
+    };
+}
+
+void OperatorService::answer(const OperatorIdentity &, const ReplicaStatusRequest &, Reply reply)
+{
+    reply(OperatorReply(this->hooks.log->status()));
+}
+
+void OperatorService::answer(const OperatorIdentity &, const AddReplicaRequest &question,
+                             Reply reply)
+{
+    this->hooks.log->addMember(question.member, this->replyWithStatus(std::move(reply)));
+}
+
+void OperatorService::answer(const OperatorIdentity &, const RemoveReplicaRequest &question,
+                             Reply reply)
+{
+    this->hooks.log->removeMember(question.instance, this->replyWithStatus(std::move(reply)));
+}
+
+} // namespace guavavalve
--- a/src/tool/cellcommands.cpp
+++ b/src/tool/cellcommands.cpp
@@ -91,12 +91,11 @@
         context.print("\nnothing waits\n");
         return;
     }
-    context.print("\n"
-                  + formatTable({{"WAITING", "/tasks"},
-                                 {"TEAM", "/team"},
-                                 {"CLASS", "/class"},
-                                 {"WHY", "/reason"}},
-                                status["waiting"]));
+    context.print(
+        "\n"
+        + formatTable(
+            {{"WAITING", "/tasks"}, {"TEAM", "/team"}, {"CLASS", "/class"}, {"WHY", "/reason"}},
+            status["waiting"]));
 }
 
 ExitCode status(const ToolContext &context, const std::vector<std::string> &)
--- a/src/tool/configurationcommands.cpp
+++ b/src/tool/configurationcommands.cpp
@@ -142,9 +142,8 @@
         return context.fail(replaced.error());
     ToolRequest request;
     request.method = "PUT";
-    request.path = std::string(base) + "/sections/" + encodeForQuery(section)
-        + "?baseVersion=" + std::to_string(replaced.value())
-        + "&requestId=" + encodeForQuery(requestId());
+    request.path = std::string(base) + "/sections/" + encodeForQuery(section) + "?baseVersion="
+        + std::to_string(replaced.value()) + "&requestId=" + encodeForQuery(requestId());
     request.body = content.value();
     std::uint64_t version = 0;
     const ExitCode code = context.show(request, [&](const json &written) {
--- a/src/tool/help.cpp
+++ b/src/tool/help.cpp
@@ -75,7 +75,8 @@
 
 std::string commandHelp(const Command &command)
 {
-    std::string text = "guavavalve " + synopsis(command) + "\n\n" + command.summary + "\n\nFlags:\n";
+    std::string text =
+        "guavavalve " + synopsis(command) + "\n\n" + command.summary + "\n\nFlags:\n";
     return text + flagList(command.flags) + flagList(generalFlags()) + "\n" + exitCodeList();
 }
 
--- a/src/tool/httpsession.cpp
+++ b/src/tool/httpsession.cpp
@@ -28,8 +28,8 @@
 
 Error unreachable(const std::string &server, const web::http::http_exception &problem)
 {
-    Error error = failure(ErrorCode::Unavailable,
-                          "no answer from " + server + ": " + problem.what());
+    Error error =
+        failure(ErrorCode::Unavailable, "no answer from " + server + ": " + problem.what());
     error.ran = wasNeverSent(problem.error_code()) ? Ran::No : Ran::Unknown;
     return error;
 }
--- a/src/tool/replicacommands.cpp
+++ b/src/tool/replicacommands.cpp
@@ -10,9 +10,8 @@
 
 void printReplicas(const ToolContext &context, const json &status)
 {
-    context.print("leader " + formatCell(status["leader"]) + ", term "
-                  + formatCell(status["term"]) + ", committed "
-                  + formatCell(status["committed"]) + "\n");
+    context.print("leader " + formatCell(status["leader"]) + ", term " + formatCell(status["term"])
+                  + ", committed " + formatCell(status["committed"]) + "\n");
     context.print(formatTable({{"REPLICA", "/instance"},
                                {"ADDRESS", "/address"},
                                {"VOTES", "/voter"},
@@ -74,8 +73,9 @@
 
 ExitCode remove(const ToolContext &context, const std::vector<std::string> &arguments)
 {
-    return showReplicas(context, jsonRequest("POST", "/v1/operators/replicas/remove",
-                                             {{"instance", arguments[0]}}));
+    return showReplicas(
+        context,
+        jsonRequest("POST", "/v1/operators/replicas/remove", {{"instance", arguments[0]}}));
 }
 
 } // namespace
