--- a/src/operators/operatorroutes.cpp
+++ b/src/operators/operatorroutes.cpp
@@ -24,7 +24,7 @@
 
 Result<OperatorIdentity> identify(const OperatorRoutesOptions &options, const HttpRequest &request)
 {
-    BOOST_OUTCOME_TRY(const std::string token, bearerToken(request));
+    BOOST_OUTCOME_TRY(token, bearerToken(request));
     return options.identify(token);
 }
 
