--- a/src/platform/httpserver.cpp
+++ b/src/platform/httpserver.cpp
@@ -124,16 +124,16 @@
     const Route *find(const std::string &method, const std::string &path, bool &pathKnown) const;
     bool admit(const std::string &peer, HttpResponse &refused);
     void finished(const std::string &peer);
-    void receive(http_request request);
+    void receive(const http_request &request);
     bool open(std::uint16_t wanted);
 };
 
 class HttpServer::Private::Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(std::shared_ptr<Private> owner, http_request incoming)
+    Exchange(std::shared_ptr<Private> owner, const http_request &incoming)
         : server(std::move(owner))
-        , request(std::move(incoming))
+        , request(incoming)
         , peer(this->request.remote_address())
     {}
 
@@ -186,7 +186,7 @@
         auto self = this->shared_from_this();
         auto source = this->request.body().streambuf();
         source.getn(this->chunk.data(), this->chunk.size())
-            .then([self](pplx::task<std::size_t> read) { self->bodyRead(read); });
+            .then([self](const pplx::task<std::size_t> &read) { self->bodyRead(read); });
     }
 
     void bodyRead(const pplx::task<std::size_t> &read)
@@ -270,7 +270,7 @@
         auto owner = this->server;
         const bool wasCounted = this->counted;
         this->request.reply(message).then(
-            [owner, wasCounted, from = this->peer](pplx::task<void> sent) {
+            [owner, wasCounted, from = this->peer](const pplx::task<void> &sent) {
                 try {
                     sent.get();
                 } catch (const std::exception &) {
@@ -340,9 +340,9 @@
         this->idle.notify_all();
 }
 
-void HttpServer::Private::receive(http_request request)
+void HttpServer::Private::receive(const http_request &request)
 {
-    std::make_shared<Exchange>(this->shared_from_this(), std::move(request))->start();
+    std::make_shared<Exchange>(this->shared_from_this(), request)->start();
 }
 
 bool HttpServer::Private::open(std::uint16_t wanted)
@@ -351,9 +351,9 @@
     uri.set_scheme("http").set_host(this->options.address).set_port(wanted).set_path("/");
     auto opened = std::make_unique<http_listener>(uri.to_uri());
     std::weak_ptr<Private> weak = this->weak_from_this();
-    opened->support([weak](http_request request) {
+    opened->support([weak](const http_request &request) {
         if (auto self = weak.lock())
-            self->receive(std::move(request));
+            self->receive(request);
         else
             request.reply(web::http::status_codes::ServiceUnavailable);
     });
