--- a/src/platform/httpserver.cpp
+++ b/src/platform/httpserver.cpp
@@ -269,16 +269,18 @@
         message.headers().set_content_type(response.contentType);
         auto owner = this->server;
         const bool wasCounted = this->counted;
-        this->request.reply(message).then(
-            [owner, wasCounted, from = this->peer](const pplx::task<void> &sent) {
-                try {
-                    sent.get();
-                } catch (const std::exception &) {
-                    // The caller left before its answer; that is its own right.
-                }
-                if (wasCounted)
-                    owner->finished(from);
-            });
+        const auto settled = [owner, wasCounted, from = this->peer](const pplx::task<void> &sent) {
+            try {
+                sent.get();
+            } catch (const std::exception &) {
+                // The caller left before its answer; that is its own right.
+            }
+            if (wasCounted)
+                owner->finished(from);
+            return true;
+        };
+        const pplx::task<void> sending = this->request.reply(message);
+        sending.then(settled);
     }
 
     std::shared_ptr<Private> server;
