--- a/src/platform/httperror.cpp
+++ b/src/platform/httperror.cpp
@@ -1,16 +1,12 @@
 #include "platform/httperror.h"
 
-#include "platform/httpserver.h"
-
 #include <nlohmann/json.hpp>
 
-#include <string_view>
-
 namespace guavavalve {
 
-int httpStatus(ErrorCode code)
+int httpStatus(const Error &error)
 {
-    switch (code) {
+    switch (error.code) {
     case ErrorCode::InvalidArgument:
         return 400;
     case ErrorCode::Unauthenticated:
@@ -33,39 +29,32 @@
     case ErrorCode::NotLeader:
         return 503;
     case ErrorCode::DeadlineExceeded:
-        return 504;
+        // Refused in time is the service's own matter; not finished in time is a gateway's.
+        return error.ran == Ran::No ? 503 : 504;
     case ErrorCode::Corrupt:
     case ErrorCode::Internal:
-        return 500;
+        break;
     }
     return 500;
 }
 
 HttpResponse errorResponse(const Error &error)
 {
+    constexpr std::int64_t msPerSecond = 1000;
     HttpResponse response;
-    response.status = httpStatus(error.code);
+    response.status = httpStatus(error);
+    const std::int64_t retryAfterMs = error.retryAfter.count();
     const nlohmann::json body{{"error", enumName(errorCodeNames, error.code)},
                               {"message", error.message},
-                              {"ran", enumName(ranNames, error.ran)}};
-    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-    constexpr std::int64_t millisecondsPerSecond = 1000;
-    if (error.retryAfter.count() > 0) {
-        const std::int64_t seconds =
-            (error.retryAfter.count() + millisecondsPerSecond - 1) / millisecondsPerSecond;
-        response.headers["Retry-After"] = std::to_string(seconds);
+                              {"ran", enumName(ranNames, error.ran)},
+                              {"retryAfterMs", retryAfterMs}};
+    // A message may quote bytes of the request that are no UTF-8.
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (retryAfterMs > 0) {
+        response.headers["Retry-After"] =
+            std::to_string((retryAfterMs + msPerSecond - 1) / msPerSecond);
     }
     return response;
 }
 
-Result<std::string> bearerToken(const HttpRequest &request)
-{
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string value = request.header("Authorization");
-    if (value.compare(0, scheme.size(), scheme) != 0 || value.size() == scheme.size())
-        return failure(ErrorCode::Unauthenticated,
-                       "show your key in the header \"Authorization: Bearer KEYID:SECRET\"");
-    return value.substr(scheme.size());
-}
-
 } // namespace guavavalve
--- a/src/platform/httperror.h
+++ b/src/platform/httperror.h
@@ -1,23 +1,14 @@
 #pragma once
 
 #include "core/error.h"
-
-#include <string>
+#include "platform/httpserver.h"
 
 namespace guavavalve {
 
-struct HttpRequest;
-struct HttpResponse;
-
-/// The HTTP status that stands for \a code (RFC 9110, RFC 6585).
-int httpStatus(ErrorCode code);
+/// The HTTP status of a refusal or failure (RFC 9110, section 15).
+int httpStatus(const Error &error);
 
-/// \a error as every package answers it: status, a JSON object with code, message and whether
-/// work may have begun, and Retry-After in whole seconds when there is use in coming back.
+/// \a error as a reply: its status, {error, message, ran, retryAfterMs}, and Retry-After.
 HttpResponse errorResponse(const Error &error);
 
-/// The token of "Authorization: Bearer TOKEN".
-/// \errors Unauthenticated if there is none.
-Result<std::string> bearerToken(const HttpRequest &request);
-
 } // namespace guavavalve
--- a/src/targets/targetclient.h
+++ b/src/targets/targetclient.h
@@ -13,9 +13,9 @@
 /// Asks targets about attempts.
 ///
 /// Every reply is matched by attempt, and an answer's length and digest are checked.
-/// \errors NotFound if the target does not know the attempt; Unavailable with Ran::No if no
-/// connection could be made; DeadlineExceeded or Unavailable with Ran::Unknown if the connection
-/// failed or went silent; IncompleteAnswer if the answer is not whole or of another attempt.
+/// \errors NotFound if the target does not know the attempt; Unavailable or DeadlineExceeded with
+/// Ran::Unknown if the connection could not be made, failed or went silent; IncompleteAnswer if
+/// the answer is not whole or of another attempt.
 class TargetClient
 {
 public:
@@ -24,9 +24,10 @@
     /// Sends the start of \a order. The reply comes when it has ended, or after \a wait.
     virtual void start(const DispatchOrder &order, Milliseconds wait, Done<AttemptReport> done) = 0;
 
-    /// Asks about an attempt. The reply comes when it has ended, or after \a wait.
-    virtual void ask(const std::string &address, AttemptId attempt, Milliseconds wait,
-                     Done<AttemptReport> done) = 0;
+    /// Asks about an attempt under \a incarnation (0: whichever is current). The reply comes when
+    /// it has ended, or after \a wait.
+    virtual void ask(const std::string &address, AttemptId attempt, Incarnation incarnation,
+                     Milliseconds wait, Done<AttemptReport> done) = 0;
 
     /// Ends an attempt, or has it refused for ever if it has not started under \a incarnation.
     virtual void stop(const std::string &address, AttemptId attempt, Incarnation incarnation,
