--- /dev/null
+++ b/src/decisions/admission.cpp
@@ -0,0 +1,105 @@
+#include "decisions/admission.h"
+
+#include <algorithm>
+
+namespace guavavalve::internal {
+
+namespace {
+
+constexpr Milliseconds minRetryAfter{100};
+constexpr Milliseconds maxRetryAfter{60000};
+constexpr Milliseconds defaultRetryAfter{1000};
+/// Starts a second below which the past says nothing about the wait.
+constexpr double minRate = 0.5;
+/// Fewer waiting tasks than this are not an overload.
+constexpr std::uint32_t minQueue = 8;
+/// A task is refused only when the expected wait is beyond its deadline by this factor: the
+/// estimate is no better than that, and a refusal that was not needed is a loss.
+constexpr double certainty = 1.5;
+
+Result<void> admitSize(const Ledger &ledger, const TaskRequest &request, const TeamRecord &team)
+{
+    const bool gang = request.workClass == WorkClass::Gang;
+    const std::uint32_t together = gang ? std::max(request.jobTasks, 1U) : 1;
+    Resources all;
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+        all.amounts[kind] = request.need.amounts[kind] * together;
+    if (!all.fitsInto(team.policy.limit)) {
+        return failure(ErrorCode::LimitExceeded,
+                       "the work alone is over its team's upper limit; ask for less at a time or "
+                       "have the limit raised");
+    }
+    if (ledger.fleet.empty())
+        return boost::outcome_v2::success(); // nothing has announced itself, so nothing is known
+    if (ledger.fleet.capacityFor(request.need, together) < together) {
+        return failure(ErrorCode::NeverFits,
+                       together > 1 ? "the announced targets cannot hold all tasks of the job "
+                                      "together, even when they are empty"
+                                    : "no announced target is large enough for the task, even "
+                                      "when it is empty");
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<void> admitDeadline(const Ledger &ledger, const TaskRequest &request, Index team,
+                           Instant now)
+{
+    if (request.startBy == Instant::max())
+        return boost::outcome_v2::success();
+    if (request.startBy <= now)
+        return failure(ErrorCode::DeadlineExceeded, "the time to start by has passed");
+    const Microseconds wait = expectedWait(ledger, team, request.workClass, now);
+    const Microseconds left = request.startBy - now;
+    if (static_cast<double>(wait.count()) <= certainty * static_cast<double>(left.count()))
+        return boost::outcome_v2::success();
+    Error error = failure(ErrorCode::DeadlineExceeded,
+                          "the queue ahead of it lasts longer than its time to start by");
+    error.retryAfter = std::clamp(std::chrono::duration_cast<Milliseconds>(wait - left),
+                                  minRetryAfter, maxRetryAfter);
+    return error;
+}
+
+} // namespace
+
+Microseconds expectedWait(const Ledger &ledger, Index teamIndex, WorkClass workClass, Instant now)
+{
+    const TeamRecord &team = ledger.teams[teamIndex];
+    const std::uint32_t waiting = team.waiting[static_cast<std::size_t>(workClass)];
+    const double rate = team.starts[static_cast<std::size_t>(workClass)].at(now);
+    if (waiting < minQueue || rate < minRate)
+        return Microseconds(0);
+    return std::chrono::duration_cast<Microseconds>(
+        std::chrono::duration<double>(static_cast<double>(waiting) / rate));
+}
+
+Milliseconds retryAfter(const Ledger &ledger, Index team, WorkClass workClass, Instant now)
+{
+    const Microseconds wait = expectedWait(ledger, team, workClass, now);
+    if (wait.count() == 0)
+        return defaultRetryAfter;
+    return std::clamp(std::chrono::duration_cast<Milliseconds>(wait), minRetryAfter, maxRetryAfter);
+}
+
+Result<void> admit(Ledger &ledger, const TaskRequest &request, Instant now)
+{
+    const Index teamIndex = ledger.findTeam(request.team);
+    if (teamIndex == noIndex || !ledger.teams[teamIndex].configured)
+        return failure(ErrorCode::NotFound, "the team is not configured; ask an operator");
+    if (!request.need.isNonNegative())
+        return failure(ErrorCode::InvalidArgument, "a task cannot need less than nothing");
+    if (ledger.findTask(request.id) != noIndex)
+        return failure(ErrorCode::Conflict, "a task with this identity is known already");
+    const TeamRecord &team = ledger.teams[teamIndex];
+    if (team.waiting[static_cast<std::size_t>(request.workClass)]
+        >= ledger.policy.of(request.workClass).maxWaiting) {
+        Error error = failure(ErrorCode::LimitExceeded, "too many tasks of the team wait already");
+        error.retryAfter = retryAfter(ledger, teamIndex, request.workClass, now);
+        return error;
+    }
+    Result<void> size = admitSize(ledger, request, team);
+    if (size.has_error())
+        return size;
+    return admitDeadline(ledger, request, teamIndex, now);
+}
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/decisionrecord.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "decisions/decision.h"
+#include "decisions/reason.h"
+
+#include <cstdint>
+
+namespace guavavalve::internal {
+
+/// What is kept of one decision.
+struct DecisionRecord
+{
+    TaskId task = TaskId::None;
+    Instant at{};
+    TargetId target = TargetId::None;
+    std::uint32_t considered = 0; ///< targets weighed
+    DecisionKind kind = DecisionKind::Place;
+    Reason reason = Reason::None;
+};
+
+} // namespace guavavalve::internal
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -5,6 +5,7 @@
 
 #include "decisions/decision.h"
 #include "decisions/explanation.h"
+#include "decisions/fairscheduler.h"
 #include "decisions/firstfitscheduler.h"
 #include "decisions/policy.h"
 #include "decisions/reason.h"
--- /dev/null
+++ b/src/decisions/fleet.cpp
@@ -0,0 +1,309 @@
+#include "decisions/fleet.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace guavavalve::internal {
+
+namespace {
+
+/// Parts into which the largest target's processors and memory are divided to tell buckets apart.
+constexpr std::int64_t roomLevels = 8;
+constexpr std::int64_t maxAcceleratorLevel = 4;
+constexpr std::uint32_t domainsInKey = 64;
+/// Members weighed in each of the best buckets.
+constexpr std::size_t membersWeighed = 16;
+/// Members looked at in a bucket of which only some have enough room.
+constexpr std::size_t membersScanned = 64;
+constexpr std::size_t bestBuckets = 4;
+
+// Weights of the score, chosen by measurement (docs/design/decisions.md).
+constexpr double imbalanceWeight = 0.5;
+constexpr double strandedAcceleratorWeight = 4.0;
+constexpr double suspicionWeight = 0.5;
+/// A domain with one task more weighs more than any difference in fit.
+constexpr double domainWeight = 100.0;
+constexpr double rackWeight = 10.0;
+
+std::int64_t slotLevel(std::int64_t slots)
+{
+    if (slots >= 4)
+        return 3;
+    return slots >= 2 ? 2 : std::max<std::int64_t>(slots, 0);
+}
+
+} // namespace
+
+Index Fleet::indexOf(TargetId id)
+{
+    const auto [entry, isNew] = this->byId.try_emplace(id, noIndex);
+    if (isNew) {
+        entry->second = this->targets.add();
+        this->targets[entry->second].info.id = id;
+        this->countedFree.resize(this->targets.limit());
+    }
+    return entry->second;
+}
+
+Index Fleet::find(TargetId id) const
+{
+    const auto entry = this->byId.find(id);
+    return entry == this->byId.end() ? noIndex : entry->second;
+}
+
+void Fleet::refresh(Index index)
+{
+    TargetRecord &target = this->targets[index];
+    this->leaveBucket(target);
+    this->countSize(target);
+    this->freeInNormal -= this->countedFree[index];
+    this->countedFree[index] = Resources();
+    if (target.zone() == Zone::Closed)
+        return;
+    this->widenLargest(target.info.total);
+    this->enterBucket(index);
+    if (target.zone() == Zone::Normal) {
+        this->countedFree[index] = target.free();
+        this->freeInNormal += this->countedFree[index];
+    }
+}
+
+void Fleet::countSize(TargetRecord &target)
+{
+    const bool counted = target.known && !target.info.departing;
+    if (target.sizeClass != noIndex) {
+        SizeClass &size = this->sizes[target.sizeClass];
+        if (counted && size.total == target.info.total)
+            return;
+        --size.targets;
+        --this->knownCount;
+        this->totalRoom -= size.total;
+        target.sizeClass = noIndex;
+    }
+    if (!counted)
+        return;
+    auto size = std::find_if(this->sizes.begin(), this->sizes.end(), [&target](const auto &entry) {
+        return entry.total == target.info.total || entry.targets == 0;
+    });
+    if (size == this->sizes.end())
+        size = this->sizes.insert(size, SizeClass());
+    size->total = target.info.total;
+    ++size->targets;
+    ++this->knownCount;
+    ++this->everKnown;
+    this->totalRoom += target.info.total;
+    target.sizeClass = static_cast<Index>(size - this->sizes.begin());
+}
+
+void Fleet::widenLargest(const Resources &total)
+{
+    if (total.fitsInto(this->largestTotal))
+        return;
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
+        std::int64_t &largestAmount = this->largestTotal.amounts[kind];
+        largestAmount = std::max(largestAmount, total.amounts[kind]);
+        if (largestAmount > 0)
+            this->inverseLargest[kind] = 1.0 / static_cast<double>(largestAmount);
+    }
+    // Keys are relative to the largest target, so every target may change its bucket. This
+    // happens once for each size that is larger than all before.
+    for (Index index = 0; index < this->targets.limit(); ++index) {
+        if (this->targets[index].bucket == noIndex)
+            continue;
+        this->leaveBucket(this->targets[index]);
+        this->enterBucket(index);
+    }
+}
+
+std::uint32_t Fleet::bucketKey(const TargetRecord &target) const
+{
+    const Resources free = target.free();
+    const auto level = [this, &free](ResourceKind kind) {
+        const std::int64_t most = std::max<std::int64_t>(this->largestTotal[kind], 1);
+        return std::clamp<std::int64_t>(free[kind] * roomLevels / most, 0, roomLevels);
+    };
+    std::int64_t key = static_cast<std::int64_t>(target.zone());
+    key = key * domainsInKey + target.info.failureDomain % domainsInKey;
+    key = key * (roomLevels + 1) + level(ResourceKind::MilliCores);
+    key = key * (roomLevels + 1) + level(ResourceKind::MemoryMb);
+    key = key * (maxAcceleratorLevel + 1)
+        + std::clamp<std::int64_t>(free[ResourceKind::Accelerators], 0, maxAcceleratorLevel);
+    key = key * 4 + slotLevel(free[ResourceKind::Slots]);
+    key = key * 2 + (free[ResourceKind::Connections] > 0 ? 1 : 0);
+    return static_cast<std::uint32_t>(key);
+}
+
+void Fleet::leaveBucket(TargetRecord &target)
+{
+    if (target.bucket == noIndex)
+        return;
+    Bucket &bucket = this->buckets[target.bucket];
+    const Index last = bucket.members.back();
+    bucket.members[target.bucketPosition] = last;
+    this->targets[last].bucketPosition = target.bucketPosition;
+    bucket.members.pop_back();
+    if (bucket.members.empty()) {
+        bucket.maxFree = Resources();
+        this->deactivate(target.bucket);
+    }
+    target.bucket = noIndex;
+}
+
+void Fleet::activate(Index index)
+{
+    Bucket &bucket = this->buckets[index];
+    auto &zoneBuckets = this->active[static_cast<std::size_t>(bucket.zone)];
+    bucket.activePosition = static_cast<Index>(zoneBuckets.size());
+    zoneBuckets.push_back(index);
+}
+
+void Fleet::deactivate(Index index)
+{
+    Bucket &bucket = this->buckets[index];
+    auto &zoneBuckets = this->active[static_cast<std::size_t>(bucket.zone)];
+    zoneBuckets[bucket.activePosition] = zoneBuckets.back();
+    this->buckets[zoneBuckets.back()].activePosition = bucket.activePosition;
+    zoneBuckets.pop_back();
+    bucket.activePosition = noIndex;
+}
+
+void Fleet::enterBucket(Index index)
+{
+    TargetRecord &target = this->targets[index];
+    const std::uint32_t key = this->bucketKey(target);
+    const auto [entry, isNew] =
+        this->bucketByKey.try_emplace(key, static_cast<Index>(this->buckets.size()));
+    if (isNew) {
+        this->buckets.emplace_back();
+        this->buckets.back().key = key;
+        this->buckets.back().zone = target.zone();
+        this->buckets.back().domain = target.info.failureDomain;
+    }
+    Bucket &bucket = this->buckets[entry->second];
+    target.bucket = entry->second;
+    target.bucketPosition = static_cast<Index>(bucket.members.size());
+    bucket.members.push_back(index);
+    if (bucket.members.size() == 1)
+        this->activate(entry->second);
+    const Resources free = target.free();
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+        bucket.maxFree.amounts[kind] = std::max(bucket.maxFree.amounts[kind], free.amounts[kind]);
+}
+
+double Fleet::score(const Resources &need, const TargetRecord &target) const
+{
+    double sum = 0.0;
+    double most = 0.0;
+    double least = 1.0;
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
+        const std::int64_t left =
+            target.info.total.amounts[kind] - target.placed.amounts[kind] - need.amounts[kind];
+        const double part = static_cast<double>(left) * this->inverseLargest[kind];
+        if (kind == static_cast<std::size_t>(ResourceKind::Accelerators)) {
+            if (need.amounts[kind] == 0)
+                sum += part * strandedAcceleratorWeight;
+            else
+                sum += part;
+            continue;
+        }
+        sum += part;
+        if (kind <= static_cast<std::size_t>(ResourceKind::MemoryMb)) {
+            most = std::max(most, part);
+            least = std::min(least, part);
+        }
+    }
+    return sum + imbalanceWeight * (most - least)
+        + suspicionWeight * static_cast<double>(target.suspicion);
+}
+
+double Fleet::spreadPenalty(const Spread *spread, const TargetRecord &target) const
+{
+    if (spread == nullptr)
+        return 0.0;
+    return domainWeight * spread->inDomain(target.info.failureDomain)
+        + rackWeight * spread->inRack(target.info.rack);
+}
+
+void Fleet::scan(const TargetSearch &search, const Bucket &bucket, std::size_t most, double &best,
+                 TargetFound &found) const
+{
+    std::size_t weighed = 0;
+    std::size_t looked = 0;
+    for (auto member = bucket.members.rbegin();
+         member != bucket.members.rend() && weighed < most && looked < membersScanned; ++member) {
+        ++looked;
+        const TargetRecord &target = this->targets[*member];
+        if (!search.need.fitsInto(target.free()))
+            continue;
+        ++weighed;
+        ++found.considered;
+        const double score =
+            this->score(search.need, target) + this->spreadPenalty(search.spread, target);
+        if (score < best) {
+            best = score;
+            found.target = *member;
+        }
+    }
+}
+
+TargetFound Fleet::find(const TargetSearch &search) const
+{
+    TargetFound found;
+    double best = std::numeric_limits<double>::max();
+    std::array<BucketRank, bestBuckets> ranks;
+    std::size_t ranked = 0;
+    std::size_t possible = 0;
+    for (const Index index : this->activeIn(search.zone)) {
+        const Bucket &bucket = this->buckets[index];
+        if (!search.need.fitsInto(bucket.maxFree))
+            continue;
+        ++possible;
+        const TargetRecord &sample = this->targets[bucket.members.back()];
+        BucketRank rank{
+            this->score(search.need, sample) + this->spreadPenalty(search.spread, sample), index};
+        if (ranked < bestBuckets) {
+            ranks[ranked++] = rank;
+            continue;
+        }
+        auto worst = std::max_element(ranks.begin(), ranks.end(), [](const auto &a, const auto &b) {
+            return a.score < b.score;
+        });
+        if (rank.score < worst->score)
+            *worst = rank;
+    }
+    for (std::size_t i = 0; i < ranked; ++i)
+        this->scan(search, this->buckets[ranks[i].bucket], membersWeighed, best, found);
+    if (found.target != noIndex || possible <= ranked)
+        return found;
+    for (const Index index : this->activeIn(search.zone)) {
+        const Bucket &bucket = this->buckets[index];
+        if (!search.need.fitsInto(bucket.maxFree))
+            continue;
+        this->scan(search, bucket, 1, best, found);
+        if (found.target != noIndex)
+            break;
+    }
+    return found;
+}
+
+std::uint64_t Fleet::capacityFor(const Resources &need, std::uint64_t enough) const
+{
+    std::uint64_t capacity = 0;
+    for (const SizeClass &size : this->sizes) {
+        if (size.targets == 0 || !need.fitsInto(size.total))
+            continue;
+        std::uint64_t each = std::numeric_limits<std::uint32_t>::max();
+        for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
+            if (need.amounts[kind] > 0)
+                each = std::min(
+                    each,
+                    static_cast<std::uint64_t>(size.total.amounts[kind] / need.amounts[kind]));
+        }
+        capacity += each * size.targets;
+        if (capacity >= enough)
+            return capacity;
+    }
+    return capacity;
+}
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/fleet.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/resources.h"
+#include "decisions/indexes.h"
+#include "decisions/slab.h"
+#include "decisions/spread.h"
+#include "decisions/targetrecord.h"
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace guavavalve::internal {
+
+/// What to look for on the fleet.
+struct TargetSearch
+{
+    Resources need;
+    Zone zone = Zone::Normal;
+    const Spread *spread = nullptr; ///< of the service that the task belongs to
+};
+
+/// What a search found.
+struct TargetFound
+{
+    Index target = noIndex;
+    std::uint32_t considered = 0; ///< targets weighed
+};
+
+/// All targets, indexed by the room that is left on them: targets with about the same room share
+/// a bucket, and a search goes over buckets, so that its cost does not grow with the fleet.
+class Fleet
+{
+public:
+    /// The record of \a id, made if there is none.
+    Index indexOf(TargetId id);
+
+    /// The record of \a id or noIndex.
+    Index find(TargetId id) const;
+
+    TargetRecord &operator[](Index target) { return this->targets[target]; }
+    const TargetRecord &operator[](Index target) const { return this->targets[target]; }
+    Index limit() const { return this->targets.limit(); }
+
+    /// To be called after any change of a target that bears on its room, zone or size.
+    void refresh(Index target);
+
+    /// The target where \a search fits best: little is left over, and evenly over the kinds of
+    /// resource, so that what is left can be used (best fit with the alignment idea of Tetris,
+    /// Grandl et al., 2014).
+    TargetFound find(const TargetSearch &search) const;
+
+    /// How well \a need fits on \a target; the lower, the better.
+    double score(const Resources &need, const TargetRecord &target) const;
+
+    /// How many tasks of \a need the empty fleet would hold, counted up to \a enough.
+    std::uint64_t capacityFor(const Resources &need, std::uint64_t enough) const;
+
+    const Resources &total() const { return this->totalRoom; } ///< of known, staying targets
+    const Resources &largest() const { return this->largestTotal; } ///< ever seen, by kind
+    const Resources &normalFree() const { return this->freeInNormal; } ///< free in Zone::Normal
+    std::uint32_t known() const { return this->knownCount; }
+    bool empty() const { return this->everKnown == 0; }
+
+private:
+    struct Bucket
+    {
+        std::uint32_t key = 0;
+        Zone zone = Zone::Normal;
+        std::uint16_t domain = 0;
+        Index activePosition = noIndex; ///< among the buckets of its zone with members
+        std::vector<Index> members;
+        Resources maxFree; ///< at least what any member has
+    };
+    struct SizeClass
+    {
+        Resources total;
+        std::uint32_t targets = 0;
+    };
+    /// A bucket that may hold a fit, with the score of one of its members.
+    struct BucketRank
+    {
+        double score = 0.0;
+        Index bucket = noIndex;
+    };
+
+    std::uint32_t bucketKey(const TargetRecord &target) const;
+    void leaveBucket(TargetRecord &target);
+    void enterBucket(Index index);
+    void activate(Index bucket);
+    void deactivate(Index bucket);
+    const std::vector<Index> &activeIn(Zone zone) const
+    {
+        return this->active[static_cast<std::size_t>(zone)];
+    }
+    void countSize(TargetRecord &target);
+    void widenLargest(const Resources &total);
+    void scan(const TargetSearch &search, const Bucket &bucket, std::size_t most, double &best,
+              TargetFound &found) const;
+    double spreadPenalty(const Spread *spread, const TargetRecord &target) const;
+
+    Slab<TargetRecord> targets;
+    std::unordered_map<TargetId, Index> byId;
+    std::vector<Bucket> buckets; ///< grows to the number of distinct keys seen
+    std::array<std::vector<Index>, zoneCount> active; ///< buckets with members, by zone
+    std::unordered_map<std::uint32_t, Index> bucketByKey;
+    std::vector<SizeClass> sizes;
+    Resources largestTotal;
+    std::array<double, resourceKindCount> inverseLargest{};
+    Resources totalRoom;
+    Resources freeInNormal;
+    std::vector<Resources> countedFree; ///< by target: its part in freeInNormal
+    std::uint32_t knownCount = 0;
+    std::uint32_t everKnown = 0;
+};
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/movingmean.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cmath>
+#include <cstdint>
+
+namespace guavavalve::internal {
+
+/// Mean and mean deviation that follow their samples (as TCP estimates round trips: Jacobson,
+/// 1988). The first samples weigh as in a plain mean.
+class MovingMean
+{
+public:
+    void add(double sample)
+    {
+        this->samples = this->samples < maxWeight ? this->samples + 1 : maxWeight;
+        const double gain = 1.0 / static_cast<double>(this->samples);
+        const double error = sample - this->meanValue;
+        this->meanValue += static_cast<float>(gain * error);
+        this->deviationValue += static_cast<float>(gain * (std::abs(error) - this->deviationValue));
+    }
+
+    double mean() const { return this->meanValue; }
+    double deviation() const { return this->deviationValue; }
+    std::uint32_t count() const { return this->samples; }
+
+private:
+    static constexpr std::uint32_t maxWeight = 32;
+
+    float meanValue = 0.0F;
+    float deviationValue = 0.0F;
+    std::uint32_t samples = 0;
+};
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/placer.cpp
@@ -0,0 +1,349 @@
+#include "decisions/placer.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace guavavalve::internal {
+
+namespace {
+
+/// Placements of one run: bounds the time of a decision after a burst of submissions.
+constexpr std::size_t maxPlacements = 1024;
+/// With more targets freed at once than this, blocked queues search the whole index instead.
+constexpr std::size_t maxHints = 64;
+/// A gang that did not fit is tried again after this long at the soonest: a try costs a search
+/// for each of its tasks.
+constexpr Microseconds gangRetryAfter = std::chrono::milliseconds(100);
+
+} // namespace
+
+Placer::Placer(Ledger &books, Reservations &keptRoom, Quarantine &held, DecisionLog &decisionLog)
+    : ledger(books)
+    , reservations(keptRoom)
+    , quarantine(held)
+    , log(decisionLog)
+{}
+
+bool Placer::run(Instant now, std::vector<Decision> &out)
+{
+    this->placedInRun = 0;
+    this->probe(now, out);
+    this->wakeQueues(now);
+    this->runRound(Round::Prompt, now, out);
+    this->runRound(Round::Other, now, out);
+    return this->placedInRun >= maxPlacements;
+}
+
+bool Placer::mayUse(const WorkQueue &queue, const TargetRecord &target, Instant now) const
+{
+    switch (target.zone()) {
+    case Zone::Normal:
+        return true;
+    case Zone::Headroom:
+        return queue.key.workClass == WorkClass::Prompt;
+    case Zone::Reserved:
+        return this->reservations.admits(queue, target,
+                                         this->ledger.tasks[queue.head].declaredRunTime, now);
+    case Zone::Closed:
+        break;
+    }
+    return false;
+}
+
+bool Placer::hintsFit(const WorkQueue &queue, Instant now) const
+{
+    return std::any_of(this->hints.begin(), this->hints.end(), [&](Index hint) {
+        const TargetRecord &target = this->ledger.fleet[hint];
+        return queue.charge.fitsInto(target.free()) && this->mayUse(queue, target, now);
+    });
+}
+
+void Placer::wakeQueues(Instant now)
+{
+    this->hints.swap(this->ledger.freedTargets);
+    this->ledger.freedTargets.clear();
+    for (const Index hint : this->hints)
+        this->ledger.fleet[hint].freed = false;
+    if (this->hints.empty() && !this->reservations.any() && !this->gangsHeldBack)
+        return;
+    this->gangsHeldBack = false;
+    const bool many = this->hints.size() > maxHints;
+    for (std::size_t i = this->ledger.blocked.size(); i > 0; --i) {
+        const Index index = this->ledger.blocked[i - 1];
+        const WorkQueue &queue = this->ledger.queues[index];
+        if (queue.key.workClass == WorkClass::Gang) {
+            if (now - queue.decidedAt >= gangRetryAfter)
+                this->ledger.makeReady(index, false);
+            else
+                this->gangsHeldBack = true;
+        } else if (many) {
+            this->ledger.makeReady(index, false);
+        } else if (this->hintsFit(queue, now)) {
+            this->ledger.makeReady(index, true);
+        }
+    }
+}
+
+bool Placer::suitsProbe(Index index, const TargetRecord &target) const
+{
+    const WorkQueue &queue = this->ledger.queues[index];
+    return queue.count > 0 && this->ledger.tasks[queue.head].repeatable
+        && queue.key.workClass != WorkClass::Gang && queue.key.workClass != WorkClass::Service
+        && queue.charge.fitsInto(target.free())
+        && this->ledger.withinLimit(this->ledger.teams[queue.key.team], queue.charge);
+}
+
+Index Placer::probeTask(const TargetRecord &target) const
+{
+    for (const Index queue : this->ledger.blocked) {
+        if (this->suitsProbe(queue, target))
+            return this->ledger.queues[queue].head;
+    }
+    for (Index team = 0; team < this->ledger.teams.limit(); ++team) {
+        // Batch work before prompt work, which a bad target would delay.
+        for (const Round round : {Round::Other, Round::Prompt}) {
+            for (const Index queue :
+                 this->ledger.teams[team].ready[static_cast<std::size_t>(round)]) {
+                if (this->suitsProbe(queue, target))
+                    return this->ledger.queues[queue].head;
+            }
+        }
+    }
+    return noIndex;
+}
+
+void Placer::probe(Instant now, std::vector<Decision> &out)
+{
+    for (const Index index : this->quarantine.dueForProbe(now)) {
+        const Index task = this->probeTask(this->ledger.fleet[index]);
+        if (task == noIndex)
+            continue;
+        this->ledger.dequeue(task);
+        this->commit(task, index, Reason::Probe, 1, now, out);
+        this->ledger.tasks[task].probe = true;
+        this->quarantine.probeStarted(index);
+    }
+}
+
+void Placer::runRound(Round round, Instant now, std::vector<Decision> &out)
+{
+    while (this->placedInRun < maxPlacements) {
+        const Index team = this->ledger.nextTeam(round);
+        if (team == noIndex)
+            return;
+        this->tryQueue(this->nextQueue(this->ledger.teams[team], round), now, out);
+    }
+}
+
+Index Placer::nextQueue(const TeamRecord &team, Round round) const
+{
+    Index best = noIndex;
+    Instant bestDue = Instant::max();
+    for (const Index index : team.ready[static_cast<std::size_t>(round)]) {
+        const WorkQueue &queue = this->ledger.queues[index];
+        const Instant due = this->ledger.tasks[queue.head].submittedAt
+            + this->ledger.policy.of(queue.key.workClass).patience;
+        if (best == noIndex || due < bestDue) {
+            best = index;
+            bestDue = due;
+        }
+    }
+    return best;
+}
+
+void Placer::tryQueue(Index index, Instant now, std::vector<Decision> &out)
+{
+    WorkQueue &queue = this->ledger.queues[index];
+    const TeamRecord &team = this->ledger.teams[queue.key.team];
+    if (!this->ledger.withinLimit(team, queue.charge))
+        return this->ledger.block(index, QueueState::AtLimit, Reason::TeamLimit, now);
+    if (this->overClassShare(queue))
+        return this->ledger.block(index, QueueState::NoRoom, Reason::ShareTurn, now);
+    const bool placed = queue.key.workClass == WorkClass::Gang ? this->tryGang(index, now, out)
+                                                               : this->trySingle(index, now, out);
+    if (placed) {
+        queue.blockedSince = now;
+        if (queue.reservation != noIndex)
+            this->reservations.drop(index);
+    }
+}
+
+bool Placer::overClassShare(const WorkQueue &queue) const
+{
+    const double most = this->ledger.policy.of(queue.key.workClass).maxShare;
+    if (most >= 1.0)
+        return false;
+    std::uint32_t othersWaiting = 0;
+    for (const ClassStatistics &counts : this->ledger.classes)
+        othersWaiting += counts.waiting;
+    othersWaiting -= this->ledger.counts(queue.key.workClass).waiting;
+    const Resources after = this->ledger.classPlaced(queue.key.workClass) + queue.charge;
+    return othersWaiting > 0 && after.dominantShare(this->ledger.fleet.total()) > most;
+}
+
+TargetFound Placer::findAmongHints(const WorkQueue &queue, Instant now) const
+{
+    TargetFound found;
+    double best = std::numeric_limits<double>::max();
+    for (const Index hint : this->hints) {
+        const TargetRecord &target = this->ledger.fleet[hint];
+        if (!queue.charge.fitsInto(target.free()) || !this->mayUse(queue, target, now))
+            continue;
+        ++found.considered;
+        const double score = this->ledger.fleet.score(queue.charge, target);
+        if (score < best) {
+            best = score;
+            found.target = hint;
+        }
+    }
+    return found;
+}
+
+TargetFound Placer::findTarget(const WorkQueue &queue, const TaskRecord &task, Instant now) const
+{
+    if (queue.hintsOnly)
+        return this->findAmongHints(queue, now);
+    if (queue.reservation != noIndex) {
+        for (const Index target : this->reservations[queue.reservation].targets) {
+            if (this->ledger.fleet[target].zone() == Zone::Reserved
+                && queue.charge.fitsInto(this->ledger.fleet[target].free()))
+                return TargetFound{target, 1};
+        }
+    }
+    TargetSearch search;
+    search.need = queue.charge;
+    if (queue.key.workClass == WorkClass::Service)
+        search.spread = this->ledger.spreadOf(task);
+    TargetFound found;
+    std::uint32_t considered = 0;
+    if (queue.key.workClass == WorkClass::Prompt) {
+        search.zone = Zone::Headroom;
+        found = this->ledger.fleet.find(search);
+        considered = found.considered;
+    }
+    if (found.target == noIndex) {
+        search.zone = Zone::Normal;
+        found = this->ledger.fleet.find(search);
+        considered += found.considered;
+    }
+    if (found.target == noIndex && this->reservations.any())
+        found.target = this->reservations.findBackfill(queue, task.declaredRunTime, now);
+    found.considered = considered;
+    return found;
+}
+
+bool Placer::trySingle(Index index, Instant now, std::vector<Decision> &out)
+{
+    WorkQueue &queue = this->ledger.queues[index];
+    const Index task = queue.head;
+    const TargetFound found = this->findTarget(queue, this->ledger.tasks[task], now);
+    queue.considered = found.considered;
+    if (found.target == noIndex) {
+        const bool kept = queue.reservation != noIndex;
+        this->ledger.block(index, QueueState::NoRoom, kept ? Reason::GangReserved : Reason::NoRoom,
+                           now);
+        return false;
+    }
+    Reason reason = Reason::BestFit;
+    if (queue.key.workClass == WorkClass::Service)
+        reason = Reason::Spread;
+    else if (this->ledger.fleet[found.target].zone() == Zone::Reserved
+             && this->ledger.fleet[found.target].reservation != queue.reservation)
+        reason = Reason::Backfill;
+    this->ledger.dequeue(task);
+    this->commit(task, found.target, reason, found.considered, now, out);
+    return true;
+}
+
+bool Placer::planGang(const WorkQueue &queue, const GangRecord &gang)
+{
+    const Resources &charge = queue.charge;
+    this->plan.clear();
+    const auto take = [this, &charge](Index target) {
+        this->plan.push_back(target);
+        this->ledger.fleet[target].placed += charge;
+        this->ledger.fleet.refresh(target);
+    };
+    if (queue.reservation != noIndex) {
+        for (const Index target : this->reservations[queue.reservation].targets) {
+            while (this->plan.size() < gang.members.size()
+                   && this->ledger.fleet[target].zone() == Zone::Reserved
+                   && charge.fitsInto(this->ledger.fleet[target].free()))
+                take(target);
+        }
+    }
+    TargetSearch search;
+    search.need = charge;
+    while (this->plan.size() < gang.members.size()) {
+        const TargetFound found = this->ledger.fleet.find(search);
+        if (found.target == noIndex)
+            return false;
+        take(found.target);
+    }
+    return true;
+}
+
+void Placer::undoPlan(const Resources &charge)
+{
+    for (const Index target : this->plan) {
+        this->ledger.fleet[target].placed -= charge;
+        this->ledger.fleet.refresh(target);
+    }
+}
+
+bool Placer::tryGang(Index index, Instant now, std::vector<Decision> &out)
+{
+    WorkQueue &queue = this->ledger.queues[index];
+    GangRecord &gang = *this->ledger.gangOf(this->ledger.tasks[queue.head]);
+    const auto size = static_cast<std::int64_t>(gang.members.size());
+    Resources all;
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+        all.amounts[kind] = queue.charge.amounts[kind] * size;
+    if (!this->ledger.withinLimit(this->ledger.teams[queue.key.team], all)) {
+        this->ledger.block(index, QueueState::AtLimit, Reason::TeamLimit, now);
+        return false;
+    }
+    // The sum of what is free is a cheap way to see that a large gang cannot fit yet.
+    const bool hopeless =
+        queue.reservation == noIndex && !all.fitsInto(this->ledger.fleet.normalFree());
+    const bool planned = !hopeless && this->planGang(queue, gang);
+    if (!hopeless)
+        this->undoPlan(queue.charge);
+    if (!planned) {
+        const bool kept = queue.reservation != noIndex;
+        this->ledger.block(index, QueueState::NoRoom, kept ? Reason::GangReserved : Reason::NoRoom,
+                           now);
+        return false;
+    }
+    const std::vector<Index> members = gang.members;
+    const std::vector<Index> targets = this->plan;
+    this->ledger.unlinkGang(gang);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        this->ledger.dequeue(members[i]);
+        this->commit(members[i], targets[i], Reason::GangComplete,
+                     static_cast<std::uint32_t>(targets.size()), now, out);
+    }
+    return true;
+}
+
+void Placer::commit(Index index, Index target, Reason reason, std::uint32_t considered, Instant now,
+                    std::vector<Decision> &out)
+{
+    TaskRecord &task = this->ledger.tasks[index];
+    const WorkQueue &queue = this->ledger.queues[task.queue];
+    this->ledger.place(index, target, queue.charge, now);
+    task.reason = reason;
+    task.considered = considered;
+    const auto classIndex = static_cast<std::size_t>(queue.key.workClass);
+    this->ledger.teams[queue.key.team].starts[classIndex].add(now);
+    ++this->ledger.counts(queue.key.workClass).placed;
+    ++this->placedInRun;
+    Decision decision;
+    decision.task = task.id;
+    decision.target = this->ledger.fleet[target].info.id;
+    decision.charge = task.charge;
+    decision.reason = reason;
+    this->log.emit(decision, considered, now, out);
+}
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/quarantine.cpp
@@ -0,0 +1,155 @@
+#include "decisions/quarantine.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavavalve::internal {
+
+namespace {
+
+/// Chance of a failure on a target that fails everything.
+constexpr double badTargetFailure = 0.95;
+/// Chance that a sound target does not take a start: it has nothing to do with the work.
+constexpr double soundTargetRefusal = 0.01;
+/// Evidence at which a target is held: e^6, or about 400 to 1.
+constexpr double holdAt = 6.0;
+constexpr double maxEvidence = 20.0;
+/// Good probes in a row that end a quarantine.
+constexpr std::uint8_t probesToRelease = 2;
+
+} // namespace
+
+Quarantine::Quarantine(Ledger &books)
+    : ledger(books)
+{}
+
+double Quarantine::evidence(const TaskRecord &task, TaskEnd end) const
+{
+    if (end == TaskEnd::NeverStarted)
+        return std::log(badTargetFailure / soundTargetRefusal);
+    const WorkProfile &profile = this->ledger.queues[task.queue].profile;
+    const double chance = profile.failureChance();
+    if (end == TaskEnd::Succeeded)
+        return std::log((1.0 - badTargetFailure) / (1.0 - chance));
+    // A failure speaks against the target only as far as the same work succeeds elsewhere. Else
+    // one team's broken job would take a target out of service wherever it runs.
+    if (this->jobs.failsEverywhere(task.job))
+        return 0.0;
+    return profile.trust() * std::max(0.0, std::log(badTargetFailure / chance));
+}
+
+void Quarantine::outcome(const TaskRecord &task, TaskEnd end, Instant now)
+{
+    if (end == TaskEnd::Stopped || end == TaskEnd::Lost) {
+        if (task.probe)
+            this->probeVoid(task.target, now);
+        return;
+    }
+    const bool failed = end != TaskEnd::Succeeded;
+    TargetRecord &target = this->ledger.fleet[task.target];
+    const double sum = static_cast<double>(target.suspicion) + this->evidence(task, end);
+    if (end == TaskEnd::Failed)
+        this->jobs.failed(task.job, task.target);
+    else if (!failed)
+        this->jobs.succeeded(task.job);
+    if (end != TaskEnd::NeverStarted) {
+        this->ledger.queues[task.queue].profile.outcomeSeen(failed,
+                                                            static_cast<double>(target.suspicion));
+    }
+    target.suspicion = static_cast<float>(std::clamp(sum, 0.0, maxEvidence));
+    if (task.probe)
+        this->probeEnded(task.target, failed, now);
+    else if (!target.quarantined && target.known && target.suspicion >= holdAt)
+        this->hold(task.target, now);
+}
+
+void Quarantine::hold(Index index, Instant now)
+{
+    // Never more than a set part of the fleet: when everything seems to fail, the fault is more
+    // likely in the work or in us, and an empty fleet helps nobody.
+    const QuarantinePolicy &policy = this->ledger.policy.quarantine;
+    const double most = policy.maxFleetPart * this->ledger.fleet.known();
+    if (static_cast<double>(this->members.size() + 1) > std::max(most, 1.0))
+        return;
+    TargetRecord &target = this->ledger.fleet[index];
+    target.quarantined = true;
+    target.probeWait = policy.firstProbe;
+    target.probeAt = now + target.probeWait;
+    target.probeSuccesses = 0;
+    target.probing = false;
+    this->members.push_back(index);
+    this->ledger.fleet.refresh(index);
+}
+
+void Quarantine::release(Index index)
+{
+    TargetRecord &target = this->ledger.fleet[index];
+    this->members.erase(std::find(this->members.begin(), this->members.end(), index));
+    target.quarantined = false;
+    target.probing = false;
+    target.suspicion = 0.0F;
+    this->ledger.fleet.refresh(index);
+    this->ledger.markFreed(index);
+}
+
+void Quarantine::forgive(Index index)
+{
+    TargetRecord &target = this->ledger.fleet[index];
+    if (target.quarantined)
+        this->release(index);
+    target.suspicion = 0.0F;
+}
+
+std::vector<Index> Quarantine::dueForProbe(Instant now) const
+{
+    std::vector<Index> due;
+    for (const Index index : this->members) {
+        const TargetRecord &target = this->ledger.fleet[index];
+        if (!target.probing && target.known && !target.info.departing && target.probeAt <= now)
+            due.push_back(index);
+    }
+    return due;
+}
+
+Instant Quarantine::nextProbe() const
+{
+    Instant next = Instant::max();
+    for (const Index index : this->members) {
+        const TargetRecord &target = this->ledger.fleet[index];
+        if (!target.probing && target.known && !target.info.departing)
+            next = std::min(next, target.probeAt);
+    }
+    return next;
+}
+
+void Quarantine::probeStarted(Index target)
+{
+    this->ledger.fleet[target].probing = true;
+}
+
+void Quarantine::probeVoid(Index index, Instant now)
+{
+    TargetRecord &target = this->ledger.fleet[index];
+    target.probing = false;
+    target.probeAt = now + target.probeWait;
+}
+
+void Quarantine::probeEnded(Index index, bool failed, Instant now)
+{
+    TargetRecord &target = this->ledger.fleet[index];
+    if (!target.quarantined)
+        return;
+    target.probing = false;
+    if (!failed) {
+        if (++target.probeSuccesses >= probesToRelease)
+            this->release(index);
+        else
+            target.probeAt = now;
+        return;
+    }
+    target.probeSuccesses = 0;
+    target.probeWait = std::min(target.probeWait * 2, this->ledger.policy.quarantine.lastProbe);
+    target.probeAt = now + target.probeWait;
+}
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/reservations.cpp
@@ -0,0 +1,201 @@
+#include "decisions/reservations.h"
+
+#include <algorithm>
+
+namespace guavavalve::internal {
+
+namespace {
+
+/// Targets looked at to make one reservation: bounds the time of a decision on a large fleet.
+constexpr Index maxTargetsSeen = 4096;
+constexpr std::size_t maxBackfillSeen = 64;
+/// Assumed of a task whose run time is neither declared nor learned.
+constexpr Microseconds unknownRunTime = std::chrono::minutes(5);
+/// A reservation that has not led to a start is planned anew after this many patiences.
+constexpr int patiencesKept = 4;
+/// A queue waits this part of its patience before room is kept for it...
+constexpr int reserveAfterPart = 4;
+/// ...if its team is at or below the mean share, and this many patiences otherwise.
+constexpr int patiencesAboveShare = 2;
+
+} // namespace
+
+Reservations::Reservations(Ledger &books)
+    : ledger(books)
+{}
+
+bool Reservations::deserves(Index index, double meanRank, Instant now) const
+{
+    const WorkQueue &queue = this->ledger.queues[index];
+    const Milliseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
+    if (queue.reservation != noIndex || queue.key.workClass == WorkClass::Prompt
+        || patience.count() == 0)
+        return false;
+    const Microseconds waited = now - queue.blockedSince;
+    if (waited >= patience * patiencesAboveShare)
+        return true;
+    const TeamRecord &team = this->ledger.teams[queue.key.team];
+    return waited >= patience / reserveAfterPart && team.rank <= meanRank;
+}
+
+Index Reservations::longestWaiting(Instant now) const
+{
+    double rankSum = 0.0;
+    std::size_t teams = 0;
+    for (Index team = 0; team < this->ledger.teams.limit(); ++team) {
+        rankSum += this->ledger.teams[team].rank;
+        teams += this->ledger.teams[team].running > 0 ? 1 : 0;
+    }
+    const double meanRank = rankSum / static_cast<double>(std::max<std::size_t>(teams, 1));
+    Index longest = noIndex;
+    for (const Index index : this->ledger.blocked) {
+        const WorkQueue &queue = this->ledger.queues[index];
+        if (!this->deserves(index, meanRank, now)
+            || !this->ledger.withinLimit(this->ledger.teams[queue.key.team], queue.charge))
+            continue;
+        if (longest == noIndex || queue.blockedSince < this->ledger.queues[longest].blockedSince)
+            longest = index;
+    }
+    return longest;
+}
+
+void Reservations::update(Instant now)
+{
+    for (Reservation &reservation : this->slots) {
+        if (reservation.queue == noIndex)
+            continue;
+        const WorkQueue &queue = this->ledger.queues[reservation.queue];
+        const Milliseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
+        if (queue.count == 0 || now - reservation.madeAt > patience * patiencesKept)
+            this->drop(reservation);
+    }
+    for (Index slot = 0; slot < maxReservations; ++slot) {
+        if (this->slots[slot].queue != noIndex)
+            continue;
+        const Index queue = this->longestWaiting(now);
+        if (queue == noIndex)
+            return;
+        this->reserve(queue, slot, now);
+    }
+}
+
+Instant Reservations::expectedEnd(const TaskRecord &task, Instant now) const
+{
+    const WorkQueue &queue = this->ledger.queues[task.queue];
+    Microseconds runTime = queue.profile.expectedRunTime(task.declaredRunTime);
+    if (runTime.count() == 0)
+        runTime = unknownRunTime;
+    return std::max(now, task.placedAt + runTime);
+}
+
+Reservations::Candidate Reservations::candidate(Index index, const Resources &charge,
+                                                Instant now) const
+{
+    const TargetRecord &target = this->ledger.fleet[index];
+    Candidate candidate;
+    candidate.target = index;
+    candidate.freeAt = now;
+    Resources room = target.free();
+    if (!charge.fitsInto(room)) {
+        for (const Index taskIndex : target.tasks) {
+            const TaskRecord &task = this->ledger.tasks[taskIndex];
+            if (this->ledger.queues[task.queue].key.workClass == WorkClass::Service)
+                continue; // runs until it is stopped
+            room += task.charge;
+            candidate.freeAt = std::max(candidate.freeAt, this->expectedEnd(task, now));
+        }
+    }
+    while (charge.fitsInto(room) && candidate.capacity < 1024) {
+        ++candidate.capacity;
+        room -= charge;
+    }
+    return candidate;
+}
+
+void Reservations::reserve(Index queueIndex, Index slot, Instant now)
+{
+    WorkQueue &queue = this->ledger.queues[queueIndex];
+    const Index limit = this->ledger.fleet.limit();
+    std::vector<Candidate> candidates;
+    const Index seen = std::min(limit, maxTargetsSeen);
+    for (Index i = 0; i < seen; ++i) {
+        this->cursor = (this->cursor + 1) % limit;
+        const Zone zone = this->ledger.fleet[this->cursor].zone();
+        if (zone != Zone::Normal)
+            continue;
+        const Candidate found = this->candidate(this->cursor, queue.charge, now);
+        if (found.capacity > 0)
+            candidates.push_back(found);
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+        return a.freeAt < b.freeAt || (a.freeAt == b.freeAt && a.target < b.target);
+    });
+    Reservation &reservation = this->slots[slot];
+    reservation.queue = queueIndex;
+    reservation.madeAt = now;
+    reservation.readyAt = now;
+    queue.reservation = slot;
+    ++this->active;
+    std::uint32_t capacity = 0;
+    for (const Candidate &candidate : candidates) {
+        if (capacity >= queue.key.gangSize)
+            break;
+        capacity += candidate.capacity;
+        reservation.readyAt = std::max(reservation.readyAt, candidate.freeAt);
+        reservation.targets.push_back(candidate.target);
+        this->ledger.fleet[candidate.target].reservation = slot;
+        this->ledger.fleet.refresh(candidate.target);
+        this->ledger.markFreed(candidate.target); // for the holder to see
+    }
+    queue.reason = Reason::GangReserved;
+}
+
+void Reservations::drop(Index queue)
+{
+    const Index slot = this->ledger.queues[queue].reservation;
+    if (slot != noIndex)
+        this->drop(this->slots[slot]);
+}
+
+void Reservations::drop(Reservation &reservation)
+{
+    for (const Index index : reservation.targets) {
+        TargetRecord &target = this->ledger.fleet[index];
+        target.reservation = noIndex;
+        this->ledger.fleet.refresh(index);
+        this->ledger.markFreed(index);
+    }
+    reservation.targets.clear();
+    this->ledger.queues[reservation.queue].reservation = noIndex;
+    reservation.queue = noIndex;
+    --this->active;
+}
+
+bool Reservations::admits(const WorkQueue &queue, const TargetRecord &target,
+                          Microseconds declaredRunTime, Instant now) const
+{
+    if (queue.reservation == target.reservation)
+        return true;
+    const Microseconds runTime = queue.profile.expectedRunTime(declaredRunTime);
+    return runTime.count() > 0 && queue.key.workClass != WorkClass::Service
+        && now + runTime <= this->slots[target.reservation].readyAt;
+}
+
+Index Reservations::findBackfill(const WorkQueue &queue, Microseconds declaredRunTime,
+                                 Instant now) const
+{
+    for (const Reservation &reservation : this->slots) {
+        std::size_t seen = 0;
+        for (const Index index : reservation.targets) {
+            if (++seen > maxBackfillSeen)
+                break;
+            const TargetRecord &target = this->ledger.fleet[index];
+            if (target.zone() == Zone::Reserved && queue.charge.fitsInto(target.free())
+                && this->admits(queue, target, declaredRunTime, now))
+                return index;
+        }
+    }
+    return noIndex;
+}
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/reservations.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/clock.h"
+#include "decisions/ledger.h"
+#include "decisions/reservation.h"
+
+#include <array>
+
+namespace guavavalve::internal {
+
+/// Room kept together for a queue's head that would otherwise wait for ever while smaller tasks
+/// take each bit of room that comes free: an all-at-once job, or one large task. Others may use
+/// the room only if they leave it before the reservation is expected to start (backfill, as in
+/// EASY: Lifka, 1995).
+class Reservations
+{
+public:
+    explicit Reservations(Ledger &ledger);
+
+    /// Reserves for the queues that have waited longest, and drops what is no longer wanted.
+    void update(Instant now);
+
+    /// The queue's head has been placed or is gone.
+    void drop(Index queue);
+
+    const Reservation &operator[](Index reservation) const { return this->slots[reservation]; }
+
+    /// True if work of \a queue may go on \a target, whose zone is Reserved.
+    bool admits(const WorkQueue &queue, const TargetRecord &target, Microseconds declaredRunTime,
+                Instant now) const;
+
+    /// A reserved target that \a queue may be backfilled on, or noIndex.
+    Index findBackfill(const WorkQueue &queue, Microseconds declaredRunTime, Instant now) const;
+
+    bool any() const { return this->active > 0; }
+
+private:
+    static constexpr std::size_t maxReservations = 4;
+
+    /// A target and when it is expected to have room.
+    struct Candidate
+    {
+        Instant freeAt{};
+        Index target = noIndex;
+        std::uint32_t capacity = 0; ///< tasks of the need that it will hold then
+    };
+
+    bool deserves(Index queue, double meanRank, Instant now) const;
+    Index longestWaiting(Instant now) const;
+    void reserve(Index queue, Index slot, Instant now);
+    void drop(Reservation &reservation);
+    Candidate candidate(Index target, const Resources &charge, Instant now) const;
+    Instant expectedEnd(const TaskRecord &task, Instant now) const;
+
+    Ledger &ledger;
+    std::array<Reservation, maxReservations> slots;
+    std::size_t active = 0;
+    Index cursor = 0; ///< where the next look over the fleet starts
+};
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/decisions/workprofile.cpp
@@ -0,0 +1,107 @@
+#include "decisions/workprofile.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavavalve::internal {
+
+namespace {
+
+// Growing a size errs to the safe side and needs little evidence; shrinking needs more.
+constexpr std::uint32_t samplesToGrow = 4;
+constexpr std::uint32_t samplesToShrink = 16;
+constexpr double minFactor = 0.25;
+constexpr double maxFactor = 4.0;
+/// Sizes are corrected in steps: a size that changes with each sample would make every queue
+/// look at the fleet anew.
+constexpr double factorSteps = 8.0;
+/// Beyond the mean, to hold what most tasks use at their peak.
+constexpr double deviationsAbove = 2.0;
+/// A difference that is not worth a correction.
+constexpr double deadBand = 0.1;
+
+constexpr std::uint32_t runsToBelieve = 4;
+
+// Prior of a failure chance: one in ten, worth ten outcomes.
+constexpr float priorFailures = 1.0F;
+constexpr float priorOutcomes = 10.0F;
+constexpr float successesForHalfTrust = 2.0F;
+constexpr float outcomesRemembered = 64.0F;
+
+std::int64_t scaled(std::int64_t amount, double factor)
+{
+    return static_cast<std::int64_t>(std::ceil(static_cast<double>(amount) * factor));
+}
+
+} // namespace
+
+void WorkProfile::usageMeasured(const Resources &need, const Resources &used)
+{
+    const auto ratio = [&need, &used](ResourceKind kind) {
+        return static_cast<double>(used[kind]) / static_cast<double>(need[kind]);
+    };
+    if (need[ResourceKind::MilliCores] > 0)
+        this->coreRatio.add(ratio(ResourceKind::MilliCores));
+    if (need[ResourceKind::MemoryMb] > 0)
+        this->memoryRatio.add(ratio(ResourceKind::MemoryMb));
+}
+
+void WorkProfile::runTimeMeasured(Microseconds runTime)
+{
+    this->runSeconds.add(std::chrono::duration<double>(runTime).count());
+}
+
+void WorkProfile::outcomeSeen(bool failed, double suspicion)
+{
+    // A target that fails everything must not make the work look bad, or its failures would soon
+    // no longer count against the target.
+    const float weight = static_cast<float>(1.0 / (1.0 + suspicion));
+    (failed ? this->failures : this->successes) += weight;
+    if (this->failures + this->successes > outcomesRemembered) {
+        this->failures /= 2;
+        this->successes /= 2;
+    }
+}
+
+double WorkProfile::factorOf(const MovingMean &ratio)
+{
+    if (ratio.count() < samplesToGrow)
+        return 1.0;
+    const double wanted = ratio.mean() + deviationsAbove * ratio.deviation();
+    if (wanted < 1.0 && ratio.count() < samplesToShrink)
+        return 1.0;
+    if (std::abs(wanted - 1.0) < deadBand)
+        return 1.0;
+    const double stepped = std::ceil(wanted * factorSteps - 1e-6) / factorSteps;
+    return std::clamp(stepped, minFactor, maxFactor);
+}
+
+Resources WorkProfile::corrected(const Resources &need) const
+{
+    Resources charge = need;
+    charge[ResourceKind::MilliCores] =
+        scaled(need[ResourceKind::MilliCores], factorOf(this->coreRatio));
+    charge[ResourceKind::MemoryMb] =
+        scaled(need[ResourceKind::MemoryMb], factorOf(this->memoryRatio));
+    return charge;
+}
+
+Microseconds WorkProfile::expectedRunTime(Microseconds declared) const
+{
+    if (this->runSeconds.count() < runsToBelieve)
+        return declared;
+    const double seconds = this->runSeconds.mean() + this->runSeconds.deviation();
+    return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(seconds));
+}
+
+double WorkProfile::failureChance() const
+{
+    return (this->failures + priorFailures) / (this->failures + this->successes + priorOutcomes);
+}
+
+double WorkProfile::trust() const
+{
+    return this->successes / (this->successes + successesForHalfTrust);
+}
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/test/decisions/propertytest.cpp
@@ -0,0 +1,48 @@
+#include <catch2/catch.hpp>
+
+#include "decisions/fairscheduler.h"
+#include "decisions/firstfitscheduler.h"
+#include "randomcell.h"
+
+using namespace guavavalve;
+using namespace guavavalve::testing;
+
+namespace {
+
+constexpr std::uint32_t seeds = 60;
+constexpr int steps = 2000;
+
+template<typename Kind>
+void keepInvariants(std::uint32_t seed, int stepCount)
+{
+    Kind scheduler;
+    RandomCell cell(scheduler, seed);
+    for (int step = 0; step < stepCount; ++step) {
+        cell.step();
+        INFO("seed " << seed << ", step " << step);
+        REQUIRE(cell.checked.broken.empty());
+        const Statistics statistics = scheduler.statistics();
+        std::size_t running = 0;
+        std::size_t waiting = 0;
+        for (const ClassStatistics &counts : statistics.classes) {
+            running += counts.running;
+            waiting += counts.waiting;
+        }
+        REQUIRE(running == cell.checked.placed.size());
+        REQUIRE(waiting == cell.checked.waiting.size());
+    }
+}
+
+} // namespace
+
+TEST_CASE("no random sequence of events breaks an invariant of the fair scheduler", "[property]")
+{
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+        keepInvariants<FairScheduler>(seed, steps);
+}
+
+TEST_CASE("no random sequence of events breaks an invariant of the first fit", "[property]")
+{
+    for (std::uint32_t seed = 1; seed <= 5; ++seed)
+        keepInvariants<FirstFitScheduler>(seed, 1000);
+}
