targets: the dispatcher; callers: submit, wait, status, answer, cancel

The dispatcher sends each attempt's start at most once and from then on only asks. An attempt that the target does not know is first refused for ever by the target, and only that promise is reported as never started: a connection error alone is not taken for it, because cpprestsdk sends a request again by itself when a pooled connection turns out closed, so 'refused' does not prove that no byte went before. Callers wait for the dispatcher here, or else for the controller's word and fetch the whole answer from the target that keeps it.

--- /dev/null
+++ b/src/callers/answerfetch.cpp
@@ -0,0 +1,77 @@
+#include "callers/answerfetch.h"
+
+#include "platform/timerqueue.h"
+#include "targets/targetclient.h"
+
+#include <memory>
+#include <utility>
+
+namespace guavavalve {
+
+namespace {
+
+constexpr Milliseconds pauseBetweenTries{100};
+
+class AnswerFetch : public std::enable_shared_from_this<AnswerFetch>
+{
+public:
+    AnswerFetch(TargetClient &targets, TimerQueue &timers, TaskStatus task, Instant deadline,
+                Done<std::string> done)
+        : targets(targets)
+        , timers(timers)
+        , task(std::move(task))
+        , deadline(deadline)
+        , done(std::move(done))
+    {}
+
+    void ask()
+    {
+        auto self = this->shared_from_this();
+        this->targets.ask(this->task.targetAddress, {this->task.task, this->task.attempt}, 0,
+                          Milliseconds(0),
+                          [self](const Result<AttemptReport> &report) { self->asked(report); });
+    }
+
+private:
+    void asked(const Result<AttemptReport> &report)
+    {
+        if (report && this->isCommittedAnswer(report.value())) {
+            this->done(report.value().answer);
+            return;
+        }
+        // A target that no longer knows will not know later either.
+        const bool hopeless = report.has_value() || report.error().code == ErrorCode::NotFound;
+        if (!hopeless && monotonicNow() + pauseBetweenTries < this->deadline) {
+            auto self = this->shared_from_this();
+            this->timers.runAfter(pauseBetweenTries, [self] { self->ask(); });
+            return;
+        }
+        Error error = failure(ErrorCode::IncompleteAnswer,
+                              "the task succeeded, but its target does not give its answer");
+        error.ran = Ran::Yes;
+        this->done(error);
+    }
+
+    bool isCommittedAnswer(const AttemptReport &report) const
+    {
+        return report.ended && report.outcome == AttemptOutcome::Succeeded
+            && report.answer.size() == this->task.answerLength
+            && report.answerDigest == this->task.answerDigest;
+    }
+
+    TargetClient &targets;
+    TimerQueue &timers;
+    TaskStatus task;
+    Instant deadline;
+    Done<std::string> done;
+};
+
+} // namespace
+
+void fetchAnswer(TargetClient &targets, TimerQueue &timers, const TaskStatus &task,
+                 Instant deadline, Done<std::string> done)
+{
+    std::make_shared<AnswerFetch>(targets, timers, task, deadline, std::move(done))->ask();
+}
+
+} // namespace guavavalve
--- a/src/targets/dispatcher.h
+++ b/src/targets/dispatcher.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "controller/attemptend.h"
 #include "controller/dispatchhandler.h"
 #include "core/clock.h"
 #include "core/ids.h"
+#include "targets/endedattempt.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -48,8 +49,7 @@
 class Dispatcher : public DispatchHandler
 {
 public:
-    /// Gets the committed end of a task and, if it succeeded, its whole answer.
-    using EndListener = std::function<void(const AttemptEnd &end, std::string answer)>;
+    using EndListener = std::function<void(const EndedAttempt &)>;
 
     /// All three outlive this and the calls that it has under way.
     Dispatcher(ControllerClient &controller, TargetClient &targets, TimerQueue &timers,
@@ -59,8 +59,10 @@
     void dispatch(std::vector<DispatchOrder> orders) override;
 
     /// Has \a listener called once when an attempt of \a task that is followed here has ended.
-    void listen(TaskId task, EndListener listener);
-    void stopListening(TaskId task);
+    /// Several may listen.
+    /// Returns what stopListening() takes.
+    std::uint64_t listen(TaskId task, EndListener listener);
+    void stopListening(TaskId task, std::uint64_t listening);
 
     DispatcherCounters counters() const;
 
--- /dev/null
+++ b/src/targets/followedattempt.cpp
@@ -0,0 +1,249 @@
+#include "targets/followedattempt.h"
+
+#include "controller/controllerclient.h"
+#include "platform/timerqueue.h"
+#include "targets/targetclient.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavavalve::internal {
+
+namespace {
+
+/// So often an answer that is not whole is asked for again; the target keeps it.
+constexpr int maxIncompleteAnswers = 3;
+
+bool isSuperseded(ErrorCode code)
+{
+    return code == ErrorCode::Conflict || code == ErrorCode::NotFound
+        || code == ErrorCode::InvalidArgument;
+}
+
+} // namespace
+
+FollowedAttempt::FollowedAttempt(std::shared_ptr<DispatchContext> context, DispatchOrder order,
+                                 Ended ended)
+    : context(std::move(context))
+    , order(std::move(order))
+    , tellEnded(std::move(ended))
+    , giveUpAt(monotonicNow() + this->context->options.longestFollow)
+    , waitMs(this->context->options.firstWait.count())
+    , backoff(this->context->options.firstBackoff, this->context->options.longestBackoff)
+{
+    this->outcome.end.task = this->order.task;
+    this->outcome.end.attempt = this->order.attempt;
+    this->outcome.followedFrom = monotonicNow();
+}
+
+void FollowedAttempt::start()
+{
+    this->watchDeadline();
+    ++this->context->started;
+    auto self = this->shared_from_this();
+    this->context->targets.start(
+        this->order, this->nextWait(),
+        [self](const Result<AttemptReport> &report) { self->asked(report); });
+    // The target has it or never will: what is sent from here on only asks.
+    this->order.payload.clear();
+    this->order.payload.shrink_to_fit();
+}
+
+void FollowedAttempt::follow()
+{
+    this->watchDeadline();
+    this->ask();
+}
+
+void FollowedAttempt::watchDeadline()
+{
+    if (this->order.finishWithinMs <= 0)
+        return;
+    // Held weakly: most attempts end long before their deadline.
+    this->context->timers.runAfter(Milliseconds(this->order.finishWithinMs),
+                                   [weak = this->weak_from_this()] {
+                                       if (auto self = weak.lock())
+                                           self->stop();
+                                   });
+}
+
+void FollowedAttempt::stop()
+{
+    if (!this->stopWanted.exchange(true))
+        this->requestStop();
+}
+
+void FollowedAttempt::throttle()
+{
+    this->context->targets.throttle(this->order.targetAddress,
+                                    {this->order.task, this->order.attempt},
+                                    [](const Result<AttemptReport> &) {});
+}
+
+void FollowedAttempt::checkpoint()
+{
+    auto self = this->shared_from_this();
+    this->context->targets.checkpoint(this->order.targetAddress,
+                                      {this->order.task, this->order.attempt},
+                                      [self](const Result<AttemptReport> &report) {
+                                          if (report && report.value().ended)
+                                              self->ended(report.value());
+                                      });
+}
+
+void FollowedAttempt::drop()
+{
+    this->dropped = true;
+}
+
+bool FollowedAttempt::isOver() const
+{
+    return this->dropped || this->learned;
+}
+
+Milliseconds FollowedAttempt::nextWait()
+{
+    const std::int64_t wait = this->waitMs;
+    this->waitMs = std::min(wait * 2, this->context->options.longestWait.count());
+    return Milliseconds(wait);
+}
+
+void FollowedAttempt::ask()
+{
+    if (this->isOver())
+        return;
+    auto self = this->shared_from_this();
+    this->context->targets.ask(
+        this->order.targetAddress, {this->order.task, this->order.attempt}, this->order.incarnation,
+        this->nextWait(), [self](const Result<AttemptReport> &report) { self->asked(report); });
+}
+
+void FollowedAttempt::asked(const Result<AttemptReport> &report)
+{
+    if (this->isOver())
+        return;
+    if (report) {
+        this->targetAnswered();
+        if (report.value().ended)
+            this->ended(report.value());
+        else
+            this->ask();
+        return;
+    }
+    if (report.error().code == ErrorCode::NotFound) {
+        // A start may still be under way, in a connection or in a frozen entry that wakes later.
+        // "Unknown" would then be true now and false in a moment; so the target first promises
+        // never to start it, and only its promise is reported.
+        this->stop();
+        return;
+    }
+    ++this->context->targetErrors;
+    if (report.error().code == ErrorCode::IncompleteAnswer
+        && ++this->incompleteAnswers >= maxIncompleteAnswers) {
+        AttemptReport broken;
+        broken.ended = true;
+        broken.outcome = AttemptOutcome::Failed;
+        broken.answer = report.error().message;
+        this->ended(broken);
+        return;
+    }
+    this->retry(&FollowedAttempt::ask);
+}
+
+void FollowedAttempt::targetAnswered()
+{
+    this->giveUpAt = monotonicNow() + this->context->options.longestFollow;
+    const std::lock_guard lock(this->mutex);
+    this->backoff.reset();
+}
+
+void FollowedAttempt::requestStop()
+{
+    if (this->isOver())
+        return;
+    auto self = this->shared_from_this();
+    this->context->targets.stop(
+        this->order.targetAddress, {this->order.task, this->order.attempt}, this->order.incarnation,
+        [self](const Result<AttemptReport> &report) { self->stopped(report); });
+}
+
+void FollowedAttempt::stopped(const Result<AttemptReport> &report)
+{
+    if (this->isOver())
+        return;
+    if (report && report.value().ended) {
+        this->ended(report.value());
+        return;
+    }
+    if (!report)
+        ++this->context->targetErrors;
+    this->retry(&FollowedAttempt::requestStop);
+}
+
+void FollowedAttempt::retry(void (FollowedAttempt::*step)())
+{
+    if (monotonicNow() > this->giveUpAt.load()) {
+        // The controller has long held the target's lease for lapsed.
+        this->drop();
+        ++this->context->superseded;
+        this->tellEnded(this->outcome);
+        return;
+    }
+    Microseconds delay{0};
+    {
+        const std::lock_guard lock(this->mutex);
+        delay = this->backoff.delay();
+    }
+    auto self = this->shared_from_this();
+    this->context->timers.runAfter(delay, [self, step] { ((*self).*step)(); });
+}
+
+void FollowedAttempt::ended(const AttemptReport &report)
+{
+    if (this->learned.exchange(true))
+        return;
+    this->outcome.end.outcome = report.outcome;
+    if (report.outcome == AttemptOutcome::Succeeded) {
+        this->outcome.end.answerLength = report.answer.size();
+        this->outcome.end.answerDigest = report.answerDigest;
+        this->outcome.answer = report.answer;
+    } else {
+        constexpr std::size_t maxMessageBytes = 1024;
+        this->outcome.end.message = report.answer.substr(0, maxMessageBytes);
+    }
+    this->report();
+}
+
+void FollowedAttempt::report()
+{
+    if (this->dropped)
+        return;
+    auto self = this->shared_from_this();
+    this->context->controller.attemptEnded(
+        this->outcome.end, monotonicNow() + this->context->options.reportTimeout,
+        [self](const Result<Nothing> &result) { self->reported(result); });
+}
+
+void FollowedAttempt::reported(const Result<Nothing> &result)
+{
+    if (this->dropped)
+        return;
+    if (!result && !isSuperseded(result.error().code)) {
+        ++this->context->reportRetries;
+        this->retry(&FollowedAttempt::report);
+        return;
+    }
+    if (!result)
+        ++this->context->superseded;
+    else if (this->outcome.end.outcome == AttemptOutcome::Succeeded)
+        ++this->context->succeeded;
+    else if (this->outcome.end.outcome == AttemptOutcome::NeverStarted)
+        ++this->context->neverStarted;
+    else
+        ++this->context->failed;
+    this->dropped = true;
+    this->outcome.committed = result.has_value();
+    this->tellEnded(this->outcome);
+}
+
+} // namespace guavavalve::internal
