targets, callers: the thin path works against the stand-in target

The stand-in target keeps the target contract and a ledger of what it really started, and can be told to break the contract.

--- a/src/callers/callerservice.cpp
+++ b/src/callers/callerservice.cpp
@@ -55,6 +55,7 @@
         HttpReply reply;
         CallerIdentity caller;
         Instant received;
+        bool waits = false; ///< the reply is to come at the job's end
     };
     using Handler = void (Private::*)(Request);
 
@@ -125,6 +126,7 @@
         return;
     }
     Request request;
+    request.waits = http.parameter("wait") == "true";
     request.http = std::move(http);
     request.caller = std::move(caller).value();
     request.received = monotonicNow();
@@ -166,7 +168,7 @@
     }
     SubmitReply accepted = std::move(result).value();
     ++(accepted.joined ? this->joined : this->accepted);
-    if (request.http.parameter("wait") == "true") {
+    if (request.waits) {
         this->wait(request, submit, std::move(accepted));
         return;
     }
@@ -216,7 +218,7 @@
         awaitEnd ? request.received + this->options.longestWait : this->controllerDeadline();
     auto self = this->shared_from_this();
     this->context.controller.jobStatus(
-        request.caller.team, job, awaitEnd, deadline,
+        request.caller.team, job, request.waits, deadline,
         [self, reply = request.reply](const Result<JobStatus> &status) {
             if (status)
                 reply(statusResponse(status.value(), 200));
--- /dev/null
+++ b/test/standin/main.cpp
@@ -0,0 +1,69 @@
+#include "platform/timerqueue.h"
+#include "standin/standintarget.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <csignal>
+#include <iostream>
+
+ABSL_FLAG(std::string, name, "target", "the target's identity, kept over its restarts");
+ABSL_FLAG(std::string, address, "127.0.0.1", "IP to listen on");
+ABSL_FLAG(uint16_t, port, 0, "port to listen on; 0: a free one");
+ABSL_FLAG(std::vector<std::string>, entries, {}, "entries (ip:port) to announce to, with commas");
+ABSL_FLAG(std::string, failure_domain, "domain-a", "failure domain");
+ABSL_FLAG(std::string, rack, "rack-1", "rack");
+ABSL_FLAG(int64_t, milli_cores, 16000, "processors, in thousandths of a core");
+ABSL_FLAG(int64_t, memory_mb, 32768, "memory in MB");
+ABSL_FLAG(int64_t, accelerators, 0, "accelerators");
+ABSL_FLAG(int64_t, slots, 8, "tasks at once");
+ABSL_FLAG(int64_t, connections, 64, "connections at once");
+ABSL_FLAG(int, run_ms, 0, "how long a task runs, unless its payload says runMs=N");
+ABSL_FLAG(uint64_t, answer_bytes, 0, "least length of an answer, unless answerBytes=N is said");
+ABSL_FLAG(int, announce_ms, 300, "between announcements");
+ABSL_FLAG(std::string, ledger, "", "file to which each real start is appended");
+
+namespace {
+
+standin::StandInOptions optionsFromFlags()
+{
+    standin::StandInOptions options;
+    options.name = absl::GetFlag(FLAGS_name);
+    options.address = absl::GetFlag(FLAGS_address);
+    options.port = absl::GetFlag(FLAGS_port);
+    options.entries = absl::GetFlag(FLAGS_entries);
+    options.failureDomain = absl::GetFlag(FLAGS_failure_domain);
+    options.rack = absl::GetFlag(FLAGS_rack);
+    options.total = {{absl::GetFlag(FLAGS_milli_cores), absl::GetFlag(FLAGS_memory_mb),
+                      absl::GetFlag(FLAGS_accelerators), absl::GetFlag(FLAGS_slots),
+                      absl::GetFlag(FLAGS_connections)}};
+    options.runMs = absl::GetFlag(FLAGS_run_ms);
+    options.answerBytes = absl::GetFlag(FLAGS_answer_bytes);
+    options.announceMs = absl::GetFlag(FLAGS_announce_ms);
+    options.ledgerPath = absl::GetFlag(FLAGS_ledger);
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    // Blocked before any thread begins, so that every thread leaves them to sigwait().
+    sigset_t ending;
+    sigemptyset(&ending);
+    sigaddset(&ending, SIGTERM);
+    sigaddset(&ending, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &ending, nullptr);
+
+    guavavalve::TimerQueue timers;
+    standin::StandInTarget target(timers, optionsFromFlags());
+    if (const auto started = target.start(); !started) {
+        std::cerr << started.error().message << '\n';
+        return 1;
+    }
+    std::cout << "listening " << target.address() << std::endl;
+    int signal = 0;
+    sigwait(&ending, &signal);
+    return 0;
+}
