Operators and tool: tests over a real state, the routes and the tool's own command line

A failed try: saving flags inside the tool itself writes lines to the standard error; moved to the test. The state refuses to withdraw the last operator's key; the tests grant a spare one first.

--- a/src/tool/cellcommands.cpp
+++ b/src/tool/cellcommands.cpp
@@ -106,7 +106,7 @@
 
 } // namespace
 
-std::vector<Command> cellCommands()
+std::vector<ToolCommand> cellCommands()
 {
     return {
         {"status",
--- a/src/tool/commandgroups.h
+++ b/src/tool/commandgroups.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "tool/command.h"
+#include "tool/toolcommand.h"
 
 #include <vector>
 
 namespace guavavalve {
 
-std::vector<Command> configurationCommands();
-std::vector<Command> keyCommands();
-std::vector<Command> cellCommands();
-std::vector<Command> replicaCommands();
-std::vector<Command> jobCommands();
-std::vector<Command> replayCommands();
+std::vector<ToolCommand> configurationCommands();
+std::vector<ToolCommand> keyCommands();
+std::vector<ToolCommand> cellCommands();
+std::vector<ToolCommand> replicaCommands();
+std::vector<ToolCommand> jobCommands();
+std::vector<ToolCommand> replayCommands();
 
 } // namespace guavavalve
--- a/src/tool/configurationcommands.cpp
+++ b/src/tool/configurationcommands.cpp
@@ -178,7 +178,7 @@
 
 } // namespace
 
-std::vector<Command> configurationCommands()
+std::vector<ToolCommand> configurationCommands()
 {
     constexpr std::size_t many = 4000;
     return {
--- a/src/tool/help.cpp
+++ b/src/tool/help.cpp
@@ -16,18 +16,18 @@
     return names;
 }
 
-std::string synopsis(const Command &command)
+std::string synopsis(const ToolCommand &command)
 {
     return command.name + (command.arguments.empty() ? "" : " " + command.arguments);
 }
 
-std::string commandList(const std::vector<const Command *> &listed)
+std::string commandList(const std::vector<const ToolCommand *> &listed)
 {
     std::size_t width = 0;
-    for (const Command *command : listed)
+    for (const ToolCommand *command : listed)
         width = std::max(width, synopsis(*command).size());
     std::string text;
-    for (const Command *command : listed) {
+    for (const ToolCommand *command : listed) {
         std::string line = "  " + synopsis(*command);
         line.append(width + 4 - line.size(), ' ');
         text += line + command->summary + "\n";
@@ -63,8 +63,8 @@
 
 std::string generalHelp()
 {
-    std::vector<const Command *> all;
-    for (const Command &command : commands())
+    std::vector<const ToolCommand *> all;
+    for (const ToolCommand &command : toolCommands())
         all.push_back(&command);
     return "guavavalve COMMAND [ARGUMENT ...] [--FLAG=VALUE ...]\n\nCommands:\n" + commandList(all)
         + "  help [COMMAND]       Shows this, or the help of a command.\n"
@@ -73,7 +73,7 @@
         + flagList(generalFlags()) + "\n" + exitCodeList();
 }
 
-std::string commandHelp(const Command &command)
+std::string commandHelp(const ToolCommand &command)
 {
     std::string text =
         "guavavalve " + synopsis(command) + "\n\n" + command.summary + "\n\nFlags:\n";
@@ -87,8 +87,8 @@
     // The longest run of words that names a command, or the beginning of some.
     for (std::size_t count = words.size(); count > 0; --count) {
         const std::string name = join({words.begin(), words.begin() + static_cast<long>(count)});
-        std::vector<const Command *> below;
-        for (const Command &command : commands()) {
+        std::vector<const ToolCommand *> below;
+        for (const ToolCommand &command : toolCommands()) {
             if (command.name == name)
                 return commandHelp(command);
             if (command.name.compare(0, name.size() + 1, name + " ") == 0)
--- a/src/tool/help.h
+++ b/src/tool/help.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tool/command.h"
+#include "tool/toolcommand.h"
 
 #include <string>
 #include <vector>
@@ -11,7 +11,7 @@
 std::string generalHelp();
 
 /// The help of one command.
-std::string commandHelp(const Command &command);
+std::string commandHelp(const ToolCommand &command);
 
 /// What help there is for the words of a command line: of one command, of those that begin with
 /// these words, or the general one.
--- a/src/tool/jobcommands.cpp
+++ b/src/tool/jobcommands.cpp
@@ -3,7 +3,7 @@
 
 namespace guavavalve {
 
-std::vector<Command> jobCommands()
+std::vector<ToolCommand> jobCommands()
 {
     return {};
 }
--- a/src/tool/keycommands.cpp
+++ b/src/tool/keycommands.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-std::vector<Command> keyCommands()
+std::vector<ToolCommand> keyCommands()
 {
     return {
         {"keys grant",
--- a/src/tool/replaycommand.cpp
+++ b/src/tool/replaycommand.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-std::vector<Command> replayCommands()
+std::vector<ToolCommand> replayCommands()
 {
     constexpr std::size_t many = 1000;
     return {{"replay",
--- a/src/tool/replicacommands.cpp
+++ b/src/tool/replicacommands.cpp
@@ -80,7 +80,7 @@
 
 } // namespace
 
-std::vector<Command> replicaCommands()
+std::vector<ToolCommand> replicaCommands()
 {
     constexpr std::size_t mostReplicas = 9;
     return {
--- a/src/tool/command.h
+++ b/src/tool/toolcommand.h
@@ -11,7 +11,7 @@
 class ToolContext;
 
 /// One command of the tool, as its help and its dispatch know it.
-struct Command
+struct ToolCommand
 {
     std::string name; ///< its words: "keys grant"
     std::string arguments; ///< as shown in help: "SECTION FILE"
@@ -23,6 +23,6 @@
 };
 
 /// Every command, in the order of the help.
-const std::vector<Command> &commands();
+const std::vector<ToolCommand> &toolCommands();
 
 } // namespace guavavalve
--- a/src/tool/commands.cpp
+++ b/src/tool/toolcommands.cpp
@@ -1,4 +1,4 @@
-#include "tool/command.h"
+#include "tool/toolcommand.h"
 
 #include "tool/commandgroups.h"
 
@@ -8,15 +8,15 @@
 
 namespace {
 
-void append(std::vector<Command> &all, std::vector<Command> group)
+void append(std::vector<ToolCommand> &all, std::vector<ToolCommand> group)
 {
     all.insert(all.end(), std::make_move_iterator(group.begin()),
                std::make_move_iterator(group.end()));
 }
 
-std::vector<Command> collectCommands()
+std::vector<ToolCommand> collectCommands()
 {
-    std::vector<Command> all;
+    std::vector<ToolCommand> all;
     append(all, cellCommands());
     append(all, jobCommands());
     append(all, configurationCommands());
@@ -28,9 +28,9 @@
 
 } // namespace
 
-const std::vector<Command> &commands()
+const std::vector<ToolCommand> &toolCommands()
 {
-    static const std::vector<Command> all = collectCommands();
+    static const std::vector<ToolCommand> all = collectCommands();
     return all;
 }
 
--- a/src/tool/toolmain.cpp
+++ b/src/tool/toolmain.cpp
@@ -1,7 +1,7 @@
 #include "tool/toolmain.h"
 
-#include "tool/command.h"
 #include "tool/help.h"
+#include "tool/toolcommand.h"
 #include "tool/toolcontext.h"
 #include "tool/toolflags.h"
 
@@ -87,7 +87,7 @@
     return key;
 }
 
-std::string checkArguments(const Command &command, std::size_t given)
+std::string checkArguments(const ToolCommand &command, std::size_t given)
 {
     if (given >= command.minArguments && given <= command.maxArguments)
         return "";
@@ -118,7 +118,7 @@
         return end(context.usage(line.problem));
     if (!format)
         return end(context.usage("--output must be table or json"));
-    for (const Command &command : commands()) {
+    for (const ToolCommand &command : toolCommands()) {
         std::size_t wordsOfName = 0;
         if (!startsWith(line.words, command.name, wordsOfName))
             continue;
--- /dev/null
+++ b/test/operators/operatorbench.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "controller/clusterstatemachine.h"
+#include "controller/operatorservice.h"
+#include "decisions/scheduler.h"
+#include "operators/operatoridentification.h"
+#include "operators/operatorroutes.h"
+#include "platform/httpserver.h"
+#include "replicas/inmemorylog.h"
+#include "state/clusterstate.h"
+#include "state/keyrecord.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace guavavalve {
+
+/// One replica's state behind the operators' service and routes, with no scheduler or targets.
+class OperatorBench
+{
+public:
+    static constexpr const char *secret = "a cluster secret for tests";
+
+    OperatorBench()
+        : log(machine)
+        , service(hooks())
+        , server(HttpServerOptions())
+    {
+        OperatorRoutesOptions options;
+        options.client = &this->service;
+        options.identify = [this](const std::string &token) {
+            return identifyOperator(token, secret,
+                                    [this](const std::string &id) { return this->key(id); });
+        };
+        options.form = [this](FormGroupRequest, Instant, Done<ReplicaStatus> done) {
+            ++this->formed;
+            done(this->log.status());
+        };
+        options.ownStatus = [this] { return this->log.status(); };
+        addOperatorRoutes(this->server, std::move(options));
+        REQUIRE(this->server.start());
+    }
+    ~OperatorBench() { this->server.close(); }
+    OperatorBench(const OperatorBench &) = delete;
+    OperatorBench &operator=(const OperatorBench &) = delete;
+
+    /// What the question gives when \a who asks it.
+    template<typename Question>
+    Result<typename Question::Reply> ask(const OperatorIdentity &who, Question question)
+    {
+        std::optional<Result<typename Question::Reply>> outcome;
+        guavavalve::ask(this->service, who, std::move(question), Instant::max(),
+                        [&outcome](auto result) { outcome = std::move(result); });
+        REQUIRE(outcome.has_value());
+        return std::move(*outcome);
+    }
+
+    /// Applies a command that needs no operator.
+    CommandValue apply(Command command)
+    {
+        std::optional<Result<CommandValue>> outcome;
+        this->propose(std::move(command), [&outcome](auto result) { outcome = std::move(result); });
+        REQUIRE(outcome.has_value());
+        REQUIRE(outcome->has_value());
+        return outcome->value();
+    }
+
+    std::optional<KeyRecord> key(const std::string &id) const
+    {
+        return this->machine.read([&id](const ClusterState &state) {
+            const KeyRecord *record = state.configuration().key(id);
+            return record != nullptr ? std::optional<KeyRecord>(*record) : std::nullopt;
+        });
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->server.port()); }
+    static std::string clusterToken() { return std::string("cluster-secret:") + secret; }
+    static OperatorIdentity clusterHolder() { return {OperatorService::clusterKeyId, "", true}; }
+
+    /// Grants an operator's key.
+    OperatorIdentity makeOperator()
+    {
+        const auto granted =
+            this->ask(clusterHolder(), GrantKeyRequest{"", true, "", "make-operator"});
+        REQUIRE(granted);
+        this->operatorToken = granted.value().token;
+        return {granted.value().keyId, "", true};
+    }
+
+    /// The last operator's key cannot be withdrawn: there has to be another.
+    void grantSpareOperator()
+    {
+        REQUIRE(this->ask(clusterHolder(), GrantKeyRequest{"", true, "", "spare"}));
+    }
+
+    ClusterStateMachine machine;
+    InMemoryLog log;
+    std::vector<InstanceConfiguration> instances;
+    OperatorService service;
+    HttpServer server;
+    std::string operatorToken;
+    int formed = 0;
+
+private:
+    void propose(Command command, const Done<CommandValue> &done)
+    {
+        CommandBatch batch;
+        batch.commands.push_back(std::move(command));
+        const auto bytes = encodeBatch(batch);
+        REQUIRE(bytes);
+        this->log.propose(bytes.value(), [&done](Result<std::string> applied) {
+            REQUIRE(applied);
+            const auto outcomes = decodeOutcomes(applied.value());
+            REQUIRE(outcomes);
+            done(outcomes.value().front());
+        });
+    }
+
+    OperatorHooks hooks()
+    {
+        OperatorHooks result;
+        result.readState = [this](const OperatorHooks::StateReader &reader) {
+            this->machine.read([&reader](const ClusterState &state) { reader(state); });
+        };
+        result.propose = [this](Command command, Done<CommandValue> done) {
+            this->propose(std::move(command), done);
+        };
+        result.instances = [this] { return this->instances; };
+        result.explain = [](TaskId) { return Explanation(); };
+        result.statistics = [] { return Statistics(); };
+        result.jobStatus = [](JobId) -> Result<JobStatus> {
+            return failure(ErrorCode::NotFound, "no such job");
+        };
+        result.cellTimeMs = [] { return std::int64_t{1}; };
+        result.clusterSecret = secret;
+        result.log = &this->log;
+        return result;
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/test/tool/tooltest.cpp
@@ -0,0 +1,180 @@
+#include "operators/operatorbench.h"
+#include "tool/help.h"
+#include "tool/toolmain.h"
+
+#include <absl/flags/reflection.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace guavavalve;
+
+namespace {
+
+struct Outcome
+{
+    int code = 0;
+    std::string out;
+    std::string err;
+};
+
+Outcome run(std::vector<std::string> arguments)
+{
+    // Flags are the process's; what one run sets ends with it. Not in the tool itself: the
+    // restoring writes lines to the standard error.
+    const absl::FlagSaver saver;
+    std::ostringstream out;
+    std::ostringstream err;
+    const int code = runTool(arguments, out, err);
+    return {code, out.str(), err.str()};
+}
+
+/// Runs the tool against \a bench with \a key.
+Outcome runAt(const OperatorBench &bench, const std::string &key,
+              std::vector<std::string> arguments)
+{
+    arguments.push_back("--server=" + bench.address());
+    arguments.push_back("--key=" + key);
+    return run(std::move(arguments));
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+class TemporaryFile
+{
+public:
+    explicit TemporaryFile(const std::string &content)
+    {
+        REQUIRE(mkstemp(this->path.data()) >= 0);
+        std::ofstream(this->path) << content;
+    }
+    ~TemporaryFile() { std::remove(this->path.c_str()); }
+    TemporaryFile(const TemporaryFile &) = delete;
+    TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+    std::string path = "/tmp/guavavalve-tool-XXXXXX";
+};
+
+/// "KEYID:SECRET" without the line's end.
+std::string trimmed(const std::string &text)
+{
+    return text.substr(0, text.find('\n'));
+}
+
+} // namespace
+
+TEST_CASE("Every command of the tool has help that names its flags")
+{
+    for (const ToolCommand &command : toolCommands()) {
+        INFO(command.name);
+        std::vector<std::string> words;
+        std::istringstream stream(command.name);
+        for (std::string word; stream >> word;)
+            words.push_back(word);
+        words.emplace_back("--help");
+        const Outcome outcome = run(words);
+        CHECK(outcome.code == 0);
+        CHECK(contains(outcome.out, command.summary));
+        for (const std::string &flag : command.flags)
+            CHECK(contains(outcome.out, "--" + flag.substr(0, flag.find('_'))));
+        CHECK(contains(outcome.out, "Exit codes:"));
+    }
+}
+
+TEST_CASE("A wrong command line is answered with what to mend and sends nothing")
+{
+    CHECK(run({}).code == 2);
+    CHECK(run({"config", "nonsense"}).code == 2);
+    CHECK(contains(run({"status", "--nonsense=1"}).err, "there is no flag --nonsense"));
+    CHECK(contains(run({"teams", "--timeout-ms=soon"}).err, "timeout"));
+    CHECK(contains(run({"keys", "withdraw"}).err, "use: guavavalve keys withdraw KEYID"));
+    CHECK(contains(run({"form", "a=1:2", "b=1:3"}).err, "odd number"));
+    CHECK(run({"status", "--output=xml"}).code == 2);
+}
+
+TEST_CASE("An entry that is not there is passed over for the next one")
+{
+    OperatorBench bench;
+    bench.makeOperator();
+    const Outcome outcome = run({"keys", "list", "--key=" + bench.operatorToken,
+                                 "--server=127.0.0.1:1," + bench.address()});
+    CHECK(outcome.code == 0);
+    CHECK(contains(outcome.out, "operator"));
+    const Outcome none = run({"keys", "list", "--key=x:y", "--server=127.0.0.1:1"});
+    CHECK(none.code == 5);
+    CHECK(contains(none.err, "(ran: no)"));
+}
+
+TEST_CASE("The tool takes a new cell from its forming to a team's key")
+{
+    OperatorBench bench;
+    const Outcome formed =
+        runAt(bench, OperatorBench::clusterToken(), {"form", "r1=127.0.0.1:7001"});
+    CHECK(formed.code == 0);
+    CHECK(bench.formed == 1);
+    const Outcome granted =
+        runAt(bench, OperatorBench::clusterToken(), {"keys", "grant", "--role=operator"});
+    REQUIRE(granted.code == 0);
+    const std::string boss = trimmed(granted.out);
+
+    const TemporaryFile section(R"({"description":"mill orders","share":300})");
+    CHECK(runAt(bench, boss, {"config", "check", "team.mill", section.path}).code == 0);
+    const Outcome preview = runAt(bench, boss, {"config", "preview", "team.mill", section.path});
+    CHECK(contains(preview.out, "300"));
+    const Outcome set = runAt(bench, boss, {"config", "set", "team.mill", section.path});
+    CHECK(set.code == 0);
+    CHECK(contains(set.out, "team.mill is now version 1"));
+    CHECK(contains(runAt(bench, boss, {"config", "show"}).out, "mill orders"));
+    CHECK(contains(runAt(bench, boss, {"config", "history", "team.mill"}).out, "1 "));
+
+    const Outcome team = runAt(bench, boss, {"keys", "grant", "--team=mill", "--label=floor 2"});
+    REQUIRE(team.code == 0);
+    const Outcome denied = runAt(bench, trimmed(team.out), {"keys", "withdraw", boss});
+    CHECK(denied.code == 3);
+    CHECK(contains(denied.err, "permission-denied"));
+    CHECK(runAt(bench, boss, {"keys", "withdraw", trimmed(team.out)}).code == 0);
+    CHECK(contains(runAt(bench, boss, {"keys", "list"}).out, "floor 2"));
+    CHECK(runAt(bench, trimmed(team.out), {"keys", "list"}).code == 3);
+}
+
+TEST_CASE("Programs get JSON and exit codes that tell a lost race from a refusal")
+{
+    OperatorBench bench;
+    bench.makeOperator();
+    const TemporaryFile section(R"({"description":"tours"})");
+    const std::vector<std::string> set{
+        "config", "set", "team.tours", section.path, "--base-version=0", "--output=json"};
+    const Outcome first = runAt(bench, bench.operatorToken, set);
+    REQUIRE(first.code == 0);
+    CHECK(nlohmann::json::parse(first.out)["version"] == 1);
+    const Outcome lost = runAt(bench, bench.operatorToken, set);
+    CHECK(lost.code == 4);
+    CHECK(nlohmann::json::parse(lost.err)["error"] == "conflict");
+    const TemporaryFile wrong(R"({"share":"much"})");
+    const Outcome refused =
+        runAt(bench, bench.operatorToken, {"config", "set", "team.tours", wrong.path});
+    CHECK(refused.code == 3);
+    CHECK(contains(refused.err, "share"));
+}
+
+TEST_CASE("The tool shows the cell at a glance")
+{
+    OperatorBench bench;
+    bench.makeOperator();
+    bench.instances = {{"e1", 0, true}};
+    const Outcome status = runAt(bench, bench.operatorToken, {"status"});
+    CHECK(status.code == 0);
+    CHECK(contains(status.out, "leader"));
+    CHECK(contains(status.out, "behind: e1"));
+    CHECK(contains(status.out, "nothing waits"));
+    CHECK(runAt(bench, bench.operatorToken, {"teams"}).code == 0);
+    CHECK(runAt(bench, bench.operatorToken, {"targets", "list"}).code == 0);
+    CHECK(runAt(bench, bench.operatorToken, {"replicas", "status"}).code == 0);
+    CHECK(runAt(bench, bench.operatorToken, {"config", "in-force"}).code == 0);
+}
