--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -6,6 +6,7 @@
 #include "core/attemptoutcome.h"
 #include "decisions/decision.h"
 #include "decisions/explanation.h"
+#include "decisions/fairscheduler.h"
 #include "decisions/firstfitscheduler.h"
 #include "decisions/policy.h"
 #include "decisions/reason.h"
