--- a/src/operators/operatorroutes.cpp
+++ b/src/operators/operatorroutes.cpp
@@ -3,6 +3,7 @@
 #include "controller/operatorclient.h"
 #include "operators/operatorjson.h"
 #include "operators/questionparsing.h"
+#include "platform/bearertoken.h"
 #include "platform/httperror.h"
 #include "platform/httpserver.h"
 
--- a/src/tool/toolcontext.cpp
+++ b/src/tool/toolcontext.cpp
@@ -91,6 +91,12 @@
     return exitCodeOf(error);
 }
 
+void ToolContext::note(const std::string &text) const
+{
+    if (!this->forPrograms())
+        this->err << text << "\n";
+}
+
 ExitCode ToolContext::usage(const std::string &message) const
 {
     this->err << "guavavalve: " << message << "\n";
--- a/src/tool/toolcontext.h
+++ b/src/tool/toolcontext.h
@@ -42,6 +42,8 @@
     ExitCode usage(const std::string &message) const;
 
     void print(const std::string &text) const { this->out << text; }
+    /// A remark beside what was asked for: to the standard error, and for people only.
+    void note(const std::string &text) const;
     bool forPrograms() const { return this->format == OutputFormat::Json; }
 
 private:
