Demo script, and jobs as the callers' interface has them

Cause: the demo needs the whole path; written beforehand against the settings table and the callers' headers. Not run yet: the daemon and the stand-in target are still to come.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,228 @@
+#!/usr/bin/env bash
+# Runs a small cell on this machine and serves real requests through it: three entries, each with
+# a replica and in a failure domain of its own, and four stand-in targets. At the end the
+# controller is killed and the cell serves on. Usage: demo.sh BUILD_FOLDER
+set -u
+cd "$(dirname "$0")/.."
+build="${1:-build}"
+tool="$build/guavavalve"
+folder="$(mktemp -d)"
+domains=(regina saskatoon brandon)
+
+declare -A pids # of the processes that this script has started, by name
+served=0
+asked=0
+
+stop_all() {
+    trap - EXIT INT TERM
+    local name
+    for name in "${!pids[@]}"; do kill -TERM "${pids[$name]}" 2>/dev/null; done
+    for _ in $(seq 100); do
+        local left=0
+        for name in "${!pids[@]}"; do kill -0 "${pids[$name]}" 2>/dev/null && left=1; done
+        [ "$left" -eq 0 ] && break
+        sleep 0.1
+    done
+    for name in "${!pids[@]}"; do kill -KILL "${pids[$name]}" 2>/dev/null; done
+    wait 2>/dev/null
+    rm -rf "$folder"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+fail() {
+    echo "demo: $*" >&2
+    for log in "$folder"/*.log; do
+        echo "--- the end of $(basename "$log")" >&2
+        tail -n 5 "$log" >&2
+    done
+    exit 1
+}
+
+# Prints a port on which nobody listens, and which was not printed before.
+port=$((20000 + RANDOM % 20000))
+free_port() {
+    port=$((port + 1))
+    while (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; do port=$((port + 1)); done
+}
+
+# Waits until a command succeeds, at most half a minute.
+wait_until() {
+    local what="$1"
+    shift
+    for _ in $(seq 300); do
+        "$@" >/dev/null 2>&1 && return
+        sleep 0.1
+    done
+    fail "waited in vain until $what"
+}
+
+start() {
+    local name="$1"
+    shift
+    "$@" >"$folder/$name.log" 2>&1 &
+    pids[$name]=$!
+}
+
+write_settings() {
+    local i="$1"
+    cat >"$folder/${domains[$i]}.json" <<JSON
+{
+  "instance": "entry-${domains[$i]}",
+  "failureDomain": "${domains[$i]}",
+  "cluster": {
+    "id": "demo",
+    "secretFile": "$folder/secret",
+    "dataFolder": "$folder/${domains[$i]}",
+    "replicas": ["${messengers[0]}", "${messengers[1]}", "${messengers[2]}"]
+  },
+  "callers": {"listen": "${entries[$i]}"},
+  "messenger": {"listen": "${messengers[$i]}"}
+}
+JSON
+}
+
+start_entries() {
+    local secret i
+    secret="$(od -An -N24 -tx1 /dev/urandom | tr -d ' \n')"
+    (umask 077 && printf '%s' "$secret" >"$folder/secret")
+    cluster_key="cluster-secret:$secret"
+    entries=() messengers=()
+    for i in 0 1 2; do
+        free_port; entries+=("127.0.0.1:$port")
+        free_port; messengers+=("127.0.0.1:$port")
+    done
+    for i in 0 1 2; do
+        write_settings "$i"
+        mkdir "$folder/${domains[$i]}"
+        start "entry-${domains[$i]}" "$build/guavavalved" "--settings=$folder/${domains[$i]}.json"
+    done
+    servers="${entries[0]},${entries[1]},${entries[2]}"
+    for i in 0 1 2; do
+        wait_until "entry ${domains[$i]} is up" curl -sf "http://${entries[$i]}/healthz"
+    done
+}
+
+as_operator() { "$tool" "$@" "--server=$servers" "--key=$operator_key"; }
+
+form_and_configure() {
+    "$tool" form "entry-${domains[0]}=${messengers[0]}" "entry-${domains[1]}=${messengers[1]}" \
+        "entry-${domains[2]}=${messengers[2]}" "--server=$servers" "--key=$cluster_key" \
+        >"$folder/form.log" 2>&1 || fail "the group was not formed: $(cat "$folder/form.log")"
+    wait_until "a controller leads" "$tool" keys list "--server=$servers" "--key=$cluster_key"
+    operator_key="$("$tool" keys grant --role=operator "--server=$servers" "--key=$cluster_key")" \
+        || fail "no operator's key was granted"
+    local team
+    echo '{"promptHeadroomPercent": 10}' >"$folder/cell.section"
+    echo '{"description": "status checks of the mill floor", "share": 300}' >"$folder/floor.section"
+    echo '{"description": "draw-schedule builds", "share": 100}' >"$folder/builds.section"
+    as_operator config set cell "$folder/cell.section" || fail "the cell's section was refused"
+    for team in floor builds; do
+        as_operator config set "team.$team" "$folder/$team.section" || fail "team.$team was refused"
+    done
+    floor_key="$(as_operator keys grant --team=floor)" || fail "no key for team floor"
+    builds_key="$(as_operator keys grant --team=builds)" || fail "no key for team builds"
+}
+
+start_targets() {
+    local i
+    for i in 0 1 2 3; do
+        start "target-$i" "$build/standintarget" "--name=target-$i" "--entries=$servers" \
+            "--failure_domain=${domains[$((i % 3))]}" "--rack=rack-$((i % 2))"
+    done
+    wait_until "four targets are ready" four_targets_ready
+    wait_until "the configuration is in force everywhere" in_force_everywhere
+    local i
+    for i in 0 1 2; do
+        wait_until "entry ${domains[$i]} is ready" curl -sf "http://${entries[$i]}/readyz"
+    done
+}
+
+four_targets_ready() { [ "$(as_operator targets list | grep -c ' ready ')" -eq 4 ]; }
+in_force_everywhere() { as_operator config in-force | grep -q 'in force everywhere'; }
+
+# send ENTRY KEY PATH [CURL ARGUMENTS]: leaves status, headers and body in files.
+send() {
+    local entry="$1" key="$2" path="$3"
+    shift 3
+    status="$(curl -s -m 30 -o "$folder/body" -D "$folder/headers" -w '%{http_code}' \
+        -H "Authorization: Bearer $key" "$@" "http://$entry$path")"
+}
+header() { sed -n "s/^$1: *//Ip" "$folder/headers" | tr -d '\r'; }
+field() { grep -oE "\"$1\":\"?[^\",}]*" "$folder/body" | head -1 | sed -E 's/^[^:]*:"?//'; }
+
+# outcome WHAT EXPECTED FOUND [REMARK]: prints a request's outcome and counts it.
+outcome() {
+    asked=$((asked + 1))
+    local mark=wrong
+    if [ "$2" = "$3" ]; then
+        served=$((served + 1))
+        mark=ok
+    fi
+    printf '%-34s %-26s %s %s\n' "$1" "$3" "${4:-}" "$mark"
+}
+
+prompt_request() {
+    local what="$1" entry="$2"
+    send "$entry" "$floor_key" '/v1/jobs?wait=true' -H 'Guavavalve-Class: prompt' \
+        -H 'Guavavalve-Start-Within-Ms: 10000' --data-binary 'how far is coil line 7?'
+    local whole="$status"
+    [ "$(header content-length)" = "$(stat -c %s "$folder/body")" ] || whole="cut short"
+    outcome "$what" 200 "$whole" "waited $(header guavavalve-waited-ms) ms"
+}
+
+batch_request() {
+    local what="$1" entry="$2" job
+    send "$entry" "$builds_key" /v1/jobs -H 'Guavavalve-Class: batch' --data-binary 'schedule'
+    job="$(field job)"
+    send "$entry" "$builds_key" "/v1/jobs/$job?wait=true"
+    outcome "$what" "200 succeeded" "$status $(field state)" "waited $(field waitedMs) ms"
+}
+
+gang_request() {
+    local entry="$1"
+    send "$entry" "$builds_key" '/v1/jobs?wait=true' -H 'Guavavalve-Class: gang' \
+        -H 'Guavavalve-Tasks: 3' --data-binary 'three at once'
+    local done_tasks
+    done_tasks="$(grep -o '"state":"succeeded"' "$folder/body" | wc -l)"
+    outcome "all at once, three tasks" "200 with 3 succeeded" "$status with $done_tasks succeeded" \
+        "waited $(field waitedMs) ms"
+}
+
+refused_requests() {
+    local entry="$1"
+    send "$entry" "key-none:wrong" '/v1/jobs?wait=true' --data-binary 'x'
+    outcome "with a wrong key" "401 ran no" "$status ran $(field ran)"
+    send "$entry" "$builds_key" '/v1/jobs?wait=true' -H 'Guavavalve-Class: batch' \
+        -H 'Guavavalve-Need: slots=1000' --data-binary 'x'
+    outcome "larger than any target" "422 never-fits ran no" "$status $(field error) ran $(field ran)"
+}
+
+kill_the_controller() {
+    local leader i
+    leader="$(as_operator replicas status | sed -n 's/^leader \([^,]*\),.*/\1/p')"
+    [ -n "${pids[$leader]:-}" ] || fail "nobody knows who leads"
+    echo "killing the controller, $leader, with SIGKILL"
+    kill -KILL "${pids[$leader]}"
+    wait "${pids[$leader]}" 2>/dev/null
+    unset "pids[$leader]"
+    for i in 0 1 2; do
+        [ "entry-${domains[$i]}" = "$leader" ] || survivor="${entries[$i]}"
+    done
+    wait_until "another controller leads" as_operator status
+    wait_until "an entry that is left is ready" curl -sf "http://$survivor/readyz"
+}
+
+start_entries
+form_and_configure
+start_targets
+prompt_request "prompt, answered whole" "${entries[0]}"
+batch_request "batch" "${entries[1]}"
+gang_request "${entries[2]}"
+refused_requests "${entries[0]}"
+kill_the_controller
+prompt_request "prompt, under the new controller" "$survivor"
+batch_request "batch, under the new controller" "$survivor"
+
+echo "demo: served $served of $asked"
+[ "$served" -eq "$asked" ] || fail "some outcomes were not as they should be"
--- a/src/tool/jobcommands.cpp
+++ b/src/tool/jobcommands.cpp
@@ -84,12 +84,13 @@
         return context.fail(payload.error());
     ToolRequest request = submission(payload.value());
     if (!absl::GetFlag(FLAGS_wait)) {
-        request.path += "?wait=false";
-        return showStatus(context, request);
+        return context.show(request, [&](const json &accepted) {
+            context.print(accepted["job"].get<std::string>() + "\n");
+        });
     }
-    if (absl::GetFlag(FLAGS_tasks) == 1)
-        return printAnswer(context, request);
-    return showStatus(context, request);
+    request.path += "?wait=true";
+    return absl::GetFlag(FLAGS_tasks) == 1 ? printAnswer(context, request)
+                                           : showStatus(context, request);
 }
 
 std::string jobPath(const std::string &job)
@@ -156,7 +157,7 @@
          "[FILE]",
          0,
          1,
-         "Submits a job whose payload is FILE or the standard input.",
+         "Submits a job, whose payload is FILE or the standard input, and prints its number.",
          {"class", "tasks", "milli_cores", "memory_mb", "accelerators", "slots", "connections",
           "repeatable", "start_within_ms", "finish_within_ms", "run_time_ms", "wait", "request_id"},
          submit},
--- a/src/tool/toolflags.cpp
+++ b/src/tool/toolflags.cpp
@@ -27,7 +27,7 @@
 ABSL_FLAG(std::int64_t, memory_mb, 0, "memory for each task, in MB");
 ABSL_FLAG(std::int64_t, accelerators, 0, "accelerators for each task");
 ABSL_FLAG(std::int64_t, slots, 1, "slots for each task");
-ABSL_FLAG(std::int64_t, connections, 0, "connections for each task");
+ABSL_FLAG(std::int64_t, connections, 1, "connections for each task");
 ABSL_FLAG(bool, repeatable, true, "--norepeatable: run at most once, ever");
 ABSL_FLAG(std::int64_t, start_within_ms, 0, "must start within, in ms; 0: no deadline");
 ABSL_FLAG(std::int64_t, finish_within_ms, 0, "must finish within, in ms; 0: no deadline");
