decisions: the fair scheduler takes core's attempt outcome

Ruled out: an alias for the old name (two names for one thing).

Change: the name and its include throughout src/decisions, formatting.

--- a/src/decisions/fairscheduler.cpp
+++ b/src/decisions/fairscheduler.cpp
@@ -48,7 +48,7 @@
             || this->roomMaker.hasWork();
     }
 
-    void endAttempt(Index task, TaskEnd end, Instant now);
+    void endAttempt(Index task, AttemptOutcome end, Instant now);
     void correctSize(WorkQueue &queue);
     void wakeCorrected(Index queue, const Resources &before);
     void refuseLate(Instant now, std::vector<Decision> &out);
@@ -125,7 +125,7 @@
     ledger.place(task, ledger.fleet.indexOf(target), charge, now);
 }
 
-void FairScheduler::taskEnded(TaskId id, TaskEnd end, Instant now)
+void FairScheduler::taskEnded(TaskId id, AttemptOutcome end, Instant now)
 {
     Ledger &ledger = this->parts->ledger;
     const Index task = ledger.findTask(id);
@@ -139,12 +139,12 @@
     this->parts->changed = true;
 }
 
-void FairScheduler::Parts::endAttempt(Index index, TaskEnd end, Instant now)
+void FairScheduler::Parts::endAttempt(Index index, AttemptOutcome end, Instant now)
 {
     const TaskRecord &task = this->ledger.tasks[index];
     WorkQueue &queue = this->ledger.queues[task.queue];
     this->quarantine.outcome(task, end, now);
-    if (end == TaskEnd::Succeeded) {
+    if (end == AttemptOutcome::Succeeded) {
         queue.profile.runTimeMeasured(now - task.placedAt);
         if (queue.key.workClass == WorkClass::Prompt)
             this->headroom.promptEnded(now - task.placedAt);
@@ -159,7 +159,7 @@
     this->deadlines.add(task.startBy, task.id);
 }
 
-void FairScheduler::requeue(TaskId id, TaskEnd end, Instant now)
+void FairScheduler::requeue(TaskId id, AttemptOutcome end, Instant now)
 {
     Ledger &ledger = this->parts->ledger;
     const Index index = ledger.findTask(id);
--- a/src/decisions/quarantine.cpp
+++ b/src/decisions/quarantine.cpp
@@ -23,13 +23,13 @@
     : ledger(books)
 {}
 
-double Quarantine::evidence(const TaskRecord &task, TaskEnd end) const
+double Quarantine::evidence(const TaskRecord &task, AttemptOutcome end) const
 {
-    if (end == TaskEnd::NeverStarted)
+    if (end == AttemptOutcome::NeverStarted)
         return std::log(badTargetFailure / soundTargetRefusal);
     const WorkProfile &profile = this->ledger.queues[task.queue].profile;
     const double chance = profile.failureChance();
-    if (end == TaskEnd::Succeeded)
+    if (end == AttemptOutcome::Succeeded)
         return std::log((1.0 - badTargetFailure) / (1.0 - chance));
     // A failure speaks against the target only as far as the same work succeeds elsewhere. Else
     // one team's broken job would take a target out of service wherever it runs.
@@ -38,21 +38,21 @@
     return profile.trust() * std::max(0.0, std::log(badTargetFailure / chance));
 }
 
-void Quarantine::outcome(const TaskRecord &task, TaskEnd end, Instant now)
+void Quarantine::outcome(const TaskRecord &task, AttemptOutcome end, Instant now)
 {
-    if (end == TaskEnd::Stopped || end == TaskEnd::Lost) {
+    if (end == AttemptOutcome::Stopped || end == AttemptOutcome::Lost) {
         if (task.probe)
             this->probeVoid(task.target, now);
         return;
     }
-    const bool failed = end != TaskEnd::Succeeded;
+    const bool failed = end != AttemptOutcome::Succeeded;
     TargetRecord &target = this->ledger.fleet[task.target];
     const double sum = static_cast<double>(target.suspicion) + this->evidence(task, end);
-    if (end == TaskEnd::Failed)
+    if (end == AttemptOutcome::Failed)
         this->jobs.failed(task.job, task.target);
     else if (!failed)
         this->jobs.succeeded(task.job);
-    if (end != TaskEnd::NeverStarted) {
+    if (end != AttemptOutcome::NeverStarted) {
         this->ledger.queues[task.queue].profile.outcomeSeen(failed,
                                                             static_cast<double>(target.suspicion));
     }
--- a/src/decisions/quarantine.h
+++ b/src/decisions/quarantine.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "core/attemptoutcome.h"
 #include "core/clock.h"
 #include "decisions/jobfaults.h"
 #include "decisions/ledger.h"
-#include "decisions/taskend.h"
 
 #include <vector>
 
@@ -19,7 +19,7 @@
     explicit Quarantine(Ledger &ledger);
 
     /// A task that is still in the books as placed ended like this.
-    void outcome(const TaskRecord &task, TaskEnd end, Instant now);
+    void outcome(const TaskRecord &task, AttemptOutcome end, Instant now);
 
     /// The target's process is a new one, or the target is gone: its record is clean.
     void forgive(Index target);
@@ -39,7 +39,7 @@
     std::uint32_t count() const { return static_cast<std::uint32_t>(this->members.size()); }
 
 private:
-    double evidence(const TaskRecord &task, TaskEnd end) const;
+    double evidence(const TaskRecord &task, AttemptOutcome end) const;
     void probeEnded(Index target, bool failed, Instant now);
     void hold(Index target, Instant now);
     void release(Index target);
--- a/test/decisions/checkedscheduler.h
+++ b/test/decisions/checkedscheduler.h
@@ -48,14 +48,14 @@
         return true;
     }
 
-    void taskEnded(TaskId id, TaskEnd end, Instant now)
+    void taskEnded(TaskId id, AttemptOutcome end, Instant now)
     {
         this->release(id);
         this->waiting.erase(id);
         this->scheduler.taskEnded(id, end, now);
     }
 
-    void requeue(TaskId id, TaskEnd end, Instant now)
+    void requeue(TaskId id, AttemptOutcome end, Instant now)
     {
         const auto task = this->placed.find(id);
         if (task != this->placed.end() && this->cancelled.count(id) == 0)
--- a/test/decisions/randomcell.h
+++ b/test/decisions/randomcell.h
@@ -141,7 +141,7 @@
             const TaskId task = this->anyOf(this->checked.placed);
             if (task == TaskId::None)
                 return;
-            const auto end = static_cast<TaskEnd>(this->below(5));
+            const auto end = static_cast<AttemptOutcome>(this->below(5));
             if (this->below(4) == 0)
                 this->checked.requeue(task, end, this->now);
             else
@@ -167,7 +167,7 @@
         const bool ends =
             decision.kind == DecisionKind::Checkpoint || decision.kind == DecisionKind::Stop;
         if (ends && this->below(3) != 0)
-            this->checked.requeue(decision.task, TaskEnd::Stopped, this->now);
+            this->checked.requeue(decision.task, AttemptOutcome::Stopped, this->now);
     }
 
     std::mt19937 random;
