daemon: one instance composed of entry and replica

Cause: the packages ran only in their own tests.

Ruled out: starting the controller with the daemon rather than with leadership (it would decide on state that is not current).

Change: Daemon composes the packages; ReplicaPart holds the replica, its controller and the operators' service; TimerQueue serves in place of a second delay queue that stood beside it.

--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,249 @@
+#include "daemon/daemon.h"
+
+#include "core/codec.h"
+#include "platform/logging.h"
+#include "platform/platformroutes.h"
+
+#include <sodium.h>
+
+#include <utility>
+
+namespace guavavalve {
+
+namespace {
+
+constexpr Milliseconds orderTimeout{1000};
+constexpr Milliseconds handOverTimeout{3000};
+
+HttpServerOptions httpOptions(const DaemonSettings &settings)
+{
+    HttpServerOptions options;
+    const std::size_t colon = settings.callersListen.rfind(':');
+    options.address = settings.callersListen.substr(0, colon);
+    options.port = static_cast<std::uint16_t>(std::stoul(settings.callersListen.substr(colon + 1)));
+    options.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    options.maxInFlight = static_cast<std::size_t>(settings.maxOpenRequests);
+    options.maxInFlightPerPeer = options.maxInFlight; // the balancer is one peer for all callers
+    return options;
+}
+
+MessengerOptions messengerOptions(const DaemonSettings &settings, const std::string &secret)
+{
+    MessengerOptions options;
+    options.instance = settings.instance;
+    options.listenAddress = settings.messengerListen;
+    options.clusterId = settings.clusterId;
+    options.sharedSecret = secret;
+    return options;
+}
+
+std::shared_ptr<ControllerLink> makeLink(Messenger &messenger, const DaemonSettings &settings,
+                                         TimerQueue &timers)
+{
+    return std::make_shared<ControllerLink>(
+        messenger, settings.replicas, [&timers](Milliseconds wait, std::function<void()> action) {
+            timers.runAfter(wait, std::move(action));
+        });
+}
+
+std::shared_ptr<ConfigurationFollower> makeFollower(const DaemonSettings &settings,
+                                                    const std::string &secret, TimerQueue &timers,
+                                                    RemoteController &controller)
+{
+    ConfigurationFollower::Options options;
+    options.instance = settings.instance;
+    options.address = settings.messengerAdvertise;
+    options.clusterSecret = secret;
+    options.delay = [&timers](Milliseconds wait, std::function<void()> action) {
+        timers.runAfter(wait, std::move(action));
+    };
+    return std::make_shared<ConfigurationFollower>(std::move(options), controller);
+}
+
+bool equalInConstantTime(const std::string &left, const std::string &right)
+{
+    return left.size() == right.size()
+        && sodium_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+} // namespace
+
+Daemon::Daemon(DaemonSettings given, std::string secret)
+    : settings(std::move(given))
+    , clusterSecret(std::move(secret))
+    , server(httpOptions(this->settings))
+    , messenger(messengerOptions(this->settings, this->clusterSecret))
+    , link(makeLink(this->messenger, this->settings, this->timers))
+    , controller(this->link)
+    , follower(makeFollower(this->settings, this->clusterSecret, this->timers, this->controller))
+    , targets(this->timers, HttpTargetClientOptions())
+    , dispatcher(this->controller, this->targets, this->timers, DispatcherOptions())
+{}
+
+Daemon::~Daemon()
+{
+    this->follower->stop();
+    this->server.close();
+    this->messenger.stop();
+    if (this->replica)
+        this->replica->stop();
+}
+
+Result<void> Daemon::start()
+{
+    this->serveDispatch();
+    if (this->settings.holdsReplica()) {
+        auto opened = ReplicaPart::open(this->settings, this->clusterSecret, this->messenger,
+                                        this->replicaHooks());
+        if (!opened)
+            return opened.error();
+        this->replica = std::move(opened).value();
+    }
+    this->addRoutes();
+    BOOST_OUTCOME_TRYV(this->messenger.start());
+    BOOST_OUTCOME_TRYV(this->server.start());
+    this->follower->start();
+    this->readiness.addCondition(NotReadyReason::NoConfigurationLease,
+                                 [this] { return this->follower->holdsLease(); });
+    this->readiness.started();
+    logChange(LogLevel::Information, "instance started",
+              {{"instance", this->settings.instance},
+               {"callers", this->settings.callersListen},
+               {"messenger", this->settings.messengerListen}});
+    return boost::outcome_v2::success();
+}
+
+void Daemon::shutDown()
+{
+    logChange(LogLevel::Information, "shutdown begins", {{"instance", this->settings.instance}});
+    this->readiness.beginShutdown();
+    const Instant deadline = monotonicNow() + Milliseconds(this->settings.shutdownGraceMs);
+    if (!this->server.waitUntilIdle(deadline)) {
+        logChange(LogLevel::Warning, "requests outlast the grace of the shutdown",
+                  {{"open", std::to_string(this->server.inFlight())}});
+    }
+    this->server.stopAccepting();
+    this->server.waitUntilIdle(deadline);
+    this->follower->stop();
+    if (this->replica)
+        this->replica->handOver(monotonicNow() + handOverTimeout);
+    this->server.close();
+    logChange(LogLevel::Information, "shutdown ends", {{"instance", this->settings.instance}});
+}
+
+void Daemon::serveDispatch()
+{
+    this->messenger.handle(
+        Method::Dispatch,
+        [this](const InstanceId &, const std::string &payload, const Done<std::string> &reply) {
+            auto orders = decode<std::vector<DispatchOrder>>(payload);
+            if (!orders) {
+                reply(orders.error());
+                return;
+            }
+            this->dispatcher.dispatch(std::move(orders).value());
+            reply(encode(Nothing()));
+        });
+}
+
+ReplicaPart::Hooks Daemon::replicaHooks()
+{
+    ReplicaPart::Hooks hooks;
+    hooks.sendOrders = [this](const std::string &address, const std::vector<DispatchOrder> &orders,
+                              const Done<Nothing> &done) {
+        this->messenger.call(address, Method::Dispatch, encode(orders),
+                             monotonicNow() + orderTimeout,
+                             [done](const Result<std::string> &reply) {
+                                 if (reply)
+                                     done(Nothing());
+                                 else
+                                     done(reply.error());
+                             });
+    };
+    hooks.observeWait = [this](const std::string &team, std::uint8_t workClass, double seconds) {
+        const auto name = enumName(workClassNames, static_cast<WorkClass>(workClass));
+        this->metrics.observe(Metric::WaitingSeconds, seconds, {team, std::string(name)});
+    };
+    return hooks;
+}
+
+void Daemon::addRoutes()
+{
+    addPlatformRoutes(this->server, this->readiness, this->metrics);
+    this->metrics.addSource([this](Metrics &into) { this->refreshMetrics(into); });
+    addOperatorRoutes(this->server, this->operatorRoutes());
+    this->announcements = std::make_unique<AnnouncementListener>(
+        this->server, this->controller, this->timers, AnnouncementListenerOptions());
+    const KeyCheck keyCheck = [this](std::string_view bearer) -> Result<CallerIdentity> {
+        const Result<KeyRecord> key = this->follower->identify(std::string(bearer));
+        if (!key)
+            return key.error();
+        return CallerIdentity{key.value().id, key.value().team};
+    };
+    CallerServiceOptions options;
+    options.entry = this->settings.instance;
+    this->callers = std::make_unique<CallerService>(
+        CallerService::Dependencies{this->server, this->controller, this->dispatcher, this->targets,
+                                    this->timers},
+        keyCheck, options);
+}
+
+Result<OperatorIdentity> Daemon::identifyOperator(const std::string &token) const
+{
+    OperatorIdentity identity;
+    if (equalInConstantTime(token, this->clusterSecret)) {
+        identity.keyId = OperatorService::clusterKeyId;
+        identity.isOperator = true;
+        return identity;
+    }
+    const Result<KeyRecord> key = this->follower->identify(token);
+    if (!key)
+        return key.error();
+    identity.keyId = key.value().id;
+    identity.team = key.value().team;
+    identity.isOperator = key.value().role == KeyRole::Operator;
+    return identity;
+}
+
+OperatorRoutesOptions Daemon::operatorRoutes()
+{
+    OperatorRoutesOptions options;
+    options.client = &this->controller;
+    options.identify = [this](const std::string &token) { return this->identifyOperator(token); };
+    options.form = [this](const FormGroupRequest &request, Instant,
+                          const Done<ReplicaStatus> &done) {
+        if (!this->replica) {
+            done(failure(ErrorCode::InvalidArgument,
+                         "this instance has no data folder; ask one of the group's members"));
+            return;
+        }
+        this->replica->log().form(request.members, [this, done](const Result<Nothing> &formed) {
+            if (formed)
+                done(this->replica->log().status());
+            else
+                done(formed.error());
+        });
+    };
+    options.ownStatus = [this] {
+        return this->replica ? this->replica->log().status() : ReplicaStatus();
+    };
+    return options;
+}
+
+void Daemon::refreshMetrics(Metrics &into) const
+{
+    refreshProcessMetrics(into);
+    into.set(Metric::ConfigurationVersion, static_cast<double>(this->follower->version()));
+    into.set(Metric::Ready, this->readiness.isReady() ? 1.0 : 0.0);
+    const MessengerCounters counters = this->messenger.counters();
+    into.countUpTo(Metric::ControlSentBytes, static_cast<double>(counters.bytesSent));
+    into.countUpTo(Metric::ControlReceivedBytes, static_cast<double>(counters.bytesReceived));
+    if (!this->replica)
+        return;
+    const ReplicaStatus status = this->replica->log().status();
+    into.set(Metric::ReplicaTerm, static_cast<double>(status.term));
+    into.set(Metric::ReplicaCommittedIndex, static_cast<double>(status.committed));
+    into.set(Metric::ReplicaAppliedIndex, static_cast<double>(status.applied));
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "callers/callerservice.h"
+#include "controller/configurationfollower.h"
+#include "controller/controllerlink.h"
+#include "controller/remotecontroller.h"
+#include "daemon/replicapart.h"
+#include "operators/operatorroutes.h"
+#include "platform/httpserver.h"
+#include "platform/metrics.h"
+#include "platform/readiness.h"
+#include "platform/timerqueue.h"
+#include "replicas/tcpmessenger.h"
+#include "settings/daemonsettings.h"
+#include "targets/announcementlistener.h"
+#include "targets/dispatcher.h"
+#include "targets/httptargetclient.h"
+
+#include <memory>
+#include <string>
+
+namespace guavavalve {
+
+/// One instance: its entry, and its replica if it has a data folder. Composes the packages and
+/// holds no logic of its own.
+class Daemon
+{
+public:
+    /// \a clusterSecret is the shared secret of all instances, at least 16 bytes.
+    Daemon(DaemonSettings settings, std::string clusterSecret);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /// Opens the data folder and the listeners.
+    /// \errors what could not be opened, and why.
+    Result<void> start();
+
+    /// Not ready first, then finishes what is open, hands over leadership and closes. No request
+    /// that has been taken is cut off, unless it outlasts the configured grace.
+    void shutDown();
+
+private:
+    void serveDispatch();
+    void addRoutes();
+    void refreshMetrics(Metrics &into) const;
+    ReplicaPart::Hooks replicaHooks();
+    Result<OperatorIdentity> identifyOperator(const std::string &token) const;
+    OperatorRoutesOptions operatorRoutes();
+
+    DaemonSettings settings;
+    std::string clusterSecret;
+    Metrics metrics;
+    Readiness readiness;
+    TimerQueue timers;
+    HttpServer server;
+    TcpMessenger messenger;
+    std::unique_ptr<ReplicaPart> replica;
+    std::shared_ptr<ControllerLink> link;
+    RemoteController controller;
+    std::shared_ptr<ConfigurationFollower> follower;
+    HttpTargetClient targets;
+    Dispatcher dispatcher;
+    std::unique_ptr<AnnouncementListener> announcements;
+    std::unique_ptr<CallerService> callers;
+};
+
+} // namespace guavavalve
