--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -30,6 +30,24 @@
     return failure(ErrorCode::Corrupt, what);
 }
 
+/// What the code relies on when it reaches into a job: no other task's identity is in its range,
+/// and an attempt that is over has its end kept.
+Result<void> checkJobRecord(JobId id, const JobRecord &job, TaskId next)
+{
+    if (id != job.id || idValue(id) >= idValue(next)
+        || job.tasks.size() > idValue(next) - idValue(id))
+        return corrupt("job " + numberOf(id) + " is filed under another's identity");
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const TaskRecord &task = job.tasks[i];
+        const bool over = task.attempt > 0 && task.state != TaskState::Placed;
+        if (enumName(taskStateNames, task.state) == "unknown" && task.state != TaskState::Unknown)
+            return corrupt("a task of job " + numberOf(id) + " is in no known state");
+        if (over && job.end(job.taskId(i)) == nullptr)
+            return corrupt("a task of job " + numberOf(id) + " has lost how its attempt ended");
+    }
+    return boost::outcome_v2::success();
+}
+
 /// What the tasks say that a target or a team has.
 struct Counted
 {
@@ -116,6 +134,8 @@
     std::map<TargetId, internal::Counted> byTarget;
     std::map<TeamId, internal::Counted> byTeam;
     for (const auto &[id, job] : this->jobTable) {
+        if (auto checked = internal::checkJobRecord(id, job, this->next); checked.has_error())
+            return checked.error();
         std::uint32_t unfinished = 0;
         internal::Counted &team = byTeam[job.team];
         for (std::size_t i = 0; i < job.tasks.size(); ++i) {
@@ -135,12 +155,17 @@
     }
     for (const auto &[id, target] : this->targetTable) {
         const internal::Counted &counted = byTarget[id];
+        if (id != target.id || id >= this->nextTarget)
+            return internal::corrupt("target " + internal::quoted(target.name)
+                                     + " is filed under another's identity");
         if (counted.used != target.used || counted.tasks != target.tasks)
             return internal::corrupt("target " + internal::quoted(target.name)
                                      + " counts what is placed there wrongly");
     }
     for (const auto &[id, team] : this->teamTable) {
         const internal::Counted &counted = byTeam[id];
+        if (id != team.id || this->document.team(team.name) == nullptr)
+            return internal::corrupt("team " + internal::quoted(team.name) + " has no section");
         if (counted.used != team.running || counted.placed != team.placedTasks
             || counted.waiting != team.waitingTasks)
             return internal::corrupt("team " + internal::quoted(team.name)
