--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -137,7 +137,7 @@
 {
     // A team's section is checked against a cell's that stays, so the others need no new reading.
     if (command.section != cellSection)
-        return readTeamChange(this->policies, command.section, command.content);
+        return readTeamChanges(this->policies, {{command.section, command.content}});
     SectionTexts texts;
     for (const auto &[name, section] : this->sectionTable)
         texts.emplace(name, section.current().content);
--- a/src/state/configurationview.cpp
+++ b/src/state/configurationview.cpp
@@ -16,6 +16,21 @@
     return found == this->policies.teams.end() ? nullptr : &found->second;
 }
 
+DocumentReading
+ConfigurationView::readChanged(const ConfigurationChanges &changes,
+                               const std::map<std::string, SectionContent> &sections) const
+{
+    SectionTexts changed;
+    for (const SectionContent &section : changes.sections)
+        changed.emplace(section.name, section.content);
+    if (!changes.whole && changed.count(cellSection) == 0)
+        return readTeamChanges(this->policies, changed);
+    SectionTexts texts;
+    for (const auto &[name, section] : sections)
+        texts.emplace(name, section.content);
+    return readDocument(texts);
+}
+
 Result<void> ConfigurationView::applyChanges(const ConfigurationChanges &changes)
 {
     if (changes.toVersion < this->heldVersion)
@@ -34,16 +49,11 @@
     auto sections = changes.whole ? std::map<std::string, SectionContent>() : this->sectionTable;
     for (const SectionContent &section : changes.sections)
         sections[section.name] = section;
-    if (!changes.sections.empty()) {
-        SectionTexts texts;
-        for (const auto &[name, section] : sections)
-            texts.emplace(name, section.content);
-        DocumentReading reading = readDocument(texts);
-        if (!reading.problems.empty())
-            return failure(ErrorCode::Corrupt,
-                           problemsText("the configuration offered", reading.problems));
-        this->policies = std::move(reading.policies);
-    }
+    DocumentReading reading = this->readChanged(changes, sections);
+    if (!reading.problems.empty())
+        return failure(ErrorCode::Corrupt,
+                       problemsText("the configuration offered", reading.problems));
+    this->policies = std::move(reading.policies);
     this->sectionTable = std::move(sections);
     if (changes.whole)
         this->keyTable.clear();
--- a/src/state/configurationview.h
+++ b/src/state/configurationview.h
@@ -32,6 +32,11 @@
     Result<void> applyChanges(const ConfigurationChanges &changes);
 
 private:
+    /// The policies as they would be: only what changed is read, unless the cell's did, by which
+    /// all others are checked.
+    DocumentReading readChanged(const ConfigurationChanges &changes,
+                                const std::map<std::string, SectionContent> &sections) const;
+
     std::uint64_t heldVersion = 0;
     std::map<std::string, SectionContent> sectionTable;
     std::map<std::string, KeyRecord> keyTable;
--- a/src/state/policydocument.cpp
+++ b/src/state/policydocument.cpp
@@ -234,13 +234,14 @@
     return reading;
 }
 
-DocumentReading readTeamChange(const PolicyDocument &before, const std::string &section,
-                               const std::string &text)
+DocumentReading readTeamChanges(const PolicyDocument &before, const SectionTexts &texts)
 {
     DocumentReading reading;
     reading.policies = before;
     internal::DocumentReader reader(reading);
-    reader.readTeam(section, text);
+    for (const auto &[section, text] : texts)
+        reader.readTeam(section, text);
+    // Only now: one team's share may have grown by what another's has shrunk.
     reader.checkShares();
     return reading;
 }
--- a/src/state/policydocument.h
+++ b/src/state/policydocument.h
@@ -42,9 +42,8 @@
 /// Reads every section of \a texts, and checks them against each other.
 DocumentReading readDocument(const SectionTexts &texts);
 
-/// The document \a before with one team's section replaced. Gives what readDocument() of the
-/// whole would give, at the cost of reading one section.
-DocumentReading readTeamChange(const PolicyDocument &before, const std::string &section,
-                               const std::string &text);
+/// The document \a before with the sections of some teams replaced by \a texts. Gives what
+/// readDocument() of the whole would give, at the cost of reading these sections.
+DocumentReading readTeamChanges(const PolicyDocument &before, const SectionTexts &texts);
 
 } // namespace guavavalve
--- a/test/state/configurationtest.cpp
+++ b/test/state/configurationtest.cpp
@@ -183,3 +183,27 @@
     CHECK(section.history.size() == Configuration::maxHistory);
     CHECK(copy.configuration().team("mill")->share == 500);
 }
+
+// An entry was away while a share moved from one team to another under a fixed total. Read one
+// after the other, the sections would seem to pass the total in between, and the entry would
+// refuse a good configuration for ever.
+TEST_CASE("an entry takes over several changes that only hold together", "[state]")
+{
+    StateFixture fixture;
+    REQUIRE(fixture.write("cell", 1, R"({"totalShares": 200})").has_value());
+    ConfigurationView view;
+    REQUIRE(view.applyChanges(fixture.state.configuration().changesSince(0)).has_value());
+    REQUIRE(fixture.write("team.tours", 1, R"({"share": 50})").has_value());
+    REQUIRE(fixture.write("team.mill", 1, R"({"share": 150})").has_value());
+    REQUIRE(
+        view.applyChanges(fixture.state.configuration().changesSince(view.version())).has_value());
+    CHECK(view.team("mill")->share == 150);
+    CHECK(view.team("tours")->share == 50);
+
+    ConfigurationChanges bad;
+    bad.fromVersion = view.version();
+    bad.toVersion = view.version() + 1;
+    bad.sections = {{"team.mill", "mill", 3, R"({"share": 0})"}, {"team.tours", "tours", 3, "{}"}};
+    CHECK(view.applyChanges(bad).error().code == ErrorCode::Corrupt);
+    CHECK(view.team("mill")->share == 150);
+}
