--- a/src/operators/operatorroutes.cpp
+++ b/src/operators/operatorroutes.cpp
@@ -3,6 +3,7 @@
 #include "controller/operatorclient.h"
 #include "operators/operatorjson.h"
 #include "operators/questionparsing.h"
+#include "platform/bearertoken.h"
 #include "platform/httperror.h"
 #include "platform/httpserver.h"
 
@@ -24,7 +25,7 @@
 
 Result<OperatorIdentity> identify(const OperatorRoutesOptions &options, const HttpRequest &request)
 {
-    BOOST_OUTCOME_TRY(const std::string token, bearerToken(request));
+    BOOST_OUTCOME_TRY(token, bearerToken(request));
     return options.identify(token);
 }
 
--- a/test/platform/signalwatchertest.cpp
+++ b/test/platform/signalwatchertest.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Before main(), as a daemon does it first: another test's threads would take the signals.
+[[maybe_unused]] const bool blocked = (SignalWatcher::blockSignals(), true);
+
 bool isPending(int signal)
 {
     sigset_t pending;
@@ -40,7 +43,6 @@
 // answers. The watcher calls once, takes later signals off the queue and does nothing.
 TEST_CASE("A second signal neither ends the process nor calls again")
 {
-    SignalWatcher::blockSignals();
     std::atomic<int> calls{0};
     {
         const SignalWatcher watcher([&calls](int signal) {
