--- /dev/null
+++ b/src/journal/posixdisk.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "journal/disk.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace guavavalve {
+
+/// A folder of the file system, created if it is not there. Safe for use from several threads
+/// on different files.
+class PosixDisk : public Disk
+{
+public:
+    explicit PosixDisk(std::string folder);
+    ~PosixDisk() override;
+    PosixDisk(const PosixDisk &) = delete;
+    PosixDisk &operator=(const PosixDisk &) = delete;
+
+    /// Creates the folder and its parents, and syncs their names.
+    Result<void> createFolder();
+
+    Result<void> lock(const std::string &name) override;
+    Result<std::vector<std::string>> list() override;
+    Result<std::string> read(const std::string &name) override;
+    Result<std::string> readPart(const std::string &name, std::uint64_t offset,
+                                 std::size_t length) override;
+    Result<void> append(const std::string &name, const std::string &bytes) override;
+    Result<void> truncate(const std::string &name, std::uint64_t size) override;
+    Result<void> sync(const std::string &name) override;
+    Result<void> rename(const std::string &from, const std::string &to) override;
+    Result<void> remove(const std::string &name) override;
+    Result<void> syncFolder() override;
+
+private:
+    std::string path(const std::string &name) const;
+    Error systemError(const std::string &what, const std::string &name) const;
+    Result<int> openForAppend(const std::string &name);
+    void closeFile(const std::string &name);
+
+    std::string folder;
+    int lockFile = -1;
+    std::mutex mutex;
+    std::map<std::string, int> appending; ///< open files by name
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/replicas/applier.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/done.h"
+#include "journal/logentry.h"
+#include "journal/snapshotmeta.h"
+#include "replicas/installedsnapshot.h"
+#include "replicas/statemachine.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace guavavalve::internal {
+
+/// The thread that applies committed entries to the state machine, in order, apart from the
+/// log's thread: a slow state machine must not hold up heartbeats.
+class Applier
+{
+public:
+    struct Batch
+    {
+        std::vector<LogEntry> entries;
+        std::map<LogIndex, Done<std::string>> waiting; ///< proposals made here
+    };
+    struct Leadership
+    {
+        bool leads = false;
+        std::uint64_t term = 0;
+    };
+    /// Takes a snapshot as of the last applied entry.
+    struct TakeSnapshot
+    {
+        std::function<void(const std::string &state)> done;
+    };
+
+    using Work = std::variant<Batch, InstalledSnapshot, Leadership, TakeSnapshot>;
+
+    Applier(StateMachine &stateMachine,
+            std::function<void(bool leads, std::uint64_t term)> onLeadership);
+    ~Applier();
+    Applier(const Applier &) = delete;
+    Applier &operator=(const Applier &) = delete;
+
+    /// \a onProgress is called after each piece of work; \a onFault when a snapshot from the
+    /// leader cannot be restored, which leaves no state to go on with.
+    void start(LogIndex applied, std::function<void()> onProgress,
+               std::function<void(const Error &)> onFault);
+    /// Finishes what is queued and ends the thread.
+    void stop();
+
+    void push(Work work);
+    LogIndex applied() const { return this->appliedIndex.load(); }
+    std::size_t queuedBytes() const { return this->queued.load(); }
+
+private:
+    void run();
+    void handle(Batch &batch);
+    void handle(InstalledSnapshot &snapshot);
+    void handle(Leadership &leadership);
+    void handle(TakeSnapshot &request);
+
+    StateMachine &stateMachine;
+    std::function<void(bool leads, std::uint64_t term)> onLeadership;
+    std::function<void()> onProgress;
+    std::function<void(const Error &)> onFault;
+    std::atomic<LogIndex> appliedIndex{0};
+    std::atomic<std::size_t> queued{0};
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<Work> queue;
+    bool stopping = false;
+    std::thread thread;
+};
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/replicas/memberrecord.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/ids.h"
+#include "journal/replicaidentity.h"
+
+#include <cereal/types/string.hpp>
+
+#include <string>
+
+namespace guavavalve {
+
+/// One replica as the group's own log records it.
+struct MemberRecord
+{
+    InstanceId instance;
+    ReplicaId replica = ReplicaId::None; ///< the identity of its data folder
+    std::string address; ///< "ip:port" of its messenger
+    bool voter = false;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->instance, this->replica, this->address, this->voter);
+    }
+};
+
+} // namespace guavavalve
--- a/src/replicas/messengeroptions.h
+++ b/src/replicas/messengeroptions.h
@@ -25,7 +25,7 @@
     Milliseconds silenceLimit{2000};
     Milliseconds connectLimit{1000}; ///< for connecting and for the handshake
     Milliseconds backoffMin{20};
-    Milliseconds backoffMax{1000};
+    Milliseconds backoffMax{300};
 };
 
 } // namespace guavavalve
--- /dev/null
+++ b/src/replicas/raftcoreoptions.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "journal/replicaidentity.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace guavavalve {
+
+/// Settings of a RaftCore; RaftOptions says what they mean.
+struct RaftCoreOptions
+{
+    InstanceId instance;
+    GroupId group{};
+    Milliseconds heartbeat{50};
+    Milliseconds electionMin{300};
+    Milliseconds electionMax{600};
+    std::size_t maxBatchBytes = 1U << 20U;
+    std::size_t maxInFlightBytes = 8U << 20U;
+    std::size_t snapshotPieceBytes = 256U << 10U;
+    std::size_t maxSnapshotBytes = 512U << 20U;
+    std::size_t keptEntries = 2000;
+    std::function<std::uint64_t()> random;
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/replicas/raftleader.cpp
@@ -0,0 +1,315 @@
+#include "replicas/raftcore.h"
+
+#include <algorithm>
+#include <utility>
+
+// What a leader does for its followers.
+
+namespace guavavalve {
+
+namespace {
+
+/// The lease ends this much earlier than the followers' wait, for clocks that drift apart.
+constexpr int leasePercent = 90;
+
+} // namespace
+
+void RaftCore::leaderTick()
+{
+    // Guards against a leader that is cut off: it would go on answering from a state that the
+    // others have moved on from. Once no quorum has answered for an election timeout it steps
+    // down; its lease has ended before that.
+    const Instant contact = std::max(this->quorumInstant(), this->leadsSince);
+    if (this->now > contact + this->options.electionMax) {
+        this->becomeFollower(this->hard.term, ReplicaId::None);
+        return;
+    }
+    if (this->now >= this->heartbeatAt) {
+        this->heartbeatAt = this->now + this->options.heartbeat;
+        this->sendHeartbeats();
+    }
+    this->changeMembersOnTick();
+    this->finishTransfer();
+}
+
+void RaftCore::sendHeartbeats()
+{
+    for (const MemberRecord &member : this->members().members) {
+        const auto peer = this->progress.find(member.replica);
+        if (peer == this->progress.end())
+            continue;
+        HeartbeatRequest request;
+        request.committed = std::min(this->commit, peer->second.match);
+        request.sentAt = this->now.time_since_epoch().count();
+        this->sendTo(member, request, true);
+    }
+}
+
+void RaftCore::sendEntries()
+{
+    for (const MemberRecord &member : this->members().members) {
+        const auto peer = this->progress.find(member.replica);
+        if (peer != this->progress.end())
+            this->sendEntriesTo(member, peer->second);
+    }
+}
+
+void RaftCore::sendEntriesTo(const MemberRecord &member, Progress &peer)
+{
+    const bool waits = peer.awaiting || !peer.inFlight.empty();
+    if (waits && this->now >= peer.stalledAt) {
+        peer.clearInFlight();
+        if (peer.state == Progress::State::Replicate)
+            peer.state = Progress::State::Probe;
+        if (peer.state == Progress::State::Probe)
+            peer.next = peer.match + 1;
+    }
+    if (this->now < peer.pausedUntil)
+        return;
+    if (peer.state != Progress::State::Snapshot && peer.next <= this->log.baseIndex())
+        this->startSnapshot(peer);
+    switch (peer.state) {
+    case Progress::State::Snapshot:
+        if (!peer.awaiting)
+            this->sendPiece(member, peer);
+        break;
+    case Progress::State::Probe:
+        if (!peer.awaiting)
+            peer.awaiting = this->sendBatch(member, peer);
+        break;
+    case Progress::State::Replicate:
+        while (peer.next <= this->log.lastIndex()
+               && peer.inFlightBytes < this->options.maxInFlightBytes) {
+            this->sendBatch(member, peer);
+        }
+        break;
+    }
+}
+
+bool RaftCore::sendBatch(const MemberRecord &member, Progress &peer)
+{
+    AppendRequest request;
+    request.previousIndex = peer.next - 1;
+    request.previousTerm = this->log.termAt(request.previousIndex).value_or(0);
+    request.committed = this->commit;
+    request.sentAt = this->now.time_since_epoch().count();
+    request.entries = this->log.read(peer.next, this->log.lastIndex(), this->options.maxBatchBytes);
+    if (peer.inFlight.empty())
+        peer.stalledAt = this->now + 2 * this->options.electionMax;
+    if (peer.state == Progress::State::Replicate) {
+        std::size_t bytes = 0;
+        for (const LogEntry &entry : request.entries)
+            bytes += entryBytes(entry);
+        peer.next = request.entries.back().index + 1;
+        peer.inFlight.push_back({request.entries.back().index, bytes});
+        peer.inFlightBytes += bytes;
+    }
+    this->sendTo(member, std::move(request), true);
+    return true;
+}
+
+void RaftCore::startSnapshot(Progress &peer)
+{
+    peer.clearInFlight();
+    peer.state = Progress::State::Snapshot;
+    peer.snapshot = this->snapshot;
+    peer.snapshotOffset = 0;
+}
+
+void RaftCore::sendPiece(const MemberRecord &member, Progress &peer)
+{
+    if (!peer.snapshot.sameBytes(this->snapshot))
+        this->startSnapshot(peer); // the old one's file is gone
+    SnapshotRequest request;
+    request.meta = peer.snapshot;
+    request.offset = peer.snapshotOffset;
+    request.sentAt = this->now.time_since_epoch().count();
+    const std::uint64_t left = peer.snapshot.size - peer.snapshotOffset;
+    const auto bytes = std::min<std::uint64_t>(left, this->options.snapshotPieceBytes);
+    peer.awaiting = true;
+    peer.stalledAt = this->now + 2 * this->options.electionMax;
+    this->sendTo(member, std::move(request), true, static_cast<std::size_t>(bytes));
+}
+
+void RaftCore::unreachable(ReplicaId replica, Instant time)
+{
+    this->now = std::max(this->now, time);
+    const auto found = this->progress.find(replica);
+    if (found == this->progress.end())
+        return;
+    Progress &peer = found->second;
+    peer.clearInFlight();
+    peer.pausedUntil = this->now + this->options.heartbeat;
+    if (peer.state == Progress::State::Snapshot)
+        return; // goes on from the same offset
+    peer.state = Progress::State::Probe;
+    peer.next = peer.match + 1;
+}
+
+Progress *RaftCore::answered(const RaftMessage &message, std::int64_t sentAt)
+{
+    const auto found = this->progress.find(message.from);
+    if (this->currentRole != ReplicaRole::Leader || found == this->progress.end())
+        return nullptr;
+    Progress &peer = found->second;
+    const Instant sent{Microseconds(sentAt)};
+    peer.answeredAt = this->now;
+    peer.foundInstead = ReplicaId::None;
+    if (sent <= this->now)
+        peer.leaseFrom = std::max(peer.leaseFrom, sent);
+    return &peer;
+}
+
+void RaftCore::onHeartbeatReply(const RaftMessage &message, const HeartbeatReply &answer)
+{
+    this->answered(message, answer.sentAt);
+}
+
+void RaftCore::onAppendReply(const RaftMessage &message, const AppendReply &answer)
+{
+    Progress *peer = this->answered(message, answer.sentAt);
+    if (peer == nullptr || answer.matchIndex > this->log.lastIndex())
+        return;
+    if (!answer.accepted) {
+        const bool isStale = answer.previousIndex <= peer->match
+            || peer->state == Progress::State::Snapshot
+            || (peer->state == Progress::State::Probe && answer.previousIndex != peer->next - 1);
+        if (isStale)
+            return;
+        peer->clearInFlight();
+        peer->state = Progress::State::Probe;
+        peer->next = std::max(peer->match + 1, std::min(answer.nextIndex, answer.previousIndex));
+        return;
+    }
+    peer->match = std::max(peer->match, answer.matchIndex);
+    peer->stalledAt = this->now + 2 * this->options.electionMax;
+    while (!peer->inFlight.empty() && peer->inFlight.front().last <= peer->match) {
+        peer->inFlightBytes -= peer->inFlight.front().bytes;
+        peer->inFlight.pop_front();
+    }
+    if (peer->state == Progress::State::Probe) {
+        peer->clearInFlight();
+        peer->state = Progress::State::Replicate;
+        peer->next = peer->match + 1;
+    }
+    peer->next = std::max(peer->next, peer->match + 1);
+    this->advanceCommit();
+}
+
+void RaftCore::onSnapshotReply(const RaftMessage &message, const SnapshotReply &answer)
+{
+    Progress *peer = this->answered(message, answer.sentAt);
+    const bool isAwaited = peer != nullptr && peer->state == Progress::State::Snapshot
+        && peer->snapshot.index == answer.index && peer->snapshot.checksum == answer.checksum;
+    if (!isAwaited)
+        return;
+    peer->awaiting = false;
+    if (!answer.installed) {
+        peer->snapshotOffset = std::min(answer.nextOffset, peer->snapshot.size);
+        return;
+    }
+    peer->match = std::max(peer->match, answer.index);
+    peer->next = peer->match + 1;
+    peer->state = Progress::State::Probe;
+    this->advanceCommit();
+}
+
+void RaftCore::advanceCommit()
+{
+    std::vector<LogIndex> matches;
+    for (const MemberRecord &member : this->members().members) {
+        if (!member.voter)
+            continue;
+        const auto peer = this->progress.find(member.replica);
+        const bool isSelf = member.replica == this->own;
+        matches.push_back(isSelf                             ? this->stored
+                              : peer == this->progress.end() ? 0
+                                                             : peer->second.match);
+    }
+    std::sort(matches.rbegin(), matches.rend());
+    const LogIndex index = matches[this->members().quorum() - 1];
+    if (index <= this->commit || this->log.termAt(index) != this->hard.term)
+        return;
+    this->commit = index;
+    const bool isRemoved =
+        this->history.back().index <= this->commit && !this->members().isVoter(this->own);
+    if (isRemoved)
+        this->becomeFollower(this->hard.term, ReplicaId::None);
+}
+
+/// When the last message was sent that a quorum, this replica included, has answered.
+Instant RaftCore::quorumInstant() const
+{
+    std::vector<Instant> instants;
+    for (const MemberRecord &member : this->members().members) {
+        if (!member.voter)
+            continue;
+        const auto peer = this->progress.find(member.replica);
+        const bool isSelf = member.replica == this->own;
+        instants.push_back(isSelf                             ? this->now
+                               : peer == this->progress.end() ? Instant{}
+                                                              : peer->second.leaseFrom);
+    }
+    std::sort(instants.rbegin(), instants.rend());
+    return instants.empty() ? Instant{} : instants[this->members().quorum() - 1];
+}
+
+Instant RaftCore::leaseUntil() const
+{
+    const bool leads = this->currentRole == ReplicaRole::Leader && this->commit >= this->noOpIndex;
+    // A successor that was told to stand asks for votes without the voters' wait, perhaps late:
+    // from then on no lease can be relied on in this term.
+    if (!leads || this->successorTold)
+        return Instant{};
+    const Instant from = this->quorumInstant();
+    return from == Instant{} ? from : from + this->options.electionMin * leasePercent / 100;
+}
+
+Result<void> RaftCore::transferLeadership(Instant time)
+{
+    this->now = std::max(this->now, time);
+    if (this->currentRole != ReplicaRole::Leader)
+        return failure(ErrorCode::NotLeader, "this replica does not lead its group");
+    if (this->isTransferring())
+        return failure(ErrorCode::Unavailable, "leadership is being handed over already");
+    LogIndex best = 0;
+    ReplicaId target = ReplicaId::None;
+    for (const auto &[replica, peer] : this->progress) {
+        const bool answers = this->now <= peer.answeredAt + this->options.electionMin;
+        if (this->members().isVoter(replica) && answers && peer.match > best) {
+            best = peer.match;
+            target = replica;
+        }
+    }
+    if (target == ReplicaId::None)
+        return failure(ErrorCode::Unavailable, "no other voter answers at the moment");
+    this->transferTarget = target;
+    this->transferUntil = this->now + 2 * this->options.electionMax;
+    this->finishTransfer();
+    return boost::outcome_v2::success();
+}
+
+void RaftCore::finishTransfer()
+{
+    if (!this->isTransferring())
+        return;
+    if (this->now >= this->transferUntil) {
+        if (this->successorTold)
+            this->becomeFollower(this->hard.term, ReplicaId::None);
+        else
+            this->transferTarget = ReplicaId::None;
+        return;
+    }
+    const auto peer = this->progress.find(this->transferTarget);
+    const MemberRecord *member = this->members().find(this->transferTarget);
+    if (peer == this->progress.end() || member == nullptr) {
+        this->transferTarget = ReplicaId::None;
+        return;
+    }
+    if (peer->second.match < this->log.lastIndex() || this->successorTold)
+        return;
+    this->successorTold = true;
+    this->sendTo(*member, TimeoutNow{}, false);
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/replicas/snapshotrequest.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "journal/snapshotmeta.h"
+
+#include <cstdint>
+#include <string>
+
+namespace guavavalve {
+
+/// One piece of the leader's snapshot.
+struct SnapshotRequest
+{
+    SnapshotMeta meta;
+    std::uint64_t offset = 0;
+    std::int64_t sentAt = 0;
+    std::string piece;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->meta, this->offset, this->sentAt, this->piece);
+    }
+};
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/replicas/tcpconnection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/clock.h"
+#include "replicas/countercells.h"
+#include "replicas/messengeroptions.h"
+#include "replicas/securesession.h"
+#include "replicas/wireframe.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace guavavalve::internal {
+
+/// One connection: handshake, frames, heartbeats. Everything runs on its socket's strand.
+class TcpConnection : public std::enable_shared_from_this<TcpConnection>
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    struct Hooks
+    {
+        std::function<void()> onReady; ///< the other side has proved that it has the secret
+        std::function<void(WireFrame frame)> onFrame;
+        /// Once. \a unsent: calls whose frames never left.
+        std::function<void(const std::vector<std::uint64_t> &unsent)> onClosed;
+    };
+
+    TcpConnection(Socket socket, bool isCaller, std::shared_ptr<const MessengerOptions> options,
+                  std::shared_ptr<CounterCells> counters, Hooks hooks);
+
+    void start();
+    /// False if the bounded queue is full; the frame is then not sent.
+    bool send(const WireFrame &frame);
+    void close();
+    Socket::executor_type executor() { return this->socket.get_executor(); }
+    const InstanceId &peer() const { return this->session.peer(); }
+
+private:
+    struct Queued
+    {
+        std::string bytes;
+        std::uint64_t callId = 0; ///< of a call; zero: none
+    };
+
+    void readHello();
+    void onHello(const std::string &hello);
+    void readFrame();
+    void readBody(std::uint32_t length);
+    void onSealed(const std::string &sealed);
+    void enqueue(std::string bytes, std::uint64_t callId);
+    void writeNext();
+    void watch();
+    std::uint32_t frameCap() const;
+
+    Socket socket;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<const MessengerOptions> options;
+    std::shared_ptr<CounterCells> counters;
+    Hooks hooks;
+    SecureSession session;
+    bool isOpen = true;
+    bool isReady = false; ///< an authentic frame has come
+    bool hasKeys = false;
+    Instant lastHeard;
+    Instant startedAt;
+    std::deque<Queued> queue;
+    std::size_t queuedBytes = 0;
+    std::string writing;
+    std::string reading;
+    std::uint32_t readingLength = 0;
+};
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/replicas/tcphub.cpp
@@ -0,0 +1,240 @@
+#include "replicas/tcphub.h"
+
+#include "core/codec.h"
+#include "replicas/errorpayload.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <sodium.h>
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace guavavalve::internal {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t minSecretBytes = 16;
+
+std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    const char *end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
+} // namespace
+
+/// A connection accepted from another instance.
+struct TcpHub::Inbound
+{
+    std::shared_ptr<TcpConnection> connection;
+    std::size_t underWay = 0; ///< calls not yet answered
+};
+
+TcpHub::TcpHub(MessengerOptions settings)
+    : options(std::make_shared<const MessengerOptions>(std::move(settings)))
+    , cells(std::make_shared<CounterCells>())
+    , work(asio::make_work_guard(this->context))
+    , acceptor(this->context)
+{}
+
+TcpHub::~TcpHub() = default;
+
+Result<void> TcpHub::start()
+{
+    if (sodium_init() < 0)
+        return failure(ErrorCode::Internal, "libsodium cannot be initialised");
+    if (this->options->sharedSecret.size() < minSecretBytes) {
+        return failure(ErrorCode::InvalidArgument, "the shared secret must have at least 16 bytes");
+    }
+    const auto endpoint = parseAddress(this->options->listenAddress);
+    if (!endpoint) {
+        return failure(ErrorCode::InvalidArgument,
+                       "\"" + this->options->listenAddress + "\" is not of the form ip:port");
+    }
+    boost::system::error_code error;
+    this->acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(*endpoint, error);
+    if (!error)
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return failure(ErrorCode::Unavailable,
+                       "cannot listen at " + this->options->listenAddress + ": " + error.message());
+    }
+    this->boundPort = this->acceptor.local_endpoint().port();
+    {
+        const std::lock_guard lock(this->mutex);
+        this->isRunning = true;
+    }
+    this->accept();
+    for (std::size_t i = 0; i < this->options->threads; ++i)
+        this->threads.emplace_back([this] { this->context.run(); });
+    return boost::outcome_v2::success();
+}
+
+void TcpHub::stop()
+{
+    std::map<std::string, std::shared_ptr<TcpPeer>> ending;
+    std::map<std::uint64_t, std::shared_ptr<Inbound>> leaving;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!std::exchange(this->isRunning, false))
+            return;
+        ending.swap(this->peers);
+        leaving.swap(this->inbound);
+    }
+    this->context.stop();
+    for (std::thread &thread : this->threads)
+        thread.join();
+    this->threads.clear();
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const auto &[id, item] : leaving)
+        item->connection->close();
+    for (const auto &[address, peer] : ending)
+        peer->stop();
+}
+
+void TcpHub::handle(Method method, Messenger::Handler handler)
+{
+    this->handlers[method] = std::move(handler);
+}
+
+void TcpHub::accept()
+{
+    this->acceptor.async_accept(asio::make_strand(this->context),
+                                [this](boost::system::error_code error, Tcp::socket socket) {
+                                    if (error == asio::error::operation_aborted)
+                                        return;
+                                    if (!error)
+                                        this->welcome(std::move(socket));
+                                    this->accept();
+                                });
+}
+
+void TcpHub::welcome(Tcp::socket socket)
+{
+    auto item = std::make_shared<Inbound>();
+    std::uint64_t id = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->isRunning || this->inbound.size() >= this->options->maxInbound) {
+            ++this->cells->connectionsRefused;
+            return;
+        }
+        id = ++this->lastInbound;
+    }
+    TcpConnection::Hooks hooks;
+    const std::weak_ptr<Inbound> weakItem = item;
+    hooks.onFrame = [this, weakItem](WireFrame frame) {
+        const auto served = weakItem.lock();
+        if (served && frame.kind == WireFrame::Kind::Call)
+            this->serve(served, std::move(frame));
+    };
+    hooks.onClosed = [this, id](const std::vector<std::uint64_t> &) {
+        const std::lock_guard lock(this->mutex);
+        this->inbound.erase(id);
+    };
+    item->connection = std::make_shared<TcpConnection>(std::move(socket), false, this->options,
+                                                       this->cells, std::move(hooks));
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->isRunning)
+            return;
+        this->inbound.emplace(id, item);
+    }
+    asio::post(item->connection->executor(), [item] { item->connection->start(); });
+}
+
+void TcpHub::serve(const std::shared_ptr<Inbound> &item, WireFrame frame)
+{
+    const std::uint64_t callId = frame.callId;
+    const std::weak_ptr<Inbound> weak = item;
+    const std::size_t cap = this->options->maxFrameBytes;
+    ++item->underWay;
+    // May be called from any thread and long after the connection has gone.
+    Done<std::string> reply = [hub = this->weak_from_this(), weak, callId,
+                               cap](Result<std::string> outcome) {
+        const auto alive = hub.lock();
+        const auto open = weak.lock();
+        if (!alive || !open)
+            return;
+        WireFrame answer;
+        answer.callId = callId;
+        if (outcome && outcome.value().size() + WireFrame::overheadBytes <= cap) {
+            answer.kind = WireFrame::Kind::Reply;
+            answer.payload = std::move(outcome).value();
+        } else {
+            answer.kind = WireFrame::Kind::ErrorReply;
+            const Error tooLarge = failure(ErrorCode::Internal, "the reply is too large");
+            answer.payload = encode(ErrorPayload{outcome ? tooLarge : outcome.error()});
+        }
+        asio::post(open->connection->executor(), [open, answer = std::move(answer)] {
+            --open->underWay;
+            open->connection->send(answer);
+        });
+    };
+    const auto handler = this->handlers.find(static_cast<Method>(frame.method));
+    if (item->underWay > this->options->maxQueuedCalls) {
+        ++this->cells->callsRefused;
+        reply(failure(ErrorCode::Unavailable, "too many calls are under way"));
+    } else if (handler == this->handlers.end()) {
+        reply(failure(ErrorCode::NotFound, "this instance does not serve that method"));
+    } else {
+        handler->second(item->connection->peer(), std::move(frame.payload), std::move(reply));
+    }
+}
+
+void TcpHub::call(const std::string &address, Method method, std::string payload, Instant deadline,
+                  Done<std::string> done)
+{
+    if (payload.size() + WireFrame::overheadBytes > this->options->maxFrameBytes) {
+        done(failure(ErrorCode::InvalidArgument, "the message is larger than a frame may be"));
+        return;
+    }
+    const auto peer = this->peerAt(address);
+    if (!peer) {
+        done(failure(ErrorCode::Unavailable,
+                     "no call to \"" + address
+                         + "\": the messenger is not running or the address is not ip:port"));
+        return;
+    }
+    asio::post(
+        peer->executor(),
+        [peer, method, payload = std::move(payload), deadline, done = std::move(done)]() mutable {
+            peer->call(method, std::move(payload), deadline, std::move(done));
+        });
+}
+
+std::shared_ptr<TcpPeer> TcpHub::peerAt(const std::string &address)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->isRunning)
+        return nullptr;
+    const auto found = this->peers.find(address);
+    if (found != this->peers.end())
+        return found->second;
+    const auto endpoint = parseAddress(address);
+    if (!endpoint)
+        return nullptr;
+    auto peer = std::make_shared<TcpPeer>(this->context, *endpoint, this->options, this->cells);
+    this->peers.emplace(address, peer);
+    return peer;
+}
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/src/replicas/wireframe.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace guavavalve::internal {
+
+/// What a frame between two instances holds, once opened.
+struct WireFrame
+{
+    /// Values are part of the wire format.
+    enum class Kind : std::uint8_t { Heartbeat = 0, Call = 1, Reply = 2, ErrorReply = 3 };
+
+    static constexpr std::size_t overheadBytes = 64; ///< more than all but the payload takes
+
+    Kind kind = Kind::Heartbeat;
+    std::uint64_t callId = 0; ///< of the caller's connection
+    std::uint16_t method = 0;
+    std::string payload;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->kind, this->callId, this->method, this->payload);
+    }
+};
+
+} // namespace guavavalve::internal
--- /dev/null
+++ b/test/replicas/testgroup.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "recordingmachine.h"
+#include "replicas/grouprouter.h"
+#include "replicas/raftnode.h"
+#include "replicas/tcpmessenger.h"
+#include "temporaryfolder.h"
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace guavavalve {
+
+/// Waits until \a condition holds; false if it never does.
+inline bool waitFor(const std::function<bool()> &condition)
+{
+    constexpr Milliseconds patience{30000};
+    constexpr Milliseconds pause{5};
+    const Instant end = monotonicNow() + patience;
+    while (monotonicNow() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(pause);
+    }
+    return condition();
+}
+
+/// The outcome of an asynchronous call, waited for.
+template<typename T>
+Result<T> await(const std::function<void(Done<T>)> &begin)
+{
+    auto promise = std::make_shared<std::promise<Result<T>>>();
+    auto future = promise->get_future();
+    begin([promise](Result<T> outcome) { promise->set_value(std::move(outcome)); });
+    if (future.wait_for(std::chrono::seconds(30)) != std::future_status::ready)
+        return failure(ErrorCode::DeadlineExceeded, "the test's patience ended");
+    return future.get();
+}
+
+/// One instance of a test: messenger, replica and state machine, over loopback.
+struct TestInstance
+{
+    std::string name;
+    std::string address;
+    RecordingMachine machine;
+    std::unique_ptr<TcpMessenger> messenger;
+    std::unique_ptr<GroupRouter> router;
+    std::unique_ptr<RaftNode> node;
+
+    ~TestInstance() { this->stop(); }
+
+    void stop()
+    {
+        this->node.reset();
+        if (this->messenger)
+            this->messenger->stop();
+        this->router.reset();
+        this->messenger.reset();
+    }
+};
+
+/// Several instances, each with a folder that outlives its restarts.
+class TestGroup
+{
+public:
+    using Adjust = std::function<void(RaftOptions &)>;
+
+    explicit TestGroup(Adjust adjustment = {})
+        : adjust(std::move(adjustment))
+    {}
+
+    /// Starts, or starts anew with a fresh state machine, the instance \a name.
+    Result<void> start(const std::string &name)
+    {
+        auto instance = std::make_unique<TestInstance>();
+        instance->name = name;
+        MessengerOptions options;
+        options.instance = name;
+        options.listenAddress =
+            this->addresses.count(name) != 0 ? this->addresses[name] : "127.0.0.1:0";
+        options.clusterId = "test";
+        options.sharedSecret = "a secret of the tests";
+        instance->messenger = std::make_unique<TcpMessenger>(options);
+        instance->router = std::make_unique<GroupRouter>(*instance->messenger);
+        if (auto started = instance->messenger->start(); !started)
+            return started;
+        instance->address = "127.0.0.1:" + std::to_string(instance->messenger->port());
+        this->addresses[name] = instance->address;
+        RaftOptions raft;
+        raft.instance = name;
+        raft.address = instance->address;
+        raft.clusterId = "test";
+        raft.dataFolder = this->folder.path() + "/" + name;
+        if (this->adjust)
+            this->adjust(raft);
+        auto node = openRaftNode(std::move(raft), *instance->router, instance->machine);
+        if (!node)
+            return node.error();
+        instance->node = std::move(node).value();
+        this->instances[name] = std::move(instance);
+        return boost::outcome_v2::success();
+    }
+
+    void stop(const std::string &name) { this->instances.erase(name); }
+    void loseDisk(const std::string &name)
+    {
+        std::filesystem::remove_all(this->folder.path() + "/" + name);
+    }
+
+    TestInstance &at(const std::string &name) { return *this->instances.at(name); }
+    ReplicaMember member(const std::string &name)
+    {
+        return {name, this->addresses.at(name), true, 0};
+    }
+
+    Result<Nothing> form(const std::string &by, const std::vector<std::string> &names)
+    {
+        std::vector<ReplicaMember> members;
+        members.reserve(names.size());
+        for (const std::string &name : names)
+            members.push_back(this->member(name));
+        return await<Nothing>(
+            [&](Done<Nothing> done) { this->at(by).node->form(members, std::move(done)); });
+    }
+
+    /// The one that leads and may serve reads, or null.
+    TestInstance *leader()
+    {
+        for (auto &[name, instance] : this->instances) {
+            if (instance->node->holdsLeaderLease())
+                return instance.get();
+        }
+        return nullptr;
+    }
+    TestInstance *waitForLeader()
+    {
+        waitFor([&] { return this->leader() != nullptr; });
+        return this->leader();
+    }
+
+    /// Proposes at whichever leads, until it is committed or surely refused for another reason.
+    Result<std::string> propose(const std::string &command)
+    {
+        Result<std::string> outcome = failure(ErrorCode::Unavailable, "no leader");
+        waitFor([&] {
+            TestInstance *leads = this->leader();
+            if (leads == nullptr)
+                return false;
+            outcome = await<std::string>(
+                [&](Done<std::string> done) { leads->node->propose(command, std::move(done)); });
+            return outcome.has_value() || outcome.error().code != ErrorCode::NotLeader;
+        });
+        return outcome;
+    }
+
+    bool allHave(std::size_t commands)
+    {
+        return waitFor([&] {
+            for (auto &[name, instance] : this->instances) {
+                if (instance->machine.commands().size() != commands)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    std::map<std::string, std::unique_ptr<TestInstance>> instances;
+
+private:
+    Adjust adjust;
+    TemporaryFolder folder;
+    std::map<std::string, std::string> addresses;
+};
+
+} // namespace guavavalve
