--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -32,12 +32,14 @@
 {
     if (batch.isEmpty())
         return boost::outcome_v2::success();
-    if (batch.hardState)
-        this->hardState = *batch.hardState;
     if (this->segments.back().bytes >= this->options.segmentBytes) {
         if (auto begun = this->beginSegment(); !begun)
             return begun;
     }
+    // Only now: the new segment's header must not be ahead of the batch. A crash between them
+    // would leave a replica that counts as formed and has no first entry.
+    if (batch.hardState)
+        this->hardState = *batch.hardState;
     Segment &segment = this->segments.back();
     const std::string name = segmentName(segment.number);
     const std::string payload = encode(batch);
--- a/src/targets/announcementjson.cpp
+++ b/src/targets/announcementjson.cpp
@@ -57,7 +57,8 @@
             ++kind;
         const std::string path = field + "." + name;
         if (kind == resourceKindCount)
-            return wrongField(path, "one of milliCores, memoryMb, accelerators, slots, connections");
+            return wrongField(path,
+                              "one of milliCores, memoryMb, accelerators, slots, connections");
         if (!value.is_number_integer() || value < 0 || value > maxAmount)
             return wrongField(path, "a whole number from 0 to 2147483647");
         resources.amounts[kind] = value.get<std::int64_t>();
--- a/src/targets/announcementlistener.cpp
+++ b/src/targets/announcementlistener.cpp
@@ -50,8 +50,7 @@
 
 } // namespace
 
-struct AnnouncementListener::Private
-    : std::enable_shared_from_this<AnnouncementListener::Private>
+struct AnnouncementListener::Private : std::enable_shared_from_this<AnnouncementListener::Private>
 {
     Private(ControllerClient &client, TimerQueue &timerQueue, AnnouncementListenerOptions chosen)
         : controller(client)
--- a/src/targets/httptargetclient.cpp
+++ b/src/targets/httptargetclient.cpp
@@ -41,8 +41,7 @@
 
 /// The report in \a response, whose body is \a body. A target that answers for another attempt,
 /// in part, or with other bytes than it digested shows here, and its answer goes no further.
-Result<AttemptReport> readReport(const http_response &response, AttemptId attempt,
-                                 std::string body)
+Result<AttemptReport> readReport(const http_response &response, AttemptId attempt, std::string body)
 {
     if (headerOf(response, attemptHeader) != attemptName(attempt))
         return unknownFailure(ErrorCode::IncompleteAnswer,
@@ -189,16 +188,15 @@
                                      + std::to_string(this->options.maxAnswerBytes) + " bytes"));
         return;
     }
-    response.extract_vector().then(
-        [call, response](const pplx::task<std::vector<unsigned char>> &arrived) {
-            try {
-                const std::vector<unsigned char> bytes = arrived.get();
-                call->end(readReport(response, call->attempt,
-                                     std::string(bytes.begin(), bytes.end())));
-            } catch (const std::exception &problem) {
-                call->end(unknownFailure(ErrorCode::IncompleteAnswer, problem.what()));
-            }
-        });
+    response.extract_vector().then([call, response](
+                                       const pplx::task<std::vector<unsigned char>> &arrived) {
+        try {
+            const std::vector<unsigned char> bytes = arrived.get();
+            call->end(readReport(response, call->attempt, std::string(bytes.begin(), bytes.end())));
+        } catch (const std::exception &problem) {
+            call->end(unknownFailure(ErrorCode::IncompleteAnswer, problem.what()));
+        }
+    });
 }
 
 HttpTargetClient::HttpTargetClient(TimerQueue &timers, HttpTargetClientOptions options)
@@ -212,9 +210,8 @@
 {
     const AttemptId attempt{order.task, order.attempt};
     http_request request(web::http::methods::POST);
-    request.set_request_uri(attemptUri(attempt,
-                                       "/start?" + incarnationParameter(order.incarnation) + "&"
-                                           + waitParameter(wait)));
+    request.set_request_uri(attemptUri(
+        attempt, "/start?" + incarnationParameter(order.incarnation) + "&" + waitParameter(wait)));
     request.set_body(std::vector<unsigned char>(order.payload.begin(), order.payload.end()));
     this->d->call(order.targetAddress, attempt, std::move(request), wait, std::move(done));
 }
--- /dev/null
+++ b/test/journal/fakedisk.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "journal/disk.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// What a FakeDisk's folder holds; outlives the processes that use it.
+struct FakeFolder
+{
+    struct File
+    {
+        std::string bytes;
+        std::size_t synced = 0; ///< how many of the bytes survive a crash for sure
+    };
+    using Names = std::map<std::string, std::shared_ptr<File>>;
+
+    Names current;
+    Names durable; ///< names as of the last sync of the folder
+    std::vector<std::function<void(Names &)>> unsynced; ///< changes of names since
+    /// Steps that still succeed; then each one fails, as in a process that has been killed.
+    std::int64_t stepsLeft = -1; ///< negative: no end
+    std::size_t steps = 0; ///< taken so far
+
+    bool hasCrashed() const { return this->stepsLeft == 0; }
+
+    /// Loses what was not synced: any number of the last changes of names, and any part of the
+    /// last bytes of each file, the part that stays perhaps damaged.
+    void crash(std::mt19937_64 &random)
+    {
+        const std::size_t kept = random() % (this->unsynced.size() + 1);
+        for (std::size_t i = 0; i < kept; ++i)
+            this->unsynced[i](this->durable);
+        this->unsynced.clear();
+        this->current = this->durable;
+        for (auto &[name, file] : this->current) {
+            const std::size_t loose = file->bytes.size() - file->synced;
+            const std::size_t stays = loose == 0 ? 0 : random() % (loose + 1);
+            file->bytes.resize(file->synced + stays);
+            if (stays > 0 && random() % 2 == 0)
+                file->bytes[file->synced + random() % stays] ^= 0x20;
+            file->synced = file->bytes.size();
+        }
+        this->stepsLeft = -1;
+    }
+
+    /// Every file's bytes, to see whether anything was touched.
+    std::map<std::string, std::string> contents() const
+    {
+        std::map<std::string, std::string> result;
+        for (const auto &[name, file] : this->current)
+            result[name] = file->bytes;
+        return result;
+    }
+};
+
+/// A Disk in memory that can be stopped after any step.
+class FakeDisk : public Disk
+{
+public:
+    explicit FakeDisk(std::shared_ptr<FakeFolder> shared)
+        : folder(std::move(shared))
+    {}
+
+    Result<void> lock(const std::string &) override { return boost::outcome_v2::success(); }
+
+    Result<std::vector<std::string>> list() override
+    {
+        std::vector<std::string> names;
+        for (const auto &[name, file] : this->folder->current)
+            names.push_back(name);
+        return names;
+    }
+    Result<std::string> read(const std::string &name) override
+    {
+        return this->folder->current.at(name)->bytes;
+    }
+    Result<std::string> readPart(const std::string &name, std::uint64_t offset,
+                                 std::size_t length) override
+    {
+        return this->folder->current.at(name)->bytes.substr(offset, length);
+    }
+    Result<void> append(const std::string &name, const std::string &bytes) override
+    {
+        if (!this->step()) {
+            // Killed in the middle of the write: a part of it is there, unsynced.
+            const auto found = this->folder->current.find(name);
+            if (found != this->folder->current.end())
+                found->second->bytes += bytes.substr(0, bytes.size() / 2);
+            return dead();
+        }
+        auto &file = this->folder->current[name];
+        if (!file) {
+            file = std::make_shared<FakeFolder::File>();
+            this->changeNames([name, file](FakeFolder::Names &names) { names[name] = file; });
+        }
+        file->bytes += bytes;
+        return boost::outcome_v2::success();
+    }
+    Result<void> truncate(const std::string &name, std::uint64_t size) override
+    {
+        if (!this->step())
+            return dead();
+        auto &file = *this->folder->current.at(name);
+        file.bytes.resize(size);
+        file.synced = std::min(file.synced, file.bytes.size());
+        return boost::outcome_v2::success();
+    }
+    Result<void> sync(const std::string &name) override
+    {
+        if (!this->step())
+            return dead();
+        auto &file = *this->folder->current.at(name);
+        file.synced = file.bytes.size();
+        return boost::outcome_v2::success();
+    }
+    Result<void> rename(const std::string &from, const std::string &to) override
+    {
+        if (!this->step())
+            return dead();
+        this->changeNames([from, to](FakeFolder::Names &names) {
+            const auto found = names.find(from);
+            if (found == names.end())
+                return;
+            names[to] = found->second;
+            names.erase(from);
+        });
+        return boost::outcome_v2::success();
+    }
+    Result<void> remove(const std::string &name) override
+    {
+        if (!this->step())
+            return dead();
+        this->changeNames([name](FakeFolder::Names &names) { names.erase(name); });
+        return boost::outcome_v2::success();
+    }
+    Result<void> syncFolder() override
+    {
+        if (!this->step())
+            return dead();
+        this->folder->durable = this->folder->current;
+        this->folder->unsynced.clear();
+        return boost::outcome_v2::success();
+    }
+
+private:
+    bool step()
+    {
+        if (this->folder->stepsLeft == 0)
+            return false;
+        if (this->folder->stepsLeft > 0)
+            --this->folder->stepsLeft;
+        ++this->folder->steps;
+        return this->folder->stepsLeft != 0;
+    }
+    static Error dead() { return failure(ErrorCode::Unavailable, "the process was killed"); }
+    void changeNames(std::function<void(FakeFolder::Names &)> change)
+    {
+        change(this->folder->current);
+        this->folder->unsynced.push_back(std::move(change));
+    }
+
+    std::shared_ptr<FakeFolder> folder;
+};
+
+} // namespace guavavalve
