--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,7 +3,7 @@
 # a replica and in a failure domain of its own, and four stand-in targets. At the end the
 # controller is killed and the cell serves on. Usage: demo.sh BUILD_FOLDER
 set -u
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/.." || exit
 build="${1:-build}"
 tool="$build/guavavalve"
 folder="$(mktemp -d)"
