Replicas: a randomised test of the core, and two faults it found

RaftSimulation runs RaftCores with real journals on fake disks, networks and clocks, and checks after every step: one leader a term, one entry an index, no committed entry lost, no state reverted, no stale lease, bounded bytes under way; at the end faults stop and the group must go on.

(2): a leader that had appended its own removal, had the longest log and lost its leadership did not stand again, and nobody else could win; a voter whose removal is not committed still stands (thesis, 4.2.2).

--- a/src/replicas/formrequest.h
+++ b/src/replicas/formrequest.h
@@ -2,12 +2,17 @@
 
 #include "journal/logentry.h"
 
+#include <cereal/types/optional.hpp>
+
+#include <optional>
+
 namespace guavavalve {
 
-/// Brings the group's first entry, the list of its first members, to one of them.
+/// Tells a voter that has heard of no formation yet that it belongs to the sender's.
 struct FormRequest
 {
-    LogEntry first;
+    /// The group's first entry, the list of its first members, if the sender still has it.
+    std::optional<LogEntry> first;
 
     template<typename Archive>
     void serialize(Archive &archive)
--- a/src/replicas/raftcore.cpp
+++ b/src/replicas/raftcore.cpp
@@ -75,7 +75,9 @@
     }
     if (this->now < this->electionAt)
         return;
-    if (this->members().isVoter(this->own))
+    // A voter whose removal is not committed yet may still be needed: if it has the longest log,
+    // nobody else can win (thesis, 4.2.2). It does not count its own vote then.
+    if (this->members().isVoter(this->own) || this->committedMembers().isVoter(this->own))
         this->startPreVote();
     else
         this->electionAt = this->afterElectionTimeout();
--- a/src/replicas/raftcore.h
+++ b/src/replicas/raftcore.h
@@ -119,6 +119,7 @@
     void onTimeoutNow(const RaftMessage &message);
     bool hearsLeader() const;
     void onFormRequest(const RaftMessage &message, const FormRequest &request, std::uint64_t token);
+    bool isFirstEntry(const LogEntry &entry, std::uint64_t formation) const;
     void adoptFormation(std::uint64_t formation);
 
     // raftfollower.cpp
--- a/src/replicas/raftelection.cpp
+++ b/src/replicas/raftelection.cpp
@@ -155,24 +155,28 @@
     return firstIndex;
 }
 
-/// Takes the list of first members, once: a replica that has been formed refuses another
+/// Joins a formation, once: a replica that has been formed refuses another
 /// formation, so two operators who form two groups at once cannot both get a quorum.
 void RaftCore::onFormRequest(const RaftMessage &message, const FormRequest &request,
                              std::uint64_t token)
 {
-    const LogEntry &first = request.first;
-    const auto list = decode<MemberList>(first.payload);
-    const bool isValid = list && list.value().formation == message.formation
-        && list.value().isVoter(this->own) && first.index == firstIndex && first.term == firstTerm
-        && first.kind == EntryKind::Members;
-    if (isValid && !this->isFormed() && this->log.lastIndex() == 0) {
+    const bool isFresh = !this->isFormed() && this->log.lastIndex() == 0 && message.formation != 0;
+    if (isFresh && (!request.first || this->isFirstEntry(*request.first, message.formation))) {
         this->adoptFormation(message.formation);
         this->setTerm(std::max(this->hard.term, firstTerm));
-        this->appendEntry(first);
+        if (request.first)
+            this->appendEntry(*request.first);
     }
     this->replyIdentity(message, token);
 }
 
+bool RaftCore::isFirstEntry(const LogEntry &entry, std::uint64_t formation) const
+{
+    const auto list = decode<MemberList>(entry.payload);
+    return list && list.value().formation == formation && entry.index == firstIndex
+        && entry.term == firstTerm && entry.kind == EntryKind::Members;
+}
+
 void RaftCore::adoptFormation(std::uint64_t formation)
 {
     this->hard.formation = formation;
--- a/src/replicas/raftmembership.cpp
+++ b/src/replicas/raftmembership.cpp
@@ -76,12 +76,16 @@
     if (!this->isFormed() || answer.formation != 0)
         return;
     const MemberRecord *member = this->members().find(answer.replica);
-    const bool isFirst = this->log.baseIndex() == 0 && this->log.lastIndex() >= 1;
-    if (member != nullptr && this->commit == 0 && isFirst) {
-        this->sendTo(*member, FormRequest{this->log.at(1)}, false);
+    if (member != nullptr) {
+        // It has never voted or stored anything under this identity, so it may begin to. Without
+        // this, a voter that missed the formation could not help to elect a leader.
+        FormRequest request;
+        if (this->log.baseIndex() == 0 && this->log.lastIndex() >= 1)
+            request.first = this->log.at(1);
+        this->sendTo(*member, std::move(request), false);
         return;
     }
-    if (member != nullptr || this->currentRole != ReplicaRole::Leader)
+    if (this->currentRole != ReplicaRole::Leader)
         return;
     for (const MemberRecord &record : this->members().members) {
         const auto peer = this->progress.find(record.replica);
--- /dev/null
+++ b/test/replicas/raftrandomtest.cpp
@@ -0,0 +1,70 @@
+#include <catch2/catch.hpp>
+
+#include "raftsimulation.h"
+
+#include <iostream>
+
+using namespace guavavalve;
+
+namespace {
+
+struct Tally
+{
+    std::size_t commits = 0;
+    std::size_t leaders = 0;
+    std::size_t crashes = 0;
+    std::size_t lostDisks = 0;
+    std::size_t snapshots = 0;
+    std::size_t memberChanges = 0;
+};
+
+void runSeed(std::uint64_t seed, std::size_t steps, Tally &tally)
+{
+    INFO("seed " << seed);
+    const std::size_t voters = seed % 2 == 0 ? 3 : 5;
+    RaftSimulation simulation(seed, 6, voters);
+    for (std::size_t i = 0; i < steps && simulation.failure().empty(); ++i)
+        simulation.step();
+    REQUIRE(simulation.failure() == "");
+    const bool settles = simulation.settles(Milliseconds(60000));
+    INFO(simulation.describe());
+    REQUIRE(simulation.failure() == "");
+    REQUIRE(settles);
+    tally.commits += simulation.commits();
+    tally.leaders += simulation.leaders();
+    tally.crashes += simulation.crashes;
+    tally.lostDisks += simulation.lostDisks;
+    tally.snapshots += simulation.snapshotsInstalled;
+    tally.memberChanges += simulation.memberChanges;
+}
+
+void runSeeds(std::uint64_t first, std::size_t seeds, std::size_t steps)
+{
+    std::cout << "seeds " << first << " to " << first + seeds - 1 << ", " << steps << " steps each"
+              << std::endl;
+    Tally tally;
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+        runSeed(seed, steps, tally);
+    std::cout << tally.commits << " commits, " << tally.leaders << " leaders, " << tally.crashes
+              << " crashes, " << tally.lostDisks << " lost disks, " << tally.snapshots
+              << " snapshots installed, " << tally.memberChanges << " member changes" << std::endl;
+    CHECK(tally.commits > seeds * 20);
+    CHECK(tally.crashes > seeds);
+}
+
+} // namespace
+
+// Messages are lost, doubled, delayed and reordered; replicas are cut off, frozen, killed at any
+// step of a write, and lose their disks; members come and go, clocks drift. Whatever the order,
+// one leader a term, one log, no committed entry lost, no state reverted, no stale lease; and
+// once the faults end, the group goes on.
+TEST_CASE("the replicated log holds its promises under random faults", "[raft][random]")
+{
+    runSeeds(1, 60, 20000);
+}
+
+// Not part of a plain run: `replicastest "[soak]"`, with millions of steps.
+TEST_CASE("the replicated log holds its promises in a long random run", "[.][soak]")
+{
+    runSeeds(100000, 1000, 20000);
+}
--- /dev/null
+++ b/test/replicas/raftsimulation.cpp
@@ -0,0 +1,516 @@
+#include "raftsimulation.h"
+
+#include "core/codec.h"
+#include "journal/checksum.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace guavavalve {
+
+namespace {
+
+constexpr std::size_t maxFlights = 2000;
+constexpr std::size_t statusBytes = sizeof(std::uint64_t);
+constexpr Milliseconds tickTime{10};
+
+std::string addressOf(std::size_t index)
+{
+    return std::to_string(index);
+}
+
+std::uint64_t nextState(std::uint64_t state, const LogEntry &entry)
+{
+    return checksumOf(entry.payload, state + entry.index);
+}
+
+} // namespace
+
+RaftSimulation::RaftSimulation(std::uint64_t seed, std::size_t instances, std::size_t voters)
+    : random(seed)
+{
+    for (std::size_t i = 0; i < instances; ++i) {
+        Node node;
+        node.folder = std::make_shared<FakeFolder>();
+        // Clocks run up to 4 % apart, less than the lease's margin of 10 %.
+        node.clockRate = 0.98 + static_cast<double>(this->pick(41)) / 1000.0;
+        this->nodes.push_back(std::move(node));
+        this->boot(this->nodes.back());
+    }
+    MemberList list;
+    list.formation = seed + 1;
+    for (std::size_t i = 0; i < voters; ++i)
+        list.members.push_back({addressOf(i), this->nodes[i].identity, addressOf(i), true});
+    if (!this->core(0).form(list, this->clockOf(this->nodes[0])))
+        this->fail("the group could not be formed");
+    this->carryOut(0);
+}
+
+RaftSimulation::~RaftSimulation() = default;
+
+Instant RaftSimulation::clockOf(const Node &node) const
+{
+    const auto ticks = static_cast<double>(this->now.time_since_epoch().count());
+    return Instant(Microseconds(static_cast<std::int64_t>(ticks * node.clockRate)));
+}
+
+void RaftSimulation::boot(Node &node)
+{
+    JournalOptions journalOptions;
+    journalOptions.clusterId = "simulation";
+    journalOptions.segmentBytes = 2000;
+    journalOptions.random = [this] { return this->random(); };
+    node.journal = std::make_unique<Journal>(std::make_unique<FakeDisk>(node.folder),
+                                             std::move(journalOptions));
+    auto recovered = node.journal->recover();
+    if (!recovered) {
+        this->fail("a replica does not start: " + recovered.error().message);
+        return;
+    }
+    node.identity = recovered.value().replica;
+    node.applied = 0;
+    node.state = 0;
+    if (recovered.value().snapshot) {
+        node.applied = recovered.value().snapshot->index;
+        this->restoreState(node, recovered.value().snapshotState);
+    }
+    RaftCoreOptions options;
+    const auto position = static_cast<std::size_t>(
+        std::find_if(this->nodes.begin(), this->nodes.end(), [&](auto &n) { return &n == &node; })
+        - this->nodes.begin());
+    options.instance = addressOf(position);
+    options.maxBatchBytes = 400;
+    options.maxInFlightBytes = 2000;
+    options.snapshotPieceBytes = 3; // several pieces for the eight bytes of state
+    options.keptEntries = 5;
+    options.random = [this] { return this->random(); };
+    node.core =
+        std::make_unique<RaftCore>(std::move(options), recovered.value(), this->clockOf(node));
+}
+
+void RaftSimulation::restoreState(Node &node, const std::string &state)
+{
+    node.state = decode<std::uint64_t>(state).value();
+    if (node.applied < this->stateAt.size() && this->stateAt[node.applied] != node.state)
+        this->fail("a snapshot holds another state than was committed");
+}
+
+void RaftSimulation::send(std::size_t index, std::vector<OutgoingMessage> &messages)
+{
+    for (OutgoingMessage &outgoing : messages) {
+        Flight flight;
+        flight.from = index;
+        flight.message = std::move(outgoing.message);
+        if (outgoing.replyTo != 0) {
+            const auto call = this->calls.find(outgoing.replyTo);
+            if (call == this->calls.end())
+                continue;
+            flight.to = call->second.caller;
+            flight.isReply = true;
+            flight.token = outgoing.replyTo;
+        } else {
+            flight.to = static_cast<std::size_t>(std::stoul(outgoing.address));
+            flight.token = ++this->lastToken;
+            this->calls[flight.token] = {index, flight.message.to};
+            if (auto *piece = std::get_if<SnapshotRequest>(&flight.message.body)) {
+                auto bytes = this->nodes[index].journal->readSnapshot(
+                    piece->meta.index, piece->offset, outgoing.pieceBytes);
+                if (!bytes)
+                    continue;
+                piece->piece = std::move(bytes).value();
+            }
+        }
+        if (static_cast<int>(this->pick(100)) < this->odds.duplicate)
+            this->network.push_back(flight);
+        if (this->network.size() < maxFlights)
+            this->network.push_back(std::move(flight));
+    }
+    while (this->calls.size() > 4 * maxFlights)
+        this->calls.erase(this->calls.begin());
+}
+
+void RaftSimulation::carryOut(std::size_t index)
+{
+    Node &node = this->nodes[index];
+    RaftOutput output = node.core->takeOutput();
+    while (!output.isEmpty()) {
+        if (output.fault)
+            this->fail("broken invariant: " + output.fault->message);
+        this->send(index, output.beforeSync);
+        bool isAlive = true;
+        if (output.snapshot) {
+            isAlive = node.journal->saveSnapshot(output.snapshot->meta, output.snapshot->state)
+                          .has_value();
+        }
+        if (isAlive && !output.batch.isEmpty())
+            isAlive = node.journal->write(output.batch).has_value();
+        if (!isAlive) {
+            this->crash(index);
+            return;
+        }
+        if (output.snapshot) {
+            ++this->snapshotsInstalled;
+            if (output.snapshot->meta.index < node.applied)
+                this->fail("a snapshot took a replica back");
+            node.applied = output.snapshot->meta.index;
+            this->restoreState(node, output.snapshot->state);
+        }
+        node.core->persisted();
+        this->send(index, output.afterSync);
+        output = node.core->takeOutput();
+    }
+    this->apply(node);
+}
+
+void RaftSimulation::apply(Node &node)
+{
+    for (const LogEntry &entry : node.core->takeCommitted(1 << 20)) {
+        const auto known = this->committed.find(entry.index);
+        if (known == this->committed.end()) {
+            this->committed[entry.index] = {entry.term, entry.payload};
+            this->highestCommittedTerm = std::max(this->highestCommittedTerm, entry.term);
+            if (entry.index != this->stateAt.size())
+                this->fail("an entry was committed out of order");
+            this->stateAt.push_back(nextState(this->stateAt.back(), entry));
+        } else if (known->second != std::make_pair(entry.term, entry.payload)) {
+            this->fail("two entries were committed at " + std::to_string(entry.index));
+        }
+        if (entry.index != node.applied + 1)
+            this->fail("a replica applied entries out of order");
+        node.applied = entry.index;
+        node.state = nextState(node.state, entry);
+        if (node.state != this->stateAt[entry.index])
+            this->fail("two replicas have different states");
+    }
+}
+
+void RaftSimulation::tick(Node &node)
+{
+    if (!node.core || this->now < node.frozenUntil)
+        return;
+    node.core->tick(this->clockOf(node));
+}
+
+void RaftSimulation::deliver()
+{
+    if (this->network.empty())
+        return;
+    const bool isDelayed = static_cast<int>(this->pick(100)) < this->odds.delay;
+    const std::size_t at = isDelayed ? this->pick(this->network.size()) : 0;
+    Flight flight = std::move(this->network[at]);
+    this->network.erase(this->network.begin() + static_cast<std::ptrdiff_t>(at));
+    Node &node = this->nodes[flight.to];
+    const bool isCut = this->isolated.count(flight.from) != this->isolated.count(flight.to);
+    if (isCut || !node.core || static_cast<int>(this->pick(100)) < this->odds.drop) {
+        Node &sender = this->nodes[flight.from];
+        const bool isTold = !flight.isReply && sender.core && this->pick(2) == 0;
+        if (isTold)
+            sender.core->unreachable(flight.message.to, this->clockOf(sender));
+        return;
+    }
+    if (this->now < node.frozenUntil) {
+        this->network.push_back(std::move(flight)); // waits in its socket
+        return;
+    }
+    node.core->receive(std::move(flight.message), flight.isReply ? 0 : flight.token,
+                       this->clockOf(node));
+    this->carryOut(flight.to);
+}
+
+void RaftSimulation::crash(std::size_t index)
+{
+    Node &node = this->nodes[index];
+    if (!node.core)
+        return;
+    ++this->crashes;
+    node.core.reset();
+    node.journal.reset();
+    node.folder->crash(this->random);
+}
+
+void RaftSimulation::restart(std::size_t index)
+{
+    if (!this->nodes[index].core)
+        this->boot(this->nodes[index]);
+}
+
+/// Losing a disk is like losing a machine: within what the group tolerates if no other lost one
+/// still counts as a voter anywhere, and enough voters are left.
+bool RaftSimulation::canLoseDisk() const
+{
+    std::size_t fewest = this->nodes.size();
+    for (const Node &node : this->nodes) {
+        if (!node.core)
+            return false; // what it has stored cannot be seen
+        if (!node.core->isFormed() || node.core->members().members.empty())
+            continue;
+        for (const MemberList *list : {&node.core->members(), &node.core->committedMembers()}) {
+            fewest = std::min(fewest, list->voters());
+            for (const MemberRecord &member : list->members) {
+                const bool isLost = this->lostIdentities.count(member.replica) != 0;
+                if (isLost && member.voter)
+                    return false;
+            }
+        }
+    }
+    return fewest >= 3;
+}
+
+void RaftSimulation::loseDisk(std::size_t index)
+{
+    this->crash(index);
+    ++this->lostDisks;
+    this->lostIdentities.insert(this->nodes[index].identity);
+    *this->nodes[index].folder = FakeFolder();
+    this->restart(index);
+}
+
+std::optional<std::size_t> RaftSimulation::leader() const
+{
+    std::optional<std::size_t> found;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        const bool leads = this->isAlive(i) && this->core(i).role() == ReplicaRole::Leader;
+        if (leads && (!found || this->core(i).term() > this->core(*found).term()))
+            found = i;
+    }
+    return found;
+}
+
+bool RaftSimulation::proposeAtLeader()
+{
+    const auto index = this->leader();
+    if (!index || this->now < this->nodes[*index].frozenUntil)
+        return false;
+    const std::size_t batch = 1 + this->pick(3);
+    bool isProposed = false;
+    for (std::size_t i = 0; i < batch; ++i)
+        isProposed = this->core(*index).propose("c" + std::to_string(++this->commands)).has_value();
+    this->carryOut(*index);
+    return isProposed;
+}
+
+bool RaftSimulation::addMember(std::size_t index)
+{
+    const auto leads = this->leader();
+    const bool isPossible = leads && this->isAlive(index)
+        && (!this->core(index).isFormed()
+            || this->core(index).formation() == this->core(*leads).formation());
+    if (!isPossible)
+        return false;
+    const bool isAdded =
+        this->core(*leads)
+            .addLearner({addressOf(index), this->nodes[index].identity, addressOf(index), false})
+            .has_value();
+    this->memberChanges += isAdded ? 1 : 0;
+    this->carryOut(*leads);
+    return isAdded;
+}
+
+void RaftSimulation::takeSnapshot(std::size_t index)
+{
+    Node &node = this->nodes[index];
+    if (!node.core || node.applied <= node.core->entries().baseIndex() || node.applied == 0)
+        return;
+    const std::string state = encode(node.state);
+    SnapshotMeta meta;
+    meta.index = node.applied;
+    meta.term = node.core->entries().termAt(node.applied).value();
+    meta.members = encode(node.core->membersAt(node.applied));
+    meta.size = state.size();
+    meta.checksum = checksumOf(state);
+    if (!node.journal->saveSnapshot(meta, state)) {
+        this->crash(index);
+        return;
+    }
+    node.core->compact(meta);
+    if (!node.journal->release(meta.index))
+        this->crash(index);
+}
+
+void RaftSimulation::randomFault()
+{
+    const std::size_t index = this->pick(this->nodes.size());
+    Node &node = this->nodes[index];
+    switch (this->pick(8)) {
+    case 0:
+        this->crash(index);
+        break;
+    case 1:
+    case 2:
+        this->restart(index);
+        break;
+    case 3: // killed within the next few steps of its disk
+        if (node.core && node.folder->stepsLeft < 0)
+            node.folder->stepsLeft = static_cast<std::int64_t>(1 + this->pick(8));
+        break;
+    case 4:
+        if (this->isolated.size() < 2)
+            this->isolated.insert(index);
+        break;
+    case 5:
+        this->isolated.clear();
+        break;
+    case 6:
+        node.frozenUntil = this->now + Milliseconds(this->pick(1500));
+        break;
+    default:
+        if (this->canLoseDisk())
+            this->loseDisk(index);
+    }
+}
+
+void RaftSimulation::randomMemberChange()
+{
+    const auto leads = this->leader();
+    if (!leads || this->now < this->nodes[*leads].frozenUntil)
+        return;
+    const std::size_t index = this->pick(this->nodes.size());
+    RaftCore &core = this->core(*leads);
+    if (this->pick(4) == 0) {
+        (void)core.transferLeadership(this->clockOf(this->nodes[*leads])).has_value();
+    } else if (core.members().voters() > 3 && this->pick(2) == 0) {
+        this->memberChanges += core.removeInstance(addressOf(index)).has_value() ? 1 : 0;
+    } else {
+        this->addMember(index);
+        return;
+    }
+    this->carryOut(*leads);
+}
+
+void RaftSimulation::step()
+{
+    if (!this->breach.empty())
+        return;
+    const std::uint64_t choice = this->pick(1000);
+    if (choice < 300) {
+        this->now += Microseconds(200 + this->pick(3000));
+        for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+            this->tick(this->nodes[i]);
+            if (this->nodes[i].core && this->now >= this->nodes[i].frozenUntil)
+                this->carryOut(i);
+        }
+    } else if (choice < 950) {
+        this->deliver();
+    } else if (choice < 980) {
+        this->proposeAtLeader();
+    } else if (choice < 990) {
+        this->takeSnapshot(this->pick(this->nodes.size()));
+    } else if (choice < 995) {
+        this->randomFault();
+    } else if (choice < 998) {
+        this->randomMemberChange();
+    }
+    this->check();
+}
+
+void RaftSimulation::run(Milliseconds duration)
+{
+    const Instant end = this->now + duration;
+    while (this->now < end && this->breach.empty()) {
+        this->now += Microseconds(tickTime) / 4;
+        for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+            this->tick(this->nodes[i]);
+            if (this->nodes[i].core && this->now >= this->nodes[i].frozenUntil)
+                this->carryOut(i);
+        }
+        // Messages take a moment; an answer comes in a later round.
+        for (std::size_t left = this->network.size(); left > 0 && !this->network.empty(); --left)
+            this->deliver();
+        this->check();
+    }
+}
+
+bool RaftSimulation::settles(Milliseconds limit)
+{
+    this->odds = {0, 0, 0};
+    this->isolated.clear();
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        this->nodes[i].frozenUntil = this->now;
+        this->nodes[i].folder->stepsLeft = -1;
+        this->restart(i);
+    }
+    const Instant end = this->now + limit;
+    while (this->now < end && this->breach.empty()) {
+        this->run(Milliseconds(500));
+        const std::size_t before = this->commits();
+        if (!this->proposeAtLeader())
+            continue;
+        this->run(Milliseconds(500));
+        if (this->commits() > before)
+            return true;
+    }
+    return false;
+}
+
+void RaftSimulation::check()
+{
+    for (const Node &node : this->nodes) {
+        if (!node.core)
+            continue;
+        if (node.core->role() == ReplicaRole::Leader) {
+            this->checkLeader(node);
+            this->checkLease(node);
+        }
+    }
+}
+
+void RaftSimulation::checkLeader(const Node &node)
+{
+    const RaftCore &core = *node.core;
+    const auto [known, isNew] = this->leaderOfTerm.emplace(core.term(), core.self());
+    if (known->second != core.self())
+        this->fail("two replicas lead in term " + std::to_string(core.term()));
+    if (isNew) {
+        for (const auto &[index, entry] : this->committed) {
+            const auto term = core.entries().termAt(index);
+            if (index > core.entries().baseIndex() && term != entry.first)
+                this->fail("a leader lacks the committed entry " + std::to_string(index));
+        }
+    }
+    for (const auto &[replica, peer] : core.followers()) {
+        if (peer.inFlightBytes > 2000 + 2 * 400 + 1000)
+            this->fail("more is under way to a follower than the bound");
+    }
+}
+
+/// Reads under the lease are current: nobody else has committed anything in a later term.
+void RaftSimulation::checkLease(const Node &node)
+{
+    const bool holdsLease = this->clockOf(node) < node.core->leaseUntil();
+    if (holdsLease && this->highestCommittedTerm > node.core->term())
+        this->fail("a leader holds a lease while another has committed");
+}
+
+std::string RaftSimulation::describe() const
+{
+    std::ostringstream text;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        const Node &node = this->nodes[i];
+        text << "replica " << i << " " << std::hex << (idValue(node.identity) >> 48U) << std::dec;
+        if (node.core) {
+            const RaftCore &core = *node.core;
+            text << " " << enumName(replicaRoleNames, core.role()) << " term " << core.term()
+                 << " commit " << core.committed() << " last " << core.entries().lastIndex()
+                 << " base " << core.entries().baseIndex() << " members";
+            for (const MemberRecord &member : core.members().members) {
+                text << " " << member.instance << (member.voter ? "v" : "l") << std::hex
+                     << (idValue(member.replica) >> 48U) << std::dec;
+            }
+            for (const auto &[replica, peer] : core.followers()) {
+                text << "\n    follower " << std::hex << (idValue(replica) >> 48U) << std::dec
+                     << " state " << static_cast<int>(peer.state) << " match " << peer.match
+                     << " next " << peer.next << " awaiting " << peer.awaiting;
+            }
+        }
+        text << "\n";
+    }
+    return text.str();
+}
+
+void RaftSimulation::fail(const std::string &what)
+{
+    if (this->breach.empty())
+        this->breach = what;
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/test/replicas/raftsimulation.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "journal/fakedisk.h"
+#include "journal/journal.h"
+#include "replicas/raftcore.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace guavavalve {
+
+/// Several RaftCores, each with a real journal on a fake disk, on a fake network and fake clocks.
+/// After every step it checks what must always hold; the first breach is in failure().
+class RaftSimulation
+{
+public:
+    struct Odds
+    {
+        int drop = 5; ///< percent of messages lost
+        int duplicate = 3; ///< percent delivered twice
+        int delay = 30; ///< percent that later ones may overtake
+    };
+
+    RaftSimulation(std::uint64_t seed, std::size_t instances, std::size_t voters);
+    ~RaftSimulation();
+
+    /// One random event: time, messages, a command, a fault or a change of members.
+    void step();
+    /// Ends all faults and runs until a command has gone through, or for \a limit of time.
+    bool settles(Milliseconds limit);
+    /// Time passes, without random faults.
+    void run(Milliseconds duration);
+
+    // Scripted events.
+    void cutOff(std::size_t node) { this->isolated.insert(node); }
+    void reconnect(std::size_t node) { this->isolated.erase(node); }
+    void crash(std::size_t node);
+    void restart(std::size_t node);
+    void loseDisk(std::size_t node);
+    bool proposeAtLeader();
+    std::optional<std::size_t> leader() const;
+    RaftCore &core(std::size_t node) { return *this->nodes[node].core; }
+    const RaftCore &core(std::size_t node) const { return *this->nodes[node].core; }
+    bool isAlive(std::size_t node) const { return this->nodes[node].core != nullptr; }
+    bool addMember(std::size_t node);
+    void takeSnapshot(std::size_t node);
+    void setOdds(Odds value) { this->odds = value; }
+    std::uint64_t state(std::size_t node) const { return this->nodes[node].state; }
+    LogIndex applied(std::size_t node) const { return this->nodes[node].applied; }
+
+    const std::string &failure() const { return this->breach; }
+    /// Every replica's state in a line, for a failed test.
+    std::string describe() const;
+    std::size_t commits() const { return this->committed.size(); }
+    std::size_t leaders() const { return this->leaderOfTerm.size(); }
+    std::size_t crashes = 0;
+    std::size_t lostDisks = 0;
+    std::size_t snapshotsInstalled = 0;
+    std::size_t memberChanges = 0;
+
+private:
+    struct Node
+    {
+        std::shared_ptr<FakeFolder> folder;
+        std::unique_ptr<Journal> journal;
+        std::unique_ptr<RaftCore> core;
+        ReplicaId identity = ReplicaId::None;
+        LogIndex applied = 0;
+        std::uint64_t state = 0; ///< hash over all that has been applied
+        Instant frozenUntil{};
+        double clockRate = 1.0;
+    };
+    struct Flight
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::uint64_t token = 0; ///< of a request: what the reply comes back under
+        bool isReply = false;
+        RaftMessage message;
+    };
+    struct Call
+    {
+        std::size_t caller = 0;
+        ReplicaId asked = ReplicaId::None;
+    };
+
+    Instant clockOf(const Node &node) const;
+    void boot(Node &node);
+    void tick(Node &node);
+    void deliver();
+    void carryOut(std::size_t index);
+    void send(std::size_t index, std::vector<OutgoingMessage> &messages);
+    void apply(Node &node);
+    void restoreState(Node &node, const std::string &state);
+    void check();
+    void checkLeader(const Node &node);
+    void checkLease(const Node &node);
+    void fail(const std::string &what);
+    bool canLoseDisk() const;
+    void randomFault();
+    void randomMemberChange();
+    std::uint64_t pick(std::uint64_t bound) { return this->random() % bound; }
+
+    std::mt19937_64 random;
+    Odds odds;
+    Instant now{Microseconds(1000000)};
+    std::deque<Node> nodes;
+    std::deque<Flight> network;
+    std::map<std::uint64_t, Call> calls;
+    std::set<std::size_t> isolated;
+    std::uint64_t lastToken = 0;
+    std::uint64_t commands = 0;
+    std::set<ReplicaId> lostIdentities;
+
+    std::map<std::uint64_t, ReplicaId> leaderOfTerm;
+    std::map<LogIndex, std::pair<std::uint64_t, std::string>> committed; ///< term and payload
+    std::vector<std::uint64_t> stateAt{0}; ///< the state after each committed entry
+    std::uint64_t highestCommittedTerm = 0;
+    std::string breach;
+};
+
+} // namespace guavavalve
