--- /dev/null
+++ b/test/replicas/raftcoretest.cpp
@@ -0,0 +1,299 @@
+#include <catch2/catch.hpp>
+
+#include "core/codec.h"
+#include "journal/checksum.h"
+#include "raftsimulation.h"
+
+using namespace guavavalve;
+
+namespace {
+
+constexpr Milliseconds aWhile{3000};
+constexpr Milliseconds anHour{3600000};
+constexpr RaftSimulation::Odds noFaults{0, 0, 0};
+
+/// Formed, with a leader, and with \a commands committed everywhere.
+void begin(RaftSimulation &simulation, std::size_t commands = 3)
+{
+    simulation.setOdds(noFaults);
+    simulation.run(aWhile);
+    REQUIRE(simulation.leader().has_value());
+    for (std::size_t i = 0; i < commands; ++i) {
+        REQUIRE(simulation.proposeAtLeader());
+        simulation.run(Milliseconds(20));
+    }
+    simulation.run(aWhile);
+    REQUIRE(simulation.failure() == "");
+}
+
+std::size_t leaderOf(const RaftSimulation &simulation)
+{
+    const auto leader = simulation.leader();
+    REQUIRE(leader.has_value());
+    return *leader;
+}
+
+std::size_t otherThan(std::size_t node)
+{
+    return node == 0 ? 1 : 0;
+}
+
+} // namespace
+
+// A controller is cut off silently. It must stop leading without being told, and before anyone
+// else could be elected its lease must be over, else two would answer for the cluster.
+TEST_CASE("a leader that is cut off loses its lease and steps down", "[raft]")
+{
+    RaftSimulation simulation(1, 3, 3);
+    begin(simulation);
+    const std::size_t old = leaderOf(simulation);
+    CHECK(simulation.core(old).leaseUntil() > Instant{});
+    simulation.cutOff(old);
+    simulation.run(aWhile);
+    CHECK(simulation.core(old).role() != ReplicaRole::Leader);
+    CHECK(leaderOf(simulation) != old);
+    CHECK(simulation.proposeAtLeader());
+    simulation.run(aWhile);
+    CHECK(simulation.failure() == "");
+}
+
+// A replica is cut off for an hour and comes back. If it had counted up its term with every vain
+// election, its return would depose a healthy leader, and callers would see a pause for nothing.
+TEST_CASE("a replica that returns after a long time deposes no one", "[raft]")
+{
+    RaftSimulation simulation(2, 3, 3);
+    begin(simulation);
+    const std::size_t leader = leaderOf(simulation);
+    const std::size_t away = otherThan(leader);
+    const std::uint64_t term = simulation.core(leader).term();
+    simulation.cutOff(away);
+    simulation.run(anHour / 60);
+    CHECK(simulation.core(away).term() == term);
+    REQUIRE(simulation.proposeAtLeader());
+    simulation.reconnect(away);
+    simulation.run(aWhile);
+    CHECK(leaderOf(simulation) == leader);
+    CHECK(simulation.core(leader).term() == term);
+    CHECK(simulation.applied(away) == simulation.applied(leader));
+}
+
+// A controller is cut off for long while the others go on under a new leader. When it is back it
+// must follow, and what it had not committed must give way.
+TEST_CASE("a leader that returns after a long time follows the new one", "[raft]")
+{
+    RaftSimulation simulation(3, 3, 3);
+    begin(simulation);
+    const std::size_t old = leaderOf(simulation);
+    simulation.cutOff(old);
+    simulation.proposeAtLeader(); // reaches nobody
+    simulation.run(aWhile);
+    REQUIRE(simulation.proposeAtLeader());
+    simulation.run(anHour / 60);
+    const std::size_t current = leaderOf(simulation);
+    const std::uint64_t term = simulation.core(current).term();
+    simulation.reconnect(old);
+    simulation.run(aWhile);
+    CHECK(leaderOf(simulation) == current);
+    CHECK(simulation.core(current).term() == term);
+    CHECK(simulation.state(old) == simulation.state(current));
+    CHECK(simulation.failure() == "");
+}
+
+// A replica that nobody has formed into a group starts with an empty disk. Were it to stand or to
+// vote, a second group could arise beside the first.
+TEST_CASE("a replica that was not formed neither stands nor votes", "[raft]")
+{
+    RaftSimulation simulation(4, 4, 3);
+    begin(simulation);
+    simulation.run(anHour / 60);
+    CHECK_FALSE(simulation.core(3).isFormed());
+    CHECK(simulation.core(3).term() == 0);
+    CHECK(simulation.core(3).role() == ReplicaRole::Learner);
+
+    RaftMessage request;
+    request.formation = simulation.core(0).formation();
+    request.to = simulation.core(3).self();
+    request.term = 9;
+    request.body = VoteRequest{false, true, 9, 100, 9};
+    simulation.core(3).receive(request, 1, Instant(Microseconds(1)));
+    const auto output = simulation.core(3).takeOutput();
+    REQUIRE(output.afterSync.size() == 1);
+    CHECK(std::holds_alternative<IdentityReply>(output.afterSync[0].message.body));
+    CHECK(output.batch.isEmpty());
+}
+
+// A disk is lost and the instance comes back empty at the same address. Votes and
+// acknowledgements went with the disk, so it must count for nothing under the old identity; it
+// joins as a learner and becomes a voter when it has synced everything.
+TEST_CASE("an instance that lost its disk joins again as a new replica", "[raft]")
+{
+    RaftSimulation simulation(5, 3, 3);
+    begin(simulation, 20);
+    const std::size_t lost = otherThan(leaderOf(simulation));
+    const ReplicaId before = simulation.core(lost).self();
+    simulation.loseDisk(lost);
+    const ReplicaId after = simulation.core(lost).self();
+    REQUIRE(after != before);
+    simulation.run(aWhile);
+    const MemberList &members = simulation.core(leaderOf(simulation)).committedMembers();
+    CHECK(members.find(before) == nullptr);
+    CHECK(members.isVoter(after));
+    CHECK(members.voters() == 3);
+    CHECK(simulation.state(lost) == simulation.state(leaderOf(simulation)));
+}
+
+// An instance fails and is repaired; straight after, a second one is lost for good. The repaired
+// one counted only once it had synced everything, so nothing committed is lost.
+TEST_CASE("a second loss straight after a repair loses nothing", "[raft]")
+{
+    for (std::uint64_t seed = 10; seed < 30; ++seed) {
+        CAPTURE(seed);
+        RaftSimulation simulation(seed, 3, 3);
+        begin(simulation, 30);
+        const std::size_t commits = simulation.commits();
+        const std::size_t leader = leaderOf(simulation);
+        const std::size_t first = otherThan(leader);
+        simulation.loseDisk(first);
+        const ReplicaId repaired = simulation.core(first).self();
+        for (int i = 0; i < 1000; ++i) {
+            if (simulation.core(leader).committedMembers().isVoter(repaired))
+                break;
+            simulation.run(Milliseconds(10));
+        }
+        REQUIRE(simulation.core(leader).committedMembers().isVoter(repaired));
+        CHECK(simulation.core(first).entries().lastIndex() >= commits);
+        simulation.loseDisk(leader); // the one that had everything
+        simulation.run(2 * aWhile);
+        const std::size_t next = leaderOf(simulation);
+        CHECK(simulation.applied(next) >= commits);
+        CHECK(simulation.proposeAtLeader());
+        simulation.run(2 * aWhile);
+        CHECK(simulation.failure() == "");
+        CHECK(simulation.core(next).committedMembers().voters() == 3);
+    }
+}
+
+TEST_CASE("a newcomer is a learner until it has synced everything", "[raft]")
+{
+    RaftSimulation simulation(6, 4, 3);
+    begin(simulation, 20);
+    const std::size_t leader = leaderOf(simulation);
+    simulation.cutOff(3);
+    REQUIRE(simulation.addMember(3));
+    simulation.run(aWhile);
+    CHECK(simulation.core(leader).committedMembers().voters() == 3);
+    // Only one change at a time.
+    CHECK(simulation.core(leader).committedMembers().members.size() == 4);
+    simulation.reconnect(3);
+    simulation.run(aWhile);
+    CHECK(simulation.core(leader).committedMembers().voters() == 4);
+    CHECK(simulation.applied(3) == simulation.applied(leader));
+}
+
+TEST_CASE("a second change of members waits for the first", "[raft]")
+{
+    RaftSimulation simulation(7, 5, 3);
+    begin(simulation);
+    const std::size_t leader = leaderOf(simulation);
+    simulation.cutOff(leader); // so that the first change cannot commit
+    REQUIRE(simulation.addMember(3));
+    CHECK_FALSE(simulation.addMember(4));
+    const auto removed = simulation.core(leader).removeInstance("1");
+    REQUIRE(removed.has_error());
+    CHECK(removed.error().code == ErrorCode::Unavailable);
+}
+
+// A process restarts after hundreds of changes have passed it by, and after the log that held
+// them has been compacted. It must come to the same state, by snapshot and tail.
+TEST_CASE("a replica that missed 500 changes catches up by a snapshot", "[raft]")
+{
+    RaftSimulation simulation(8, 3, 3);
+    begin(simulation);
+    const std::size_t leader = leaderOf(simulation);
+    const std::size_t away = otherThan(leader);
+    simulation.crash(away);
+    while (simulation.commits() < 500) {
+        REQUIRE(simulation.proposeAtLeader());
+        simulation.run(Milliseconds(10));
+    }
+    simulation.takeSnapshot(leader);
+    REQUIRE(simulation.core(leader).entries().baseIndex() > 400);
+    simulation.restart(away);
+    simulation.run(aWhile);
+    CHECK(simulation.snapshotsInstalled == 1);
+    CHECK(simulation.state(away) == simulation.state(leader));
+    CHECK(simulation.failure() == "");
+}
+
+// The connection breaks in the middle of a snapshot's transfer, again and again. The transfer
+// must go on from where it was, or a large state would never arrive.
+TEST_CASE("a snapshot's transfer goes on where it broke off", "[raft]")
+{
+    RaftSimulation simulation(9, 3, 3);
+    begin(simulation);
+    RaftCoreOptions options;
+    options.random = [] { return std::uint64_t{1}; };
+    RecoveredState empty;
+    empty.replica = static_cast<ReplicaId>(77);
+    empty.hardState.formation = 5;
+    RaftCore follower(options, empty, Instant{});
+    RaftMessage message;
+    message.formation = 5;
+    message.from = static_cast<ReplicaId>(1);
+    message.to = empty.replica;
+    message.term = 3;
+    SnapshotRequest piece;
+    piece.meta = {10, 2, encode(MemberList{}), 6, checksumOf("abcdef")};
+    const auto offsetAfter = [&](std::uint64_t offset, const std::string &bytes) {
+        piece.offset = offset;
+        piece.piece = bytes;
+        message.body = piece;
+        follower.receive(message, 1, Instant{});
+        const auto output = follower.takeOutput();
+        REQUIRE(output.afterSync.size() == 1);
+        return std::get<SnapshotReply>(output.afterSync[0].message.body).nextOffset;
+    };
+    CHECK(offsetAfter(0, "abc") == 3);
+    CHECK(offsetAfter(0, "abc") == 3); // a leader that begins again is told where to go on
+    CHECK(offsetAfter(5, "f") == 3);
+    message.from = static_cast<ReplicaId>(2); // another leader with the same bytes
+    message.term = 4;
+    offsetAfter(3, "def");
+    CHECK(follower.committed() == 10);
+}
+
+// A follower stops answering. What is under way to it must stay bounded, and so must memory.
+TEST_CASE("what is sent to a silent follower stays bounded", "[raft]")
+{
+    RaftSimulation simulation(11, 3, 3);
+    begin(simulation);
+    const std::size_t leader = leaderOf(simulation);
+    const ReplicaId silent = simulation.core(otherThan(leader)).self();
+    simulation.cutOff(otherThan(leader));
+    std::size_t most = 0;
+    for (int i = 0; i < 500; ++i) {
+        REQUIRE(simulation.proposeAtLeader());
+        simulation.run(Milliseconds(5));
+        most = std::max(most, simulation.core(leader).followers().at(silent).inFlightBytes);
+    }
+    CHECK(most <= 3500);
+    simulation.reconnect(otherThan(leader));
+    simulation.run(aWhile);
+    CHECK(simulation.state(otherThan(leader)) == simulation.state(leader));
+    CHECK(simulation.failure() == "");
+}
+
+TEST_CASE("leadership is handed to a follower without waiting for a timeout", "[raft]")
+{
+    RaftSimulation simulation(12, 3, 3);
+    begin(simulation);
+    const std::size_t old = leaderOf(simulation);
+    const std::uint64_t term = simulation.core(old).term();
+    simulation.transfer(old);
+    CHECK(simulation.core(old).leaseUntil() == Instant{});
+    CHECK(simulation.core(old).propose("late").error().code == ErrorCode::Unavailable);
+    simulation.run(Milliseconds(100));
+    CHECK(leaderOf(simulation) != old);
+    CHECK(simulation.core(leaderOf(simulation)).term() == term + 1);
+    CHECK(simulation.failure() == "");
+}
--- a/test/replicas/raftsimulation.cpp
+++ b/test/replicas/raftsimulation.cpp
@@ -327,6 +327,12 @@
         this->crash(index);
 }
 
+void RaftSimulation::transfer(std::size_t index)
+{
+    (void)this->core(index).transferLeadership(this->clockOf(this->nodes[index])).has_value();
+    this->carryOut(index);
+}
+
 void RaftSimulation::randomFault()
 {
     const std::size_t index = this->pick(this->nodes.size());
@@ -367,7 +373,7 @@
     const std::size_t index = this->pick(this->nodes.size());
     RaftCore &core = this->core(*leads);
     if (this->pick(4) == 0) {
-        (void)core.transferLeadership(this->clockOf(this->nodes[*leads])).has_value();
+        this->transfer(*leads);
     } else if (core.members().voters() > 3 && this->pick(2) == 0) {
         this->memberChanges += core.removeInstance(addressOf(index)).has_value() ? 1 : 0;
     } else {
--- a/test/replicas/raftsimulation.h
+++ b/test/replicas/raftsimulation.h
@@ -51,6 +51,7 @@
     bool isAlive(std::size_t node) const { return this->nodes[node].core != nullptr; }
     bool addMember(std::size_t node);
     void takeSnapshot(std::size_t node);
+    void transfer(std::size_t node);
     void setOdds(Odds value) { this->odds = value; }
     std::uint64_t state(std::size_t node) const { return this->nodes[node].state; }
     LogIndex applied(std::size_t node) const { return this->nodes[node].applied; }
