Replicas: tests of the messenger against strangers, replays, silence and floods

Foreign, forged, oversized, truncated, replayed and malformed frames are counted and dropped while a well-behaved caller's calls go on over its one connection; a silent connection is replaced; calls to a frozen peer end by their deadlines with bounded queues; decoders get 60,000 damaged inputs with a fixed seed.

--- /dev/null
+++ b/test/replicas/tcpmessengertest.cpp
@@ -0,0 +1,413 @@
+#include <catch2/catch.hpp>
+
+#include "core/codec.h"
+#include "replicas/hello.h"
+#include "replicas/raftmessage.h"
+#include "replicas/securesession.h"
+#include "replicas/tcpmessenger.h"
+#include "replicas/wireframe.h"
+#include "testgroup.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <random>
+#include <string>
+#include <thread>
+
+using namespace guavavalve;
+using guavavalve::internal::Hello;
+using guavavalve::internal::SecureSession;
+using guavavalve::internal::WireFrame;
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+const std::string secret = "a secret of the tests";
+
+MessengerOptions optionsOf(const std::string &instance)
+{
+    MessengerOptions options;
+    options.instance = instance;
+    options.listenAddress = "127.0.0.1:0";
+    options.clusterId = "test";
+    options.sharedSecret = secret;
+    return options;
+}
+
+std::string addressOf(const TcpMessenger &messenger)
+{
+    return "127.0.0.1:" + std::to_string(messenger.port());
+}
+
+void serveEcho(TcpMessenger &messenger)
+{
+    messenger.handle(Method::Ping,
+                     [](const InstanceId &from, const std::string &payload,
+                        const Done<std::string> &reply) { reply(from + ": " + payload); });
+}
+
+Result<std::string> ping(TcpMessenger &from, const std::string &address, const std::string &payload,
+                         Milliseconds limit = Milliseconds(20000))
+{
+    return await<std::string>([&](Done<std::string> done) {
+        from.call(address, Method::Ping, payload, monotonicNow() + limit, std::move(done));
+    });
+}
+
+/// A client that speaks the protocol by hand, to misuse it.
+class RawClient
+{
+public:
+    explicit RawClient(const TcpMessenger &server)
+        : socket(context)
+    {
+        this->socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(this->socket, asio::buffer(bytes), ignored);
+    }
+
+    /// One message with its length before it; empty if the server has closed.
+    std::string receive()
+    {
+        std::uint32_t length = 0;
+        boost::system::error_code error;
+        asio::read(this->socket, asio::buffer(&length, sizeof(length)), error);
+        if (error)
+            return {};
+        std::string bytes(length, '\0');
+        asio::read(this->socket, asio::buffer(bytes), error);
+        return error ? std::string() : bytes;
+    }
+
+    /// Reads until the server closes the connection.
+    void drain()
+    {
+        while (!this->receive().empty()) {}
+    }
+
+private:
+    asio::io_context context;
+    Tcp::socket socket;
+};
+
+std::string sealedCall(SecureSession &session, const std::string &payload)
+{
+    WireFrame frame;
+    frame.kind = WireFrame::Kind::Call;
+    frame.callId = 1;
+    frame.method = static_cast<std::uint16_t>(Method::Ping);
+    frame.payload = payload;
+    return session.seal(encode(frame));
+}
+
+/// A server and a well-behaved caller, whose calls must go on whatever others do.
+struct Pair
+{
+    Pair()
+        : server(optionsOf("server"))
+        , caller(optionsOf("caller"))
+    {
+        server.handle(Method::Ping,
+                      [this](const InstanceId &from, const std::string &payload,
+                             const Done<std::string> &reply) {
+                          ++this->served;
+                          reply(from + ": " + payload);
+                      });
+        REQUIRE(this->server.start());
+        REQUIRE(this->caller.start());
+        this->checkCalls();
+    }
+
+    void checkCalls()
+    {
+        const auto reply = ping(this->caller, addressOf(this->server), "hello");
+        REQUIRE(reply);
+        CHECK(reply.value() == "caller: hello");
+    }
+
+    TcpMessenger server;
+    TcpMessenger caller;
+    std::atomic<int> served{0};
+};
+
+} // namespace
+
+TEST_CASE("calls between two instances are answered over one connection", "[messenger]")
+{
+    Pair pair;
+    const std::string large(3 << 20, 'x');
+    std::atomic<int> answered{0};
+    for (int i = 0; i < 200; ++i) {
+        pair.caller.call(addressOf(pair.server), Method::Ping, std::to_string(i),
+                         monotonicNow() + Milliseconds(20000),
+                         [&answered, i](const Result<std::string> &reply) {
+                             if (reply && reply.value() == "caller: " + std::to_string(i))
+                                 ++answered;
+                         });
+    }
+    CHECK(ping(pair.caller, addressOf(pair.server), large).value().size() == large.size() + 8);
+    CHECK(waitFor([&] { return answered == 200; }));
+    CHECK(pair.caller.counters().connectionsOpened == 1);
+    const auto unserved = await<std::string>([&](Done<std::string> done) {
+        pair.caller.call(addressOf(pair.server), Method::Submit, "",
+                         monotonicNow() + Milliseconds(20000), std::move(done));
+    });
+    CHECK(unserved.error().code == ErrorCode::NotFound);
+}
+
+// A stranger on the network, or an instance of another cluster, connects and talks. Its frames
+// are counted and dropped; callers of the same instance notice nothing.
+TEST_CASE("frames that are foreign or forged or too long hurt nobody", "[messenger]")
+{
+    Pair pair;
+    {
+        RawClient stranger(pair.server);
+        stranger.send("GET / HTTP/1.1\r\n\r\n");
+        stranger.drain();
+    }
+    CHECK(waitFor([&] { return pair.server.counters().badHandshakes == 1; }));
+    {
+        RawClient foreign(pair.server);
+        SecureSession session("another cluster", "caller", secret, true);
+        foreign.send(session.hello());
+        foreign.drain();
+    }
+    CHECK(waitFor([&] { return pair.server.counters().badHandshakes == 2; }));
+    {
+        RawClient forger(pair.server);
+        SecureSession session("test", "caller", "not the cluster's secret", true);
+        forger.send(session.hello());
+        REQUIRE(session.accept(forger.receive()));
+        forger.send(sealedCall(session, "forged"));
+        forger.drain();
+    }
+    CHECK(waitFor([&] { return pair.server.counters().unauthenticatedFrames == 1; }));
+    {
+        RawClient large(pair.server);
+        SecureSession session("test", "caller", secret, true);
+        large.send(session.hello());
+        REQUIRE(session.accept(large.receive()));
+        large.send(std::string("\x00\x00\x40\x00", 4)); // claims 4 MB before it proved anything
+        large.drain();
+    }
+    CHECK(waitFor([&] { return pair.server.counters().oversizedFrames == 1; }));
+    {
+        RawClient truncated(pair.server);
+        SecureSession session("test", "caller", secret, true);
+        truncated.send(session.hello());
+        REQUIRE(session.accept(truncated.receive()));
+        const std::string call = sealedCall(session, "cut");
+        truncated.send(call.substr(0, call.size() / 2));
+    }
+    CHECK(pair.served == 1);
+    pair.checkCalls();
+    CHECK(pair.caller.counters().connectionsOpened == 1);
+}
+
+// Someone who can listen on the network sends a recorded connection again, so that a start or a
+// vote counts twice. Nonces are fresh on each connection and frames are numbered: it is dropped.
+TEST_CASE("a recorded connection that is sent again is dropped", "[messenger]")
+{
+    Pair pair;
+    SecureSession session("test", "caller", secret, true);
+    const std::string hello = session.hello();
+    std::string call;
+    {
+        RawClient first(pair.server);
+        first.send(hello);
+        REQUIRE(session.accept(first.receive()));
+        call = sealedCall(session, "once");
+        first.send(call);
+        CHECK(waitFor([&] { return pair.served == 2; }));
+        first.send(call); // the same frame again on its own connection
+        first.drain();
+    }
+    CHECK(waitFor([&] { return pair.server.counters().unauthenticatedFrames == 1; }));
+    RawClient second(pair.server);
+    second.send(hello);
+    second.receive();
+    second.send(call);
+    second.drain();
+    CHECK(waitFor([&] { return pair.server.counters().unauthenticatedFrames == 2; }));
+    CHECK(pair.served == 2);
+}
+
+TEST_CASE("an authentic frame that cannot be decoded is dropped alone", "[messenger]")
+{
+    Pair pair;
+    RawClient odd(pair.server);
+    SecureSession session("test", "caller", secret, true);
+    odd.send(session.hello());
+    REQUIRE(session.accept(odd.receive()));
+    odd.send(session.seal("not a frame"));
+    odd.send(sealedCall(session, "still here"));
+    CHECK(waitFor([&] { return pair.served == 2; }));
+    CHECK(pair.server.counters().malformedFrames == 1);
+}
+
+// Something between two instances loses track of an open connection: writes still succeed, and
+// nothing ever comes back, while new connections work. Calls must not hang on it for good.
+TEST_CASE("a connection that has gone silent is replaced", "[messenger]")
+{
+    auto options = optionsOf("caller");
+    options.heartbeat = Milliseconds(50);
+    options.silenceLimit = Milliseconds(300);
+    TcpMessenger caller(options);
+    REQUIRE(caller.start());
+    // A peer that shakes hands and answers nothing more: the first connection only.
+    asio::io_context context;
+    Tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    auto promise = std::make_shared<std::promise<Result<std::string>>>();
+    caller.call(address, Method::Ping, "", monotonicNow() + Milliseconds(60000),
+                [promise](Result<std::string> reply) { promise->set_value(std::move(reply)); });
+    Tcp::socket socket = acceptor.accept();
+    std::uint32_t length = 0;
+    asio::read(socket, asio::buffer(&length, sizeof(length)));
+    std::string hello(length, '\0');
+    asio::read(socket, asio::buffer(hello));
+    SecureSession session("test", "peer", secret, false);
+    REQUIRE(session.accept(hello));
+    asio::write(socket, asio::buffer(session.hello() + session.seal(encode(WireFrame{}))));
+
+    const auto reply = promise->get_future().get();
+    REQUIRE(reply.has_error());
+    CHECK(reply.error().ran == Ran::Unknown); // it had been sent
+    CHECK(caller.counters().connectionsReplaced == 1);
+    caller.call(address, Method::Ping, "", monotonicNow() + Milliseconds(60000),
+                [](const Result<std::string> &) {});
+    Tcp::socket replacement = acceptor.accept();
+    CHECK(replacement.is_open());
+}
+
+TEST_CASE("a call that was never sent says so", "[messenger]")
+{
+    TcpMessenger caller(optionsOf("caller"));
+    REQUIRE(caller.start());
+    const auto reply = ping(caller, "127.0.0.1:1", "x");
+    REQUIRE(reply.has_error());
+    CHECK(reply.error().code == ErrorCode::Unavailable);
+    CHECK(reply.error().ran == Ran::No);
+    CHECK(ping(caller, "nowhere", "x").error().ran == Ran::No);
+}
+
+// A peer is frozen: it reads nothing. What waits for it must stay bounded, and each call must end
+// by its deadline.
+TEST_CASE("calls to a frozen peer end by their deadlines and queues stay bounded", "[messenger]")
+{
+    asio::io_context context;
+    Tcp::acceptor frozen(context, {asio::ip::make_address("127.0.0.1"), 0});
+    auto options = optionsOf("caller");
+    options.maxQueuedBytes = 100000;
+    options.connectLimit = Milliseconds(60000);
+    TcpMessenger caller(options);
+    REQUIRE(caller.start());
+    const std::string address = "127.0.0.1:" + std::to_string(frozen.local_endpoint().port());
+    std::atomic<int> refused{0};
+    std::atomic<int> late{0};
+    for (int i = 0; i < 50; ++i) {
+        caller.call(address, Method::Ping, std::string(10000, 'x'),
+                    monotonicNow() + Milliseconds(300), [&](const Result<std::string> &reply) {
+                        const bool isLate = reply.error().code == ErrorCode::DeadlineExceeded;
+                        ++(isLate ? late : refused);
+                    });
+    }
+    CHECK(waitFor([&] { return refused + late == 50; }));
+    CHECK(refused == 40);
+    CHECK(late == 10);
+}
+
+TEST_CASE("a messenger that stops ends the calls under way", "[messenger]")
+{
+    TcpMessenger server(optionsOf("server"));
+    std::vector<Done<std::string>> kept;
+    std::mutex mutex;
+    server.handle(Method::Ping,
+                  [&](const InstanceId &, const std::string &, const Done<std::string> &reply) {
+                      const std::lock_guard lock(mutex);
+                      kept.push_back(reply);
+                  });
+    REQUIRE(server.start());
+    TcpMessenger caller(optionsOf("caller"));
+    REQUIRE(caller.start());
+    std::atomic<int> ended{0};
+    caller.call(addressOf(server), Method::Ping, "", monotonicNow() + Milliseconds(60000),
+                [&](const Result<std::string> &) { ++ended; });
+    CHECK(waitFor([&] {
+        const std::lock_guard lock(mutex);
+        return kept.size() == 1;
+    }));
+    caller.stop();
+    CHECK(ended == 1);
+    server.stop();
+    kept.front()(std::string("too late")); // must not touch what has ended
+}
+
+TEST_CASE("an instance that restarts is reached again", "[messenger]")
+{
+    TcpMessenger caller(optionsOf("caller"));
+    REQUIRE(caller.start());
+    auto options = optionsOf("server");
+    {
+        TcpMessenger first(options);
+        serveEcho(first);
+        REQUIRE(first.start());
+        options.listenAddress = addressOf(first);
+        REQUIRE(ping(caller, options.listenAddress, "one"));
+    }
+    TcpMessenger second(options);
+    serveEcho(second);
+    REQUIRE(second.start());
+    CHECK(waitFor([&] { return ping(caller, options.listenAddress, "two").has_value(); }));
+}
+
+// Whatever arrives, decoding ends with a value or an error and allocates no more than it got.
+TEST_CASE("the frame decoders survive any bytes", "[messenger][fuzz]")
+{
+    const std::uint64_t seed = 20261203;
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    RaftMessage message;
+    AppendRequest append;
+    append.entries = {{1, 1, EntryKind::Command, "abc"}, {2, 1, EntryKind::NoOp, ""}};
+    message.body = append;
+    WireFrame frame;
+    frame.payload = "payload";
+    const std::vector<std::string> samples{encode(message), encode(frame), encode(Hello{})};
+    SecureSession caller("test", "a", secret, true);
+    SecureSession callee("test", "b", secret, false);
+    REQUIRE(callee.accept(caller.hello().substr(SecureSession::lengthBytes)));
+    REQUIRE(caller.accept(callee.hello().substr(SecureSession::lengthBytes)));
+    const std::string sealed = caller.seal("content").substr(SecureSession::lengthBytes);
+    std::size_t opened = 0;
+    std::size_t decoded = 0;
+    for (int round = 0; round < 60000; ++round) {
+        std::string bytes = samples[random() % samples.size()];
+        std::string forged = sealed;
+        for (auto changes = random() % 4; changes > 0; --changes) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+            forged[random() % forged.size()] ^= static_cast<char>(1 + random() % 255);
+        }
+        if (random() % 4 == 0)
+            bytes.resize(random() % (bytes.size() + 1));
+        decoded += decode<RaftMessage>(bytes).has_value() ? 1 : 0;
+        decoded += decode<WireFrame>(bytes).has_value() ? 1 : 0;
+        decoded += decode<Hello>(bytes).has_value() ? 1 : 0;
+        if (forged != sealed)
+            opened += callee.open(forged).has_value() ? 1 : 0;
+    }
+    CHECK(opened == 0);
+    CHECK(decoded > 0);
+    CHECK(callee.open(sealed) == std::string("content"));
+}
