--- a/src/decisions/explainer.cpp
+++ b/src/decisions/explainer.cpp
@@ -1,5 +1,6 @@
 #include "decisions/explainer.h"
 
+#include <algorithm>
 #include <string>
 
 namespace guavavalve::internal {
@@ -92,11 +93,11 @@
         return queue.reason;
     if (ledger.fleet.capacityFor(queue.key.need, 1) == 0)
         return Reason::NotOnFleet;
-    TargetSearch search;
-    search.need = queue.charge;
-    search.zone = Zone::Headroom;
-    const bool kept =
-        queue.key.workClass != WorkClass::Prompt && ledger.fleet.find(search).target != noIndex;
+    const std::vector<Index> &holders = ledger.fleet.holders();
+    const bool kept = std::any_of(holders.begin(), holders.end(), [&](Index holder) {
+        return ledger.fleet[holder].zone() == Zone::Normal
+            && queue.charge.fitsInto(ledger.fleet[holder].free());
+    });
     return kept ? Reason::Headroom : Reason::NoRoom;
 }
 
--- a/src/decisions/firstfitscheduler.cpp
+++ b/src/decisions/firstfitscheduler.cpp
@@ -1,5 +1,7 @@
 #include "decisions/firstfitscheduler.h"
 
+#include "decisions/shares.h"
+
 #include <algorithm>
 
 namespace guavavalve {
@@ -99,7 +101,9 @@
 {
     const auto where = front ? this->queue.begin() : this->queue.end();
     task.place = this->queue.insert(where, task.request.id);
-    ++this->teams[task.request.team].waiting;
+    Team &team = this->teams[task.request.team];
+    ++team.waiting;
+    team.waitingNeed += task.request.need;
     ++this->classes[static_cast<std::size_t>(task.request.workClass)].waiting;
     if (task.request.workClass == WorkClass::Gang)
         this->gangs[task.request.job].waiting.push_back(task.request.id);
@@ -108,7 +112,9 @@
 void FirstFitScheduler::dequeue(Task &task)
 {
     this->queue.erase(task.place);
-    --this->teams[task.request.team].waiting;
+    Team &team = this->teams[task.request.team];
+    --team.waiting;
+    team.waitingNeed -= task.request.need;
     --this->classes[static_cast<std::size_t>(task.request.workClass)].waiting;
     if (task.request.workClass == WorkClass::Gang) {
         auto &waiting = this->gangs[task.request.job].waiting;
@@ -342,16 +348,18 @@
         statistics.placed += target.placed;
     }
     statistics.packing = statistics.placed.dominantShare(statistics.total);
+    std::vector<internal::TeamDemand> demands;
     for (const auto &[id, team] : this->teams) {
+        demands.push_back(internal::TeamDemand{team.policy, team.placed, team.waitingNeed});
         TeamStatistics entry;
         entry.team = id;
-        entry.share = team.placed.dominantShare(statistics.total);
         entry.placed = team.placed;
         entry.limit = team.policy.limit;
         entry.running = team.running;
         entry.waiting = team.waiting;
         statistics.teams.push_back(entry);
     }
+    internal::fillShares(statistics, demands);
     return statistics;
 }
 
--- a/src/decisions/firstfitscheduler.h
+++ b/src/decisions/firstfitscheduler.h
@@ -45,6 +45,7 @@
     {
         TeamPolicy policy;
         Resources placed;
+        Resources waitingNeed;
         bool configured = false;
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
--- a/src/decisions/fleet.cpp
+++ b/src/decisions/fleet.cpp
@@ -12,10 +12,14 @@
 constexpr std::int64_t maxAcceleratorLevel = 4;
 constexpr std::uint32_t domainsInKey = 64;
 /// Members weighed in each of the best buckets.
-constexpr std::size_t membersWeighed = 16;
+constexpr std::size_t membersWeighed = 8;
 /// Members looked at in a bucket of which only some have enough room.
 constexpr std::size_t membersScanned = 64;
 constexpr std::size_t bestBuckets = 4;
+/// Buckets looked at when the best ones hold no fit.
+constexpr std::size_t moreBuckets = 16;
+/// Sets a bucket back whose sample does not fit: others of it may, but others fit surely.
+constexpr double unsureWeight = 1.0;
 
 // Weights of the score, chosen by measurement (docs/design/decisions.md).
 constexpr double imbalanceWeight = 0.5;
@@ -63,11 +67,28 @@
     this->widenLargest(target.info.total);
     this->enterBucket(index);
     if (target.zone() == Zone::Normal) {
-        this->countedFree[index] = target.free();
+        this->countedFree[index] = target.sharedFree();
         this->freeInNormal += this->countedFree[index];
     }
 }
 
+void Fleet::setHold(Index index, const Resources &hold)
+{
+    TargetRecord &target = this->targets[index];
+    target.hold = hold;
+    const bool holds = hold != Resources();
+    if (holds && target.holdPosition == noIndex) {
+        target.holdPosition = static_cast<Index>(this->holding.size());
+        this->holding.push_back(index);
+    } else if (!holds && target.holdPosition != noIndex) {
+        this->holding[target.holdPosition] = this->holding.back();
+        this->targets[this->holding.back()].holdPosition = target.holdPosition;
+        this->holding.pop_back();
+        target.holdPosition = noIndex;
+    }
+    this->refresh(index);
+}
+
 void Fleet::countSize(TargetRecord &target)
 {
     const bool counted = target.known && !target.info.departing;
@@ -117,7 +138,7 @@
 
 std::uint32_t Fleet::bucketKey(const TargetRecord &target) const
 {
-    const Resources free = target.free();
+    const Resources free = target.sharedFree();
     const auto level = [this, &free](ResourceKind kind) {
         const std::int64_t most = std::max<std::int64_t>(this->largestTotal[kind], 1);
         return std::clamp<std::int64_t>(free[kind] * roomLevels / most, 0, roomLevels);
@@ -138,9 +159,9 @@
     if (target.bucket == noIndex)
         return;
     Bucket &bucket = this->buckets[target.bucket];
-    const Index last = bucket.members.back();
+    const Member last = bucket.members.back();
     bucket.members[target.bucketPosition] = last;
-    this->targets[last].bucketPosition = target.bucketPosition;
+    this->targets[last.target].bucketPosition = target.bucketPosition;
     bucket.members.pop_back();
     if (bucket.members.empty()) {
         bucket.maxFree = Resources();
@@ -182,38 +203,34 @@
     Bucket &bucket = this->buckets[entry->second];
     target.bucket = entry->second;
     target.bucketPosition = static_cast<Index>(bucket.members.size());
-    bucket.members.push_back(index);
+    const Resources free = target.sharedFree();
+    bucket.members.push_back(Member{free, index, target.suspicion});
     if (bucket.members.size() == 1)
         this->activate(entry->second);
-    const Resources free = target.free();
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
         bucket.maxFree.amounts[kind] = std::max(bucket.maxFree.amounts[kind], free.amounts[kind]);
 }
 
-double Fleet::score(const Resources &need, const TargetRecord &target) const
+double Fleet::score(const Resources &need, const Resources &free, float suspicion) const
 {
     double sum = 0.0;
     double most = 0.0;
     double least = 1.0;
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
-        const std::int64_t left =
-            target.info.total.amounts[kind] - target.placed.amounts[kind] - need.amounts[kind];
+        const std::int64_t left = free.amounts[kind] - need.amounts[kind];
         const double part = static_cast<double>(left) * this->inverseLargest[kind];
         if (kind == static_cast<std::size_t>(ResourceKind::Accelerators)) {
-            if (need.amounts[kind] == 0)
-                sum += part * strandedAcceleratorWeight;
-            else
-                sum += part;
+            sum += need.amounts[kind] == 0 ? part * strandedAcceleratorWeight : part;
             continue;
         }
         sum += part;
-        if (kind <= static_cast<std::size_t>(ResourceKind::MemoryMb)) {
+        if (kind != static_cast<std::size_t>(ResourceKind::Connections)) {
             most = std::max(most, part);
             least = std::min(least, part);
         }
     }
     return sum + imbalanceWeight * (most - least)
-        + suspicionWeight * static_cast<double>(target.suspicion);
+        + suspicionWeight * static_cast<double>(suspicion);
 }
 
 double Fleet::spreadPenalty(const Spread *spread, const TargetRecord &target) const
@@ -224,43 +241,53 @@
         + rackWeight * spread->inRack(target.info.rack);
 }
 
-void Fleet::scan(const TargetSearch &search, const Bucket &bucket, std::size_t most, double &best,
-                 TargetFound &found) const
+void Fleet::scan(const TargetSearch &search, Bucket &bucket, std::size_t most, double &best,
+                 TargetFound &found)
 {
+    const std::size_t size = bucket.members.size();
+    const std::size_t looks = std::min(size, membersScanned);
     std::size_t weighed = 0;
-    std::size_t looked = 0;
-    for (auto member = bucket.members.rbegin();
-         member != bucket.members.rend() && weighed < most && looked < membersScanned; ++member) {
-        ++looked;
-        const TargetRecord &target = this->targets[*member];
-        if (!search.need.fitsInto(target.free()))
+    Resources largest;
+    for (std::size_t look = 0; look < looks && weighed < most; ++look) {
+        const Member &member = bucket.members[(this->scanStart + look) % size];
+        for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+            largest.amounts[kind] = std::max(largest.amounts[kind], member.free.amounts[kind]);
+        if (!search.need.fitsInto(member.free))
             continue;
         ++weighed;
         ++found.considered;
-        const double score =
-            this->score(search.need, target) + this->spreadPenalty(search.spread, target);
+        double score = this->score(search.need, member.free, member.suspicion);
+        if (search.spread != nullptr)
+            score += this->spreadPenalty(search.spread, this->targets[member.target]);
         if (score < best) {
             best = score;
-            found.target = *member;
+            found.target = member.target;
         }
     }
+    // The bound only ever rises as members come and go; now that all have been seen, it is known.
+    if (weighed == 0 && looks == size)
+        bucket.maxFree = largest;
 }
 
-TargetFound Fleet::find(const TargetSearch &search) const
+TargetFound Fleet::find(const TargetSearch &search)
 {
     TargetFound found;
     double best = std::numeric_limits<double>::max();
     std::array<BucketRank, bestBuckets> ranks;
     std::size_t ranked = 0;
     std::size_t possible = 0;
+    ++this->scanStart;
     for (const Index index : this->activeIn(search.zone)) {
         const Bucket &bucket = this->buckets[index];
         if (!search.need.fitsInto(bucket.maxFree))
             continue;
         ++possible;
-        const TargetRecord &sample = this->targets[bucket.members.back()];
-        BucketRank rank{
-            this->score(search.need, sample) + this->spreadPenalty(search.spread, sample), index};
+        const Member &sample = bucket.members[this->scanStart % bucket.members.size()];
+        BucketRank rank{this->score(search.need, sample.free, sample.suspicion), index};
+        if (search.spread != nullptr)
+            rank.score += this->spreadPenalty(search.spread, this->targets[sample.target]);
+        if (!search.need.fitsInto(sample.free))
+            rank.score += unsureWeight;
         if (ranked < bestBuckets) {
             ranks[ranked++] = rank;
             continue;
@@ -275,10 +302,13 @@
         this->scan(search, this->buckets[ranks[i].bucket], membersWeighed, best, found);
     if (found.target != noIndex || possible <= ranked)
         return found;
-    for (const Index index : this->activeIn(search.zone)) {
-        const Bucket &bucket = this->buckets[index];
+    std::size_t tries = 0;
+    const std::vector<Index> &candidates = this->activeIn(search.zone);
+    for (std::size_t i = 0; i < candidates.size() && tries < moreBuckets; ++i) {
+        Bucket &bucket = this->buckets[candidates[(this->scanStart + i) % candidates.size()]];
         if (!search.need.fitsInto(bucket.maxFree))
             continue;
+        ++tries;
         this->scan(search, bucket, 1, best, found);
         if (found.target != noIndex)
             break;
--- a/src/decisions/fleet.h
+++ b/src/decisions/fleet.h
@@ -50,10 +50,11 @@
     /// The target where \a search fits best: little is left over, and evenly over the kinds of
     /// resource, so that what is left can be used (best fit with the alignment idea of Tetris,
     /// Grandl et al., 2014).
-    TargetFound find(const TargetSearch &search) const;
+    TargetFound find(const TargetSearch &search);
 
-    /// How well \a need fits on \a target; the lower, the better.
-    double score(const Resources &need, const TargetRecord &target) const;
+    /// How well \a need fits into \a free on a target that is suspect to the degree \a suspicion;
+    /// the lower, the better.
+    double score(const Resources &need, const Resources &free, float suspicion) const;
 
     /// How many tasks of \a need the empty fleet would hold, counted up to \a enough.
     std::uint64_t capacityFor(const Resources &need, std::uint64_t enough) const;
@@ -61,17 +62,30 @@
     const Resources &total() const { return this->totalRoom; } ///< of known, staying targets
     const Resources &largest() const { return this->largestTotal; } ///< ever seen, by kind
     const Resources &normalFree() const { return this->freeInNormal; } ///< free in Zone::Normal
+
+    /// Keeps \a hold of the target for prompt work; nothing to let go.
+    void setHold(Index target, const Resources &hold);
+
+    /// Targets with a hold, in no order.
+    const std::vector<Index> &holders() const { return this->holding; }
     std::uint32_t known() const { return this->knownCount; }
     bool empty() const { return this->everKnown == 0; }
 
 private:
+    /// A target in its bucket, with what a search needs to know of it side by side in memory.
+    struct Member
+    {
+        Resources free; ///< for work other than prompt
+        Index target = noIndex;
+        float suspicion = 0.0F;
+    };
     struct Bucket
     {
         std::uint32_t key = 0;
         Zone zone = Zone::Normal;
         std::uint16_t domain = 0;
         Index activePosition = noIndex; ///< among the buckets of its zone with members
-        std::vector<Index> members;
+        std::vector<Member> members;
         Resources maxFree; ///< at least what any member has
     };
     struct SizeClass
@@ -97,8 +111,8 @@
     }
     void countSize(TargetRecord &target);
     void widenLargest(const Resources &total);
-    void scan(const TargetSearch &search, const Bucket &bucket, std::size_t most, double &best,
-              TargetFound &found) const;
+    void scan(const TargetSearch &search, Bucket &bucket, std::size_t most, double &best,
+              TargetFound &found);
     double spreadPenalty(const Spread *spread, const TargetRecord &target) const;
 
     Slab<TargetRecord> targets;
@@ -112,6 +126,8 @@
     Resources totalRoom;
     Resources freeInNormal;
     std::vector<Resources> countedFree; ///< by target: its part in freeInNormal
+    std::vector<Index> holding;
+    std::size_t scanStart = 0; ///< goes round, so that every member is looked at in time
     std::uint32_t knownCount = 0;
     std::uint32_t everKnown = 0;
 };
--- a/src/decisions/headroom.cpp
+++ b/src/decisions/headroom.cpp
@@ -9,13 +9,15 @@
 namespace {
 
 /// Standard deviations of a Poisson load above its mean that the pool holds.
-constexpr double deviationsHeld = 3.0;
+constexpr double deviationsHeld = 2.0;
 /// The pool shrinks only when it is larger than wanted by this factor, so that it does not swing.
-constexpr double shrinkAbove = 1.25;
+constexpr double shrinkAbove = 1.05;
 /// Assumed until prompt tasks have ended.
 constexpr double assumedRunSeconds = 0.1;
 /// Arrivals a second below which nothing is kept.
 constexpr double quietRate = 0.01;
+/// Part of a target that is held; the rest is for other work.
+constexpr double partHeld = 0.25;
 constexpr Index maxTargetsSeen = 64;
 constexpr std::size_t minChangesAtOnce = 2;
 constexpr std::size_t changesPart = 16;
@@ -63,52 +65,70 @@
 {
     double capacity = std::numeric_limits<double>::max();
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
-        if (charge.amounts[kind] > 0) {
-            capacity = std::min(capacity,
-                                std::floor(static_cast<double>(target.info.total.amounts[kind])
-                                           / static_cast<double>(charge.amounts[kind])));
-        }
+        if (charge.amounts[kind] <= 0)
+            continue;
+        const double fits = static_cast<double>(target.info.total.amounts[kind])
+            / static_cast<double>(charge.amounts[kind]);
+        capacity = std::min(capacity, std::floor(fits));
     }
     return capacity;
 }
 
+double Headroom::tasksOn(const TargetRecord &target, const Resources &charge,
+                         double wantedEach) const
+{
+    const double capacity = this->capacityOf(target, charge);
+    const double part = std::max(std::floor(capacity * partHeld), 1.0);
+    return std::clamp(wantedEach, std::min(part, capacity), capacity);
+}
+
 void Headroom::update(Instant now)
 {
     const double wanted = this->wantedTasks(now);
-    if (wanted == 0.0 && this->pool.empty())
+    const std::vector<Index> &pool = this->ledger.fleet.holders();
+    if (wanted == 0.0 && pool.empty())
         return;
     const Resources charge = this->meanCharge();
-    double capacity = 0.0;
-    this->domains.fill(0);
-    for (std::size_t i = this->pool.size(); i > 0; --i) {
-        const TargetRecord &target = this->ledger.fleet[this->pool[i - 1]];
-        if (target.zone() == Zone::Closed) {
-            this->letGo(i - 1);
-            continue;
-        }
-        capacity += this->capacityOf(target, charge);
-        ++this->domains[target.info.failureDomain % this->domains.size()];
-    }
     const double part = this->ledger.policy.of(WorkClass::Prompt).maxShare;
     const auto most =
         static_cast<std::size_t>(part * static_cast<double>(this->ledger.fleet.known()));
-    std::size_t changes = minChangesAtOnce + this->pool.size() / changesPart;
-    while (capacity < wanted && this->pool.size() < most && changes-- > 0) {
+    // Where the part of each target is not enough over all targets, more of each is kept.
+    const double each = std::ceil(wanted / static_cast<double>(std::max<std::size_t>(most, 1)));
+    double capacity = this->renew(charge, each);
+    std::size_t changes = minChangesAtOnce + pool.size() / changesPart;
+    while (capacity < wanted && pool.size() < most && changes-- > 0) {
         const Index target = this->pick(charge);
         if (target == noIndex)
             return;
-        capacity += this->capacityOf(this->ledger.fleet[target], charge);
-        this->takeIn(target);
+        capacity += this->hold(target, charge, each);
+        ++this->domains[this->domainOf(target)];
     }
-    while (!this->pool.empty() && changes-- > 0) {
-        const double last = this->capacityOf(this->ledger.fleet[this->pool.back()], charge);
+    while (!pool.empty() && changes-- > 0) {
+        const double last = this->tasksOn(this->ledger.fleet[pool.back()], charge, each);
         if (wanted > 0.0 && capacity - last < wanted * shrinkAbove)
             return;
         capacity -= last;
-        this->letGo(this->pool.size() - 1);
+        this->letGo(pool.back());
     }
 }
 
+double Headroom::renew(const Resources &charge, double wantedEach)
+{
+    const std::vector<Index> &pool = this->ledger.fleet.holders();
+    double capacity = 0.0;
+    this->domains.fill(0);
+    for (std::size_t i = pool.size(); i > 0; --i) {
+        const Index index = pool[i - 1];
+        if (this->ledger.fleet[index].zone() == Zone::Closed) {
+            this->letGo(index);
+            continue;
+        }
+        capacity += this->hold(index, charge, wantedEach);
+        ++this->domains[this->domainOf(index)];
+    }
+    return capacity;
+}
+
 Index Headroom::pick(const Resources &charge)
 {
     const Index limit = this->ledger.fleet.limit();
@@ -117,11 +137,12 @@
     for (Index i = 0; i < std::min(limit, maxTargetsSeen); ++i) {
         this->cursor = (this->cursor + 1) % limit;
         const TargetRecord &target = this->ledger.fleet[this->cursor];
-        if (target.zone() != Zone::Normal || !charge.fitsInto(target.info.total))
+        if (target.zone() != Zone::Normal || target.holdPosition != noIndex
+            || !charge.fitsInto(target.info.total))
             continue;
         // Spread over failure domains first; then where least stands that has to end before the
         // room is there, and where no accelerator is kept from those that need one.
-        const double score = 10.0 * this->domains[target.info.failureDomain % this->domains.size()]
+        const double score = 10.0 * this->domains[this->domainOf(this->cursor)]
             + target.placed.dominantShare(target.info.total)
             + (target.info.total[ResourceKind::Accelerators] > 0 ? 1.0 : 0.0);
         if (score < bestScore) {
@@ -132,22 +153,30 @@
     return best;
 }
 
-void Headroom::takeIn(Index target)
+double Headroom::hold(Index index, const Resources &charge, double wantedEach)
+{
+    const TargetRecord &target = this->ledger.fleet[index];
+    const double tasks = this->tasksOn(target, charge, wantedEach);
+    Resources wanted;
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+        wanted.amounts[kind] = charge.amounts[kind] * static_cast<std::int64_t>(tasks);
+    if (target.hold == wanted)
+        return tasks;
+    const bool less = wanted.fitsInto(target.hold);
+    this->ledger.fleet.setHold(index, wanted);
+    if (less)
+        this->ledger.markFreed(index);
+    return tasks;
+}
+
+std::size_t Headroom::domainOf(Index index) const
 {
-    this->pool.push_back(target);
-    ++this->domains[this->ledger.fleet[target].info.failureDomain % this->domains.size()];
-    this->ledger.fleet[target].headroom = true;
-    this->ledger.fleet.refresh(target);
+    return this->ledger.fleet[index].info.failureDomain % this->domains.size();
 }
 
-void Headroom::letGo(std::size_t position)
+void Headroom::letGo(Index index)
 {
-    const Index index = this->pool[position];
-    this->pool[position] = this->pool.back();
-    this->pool.pop_back();
-    TargetRecord &target = this->ledger.fleet[index];
-    target.headroom = false;
-    this->ledger.fleet.refresh(index);
+    this->ledger.fleet.setHold(index, Resources());
     this->ledger.markFreed(index);
 }
 
--- a/src/decisions/headroom.h
+++ b/src/decisions/headroom.h
@@ -6,14 +6,15 @@
 #include "decisions/movingmean.h"
 
 #include <array>
-#include <vector>
 
 namespace guavavalve::internal {
 
-/// Keeps some targets for prompt work only, as many as its arrivals call for. With an offered
-/// load of `a` tasks (arrivals a second by mean run time, Little's law) `a + 3 sqrt(a) + 1` of
-/// them fit: square-root staffing (Halfin and Whitt, 1981). Whole targets, so that the room kept
-/// is not crumbs on each target, which would take room from large tasks everywhere.
+/// Keeps room on some targets for prompt work, as much as its arrivals call for. With an offered
+/// load of `a` tasks (arrivals a second by mean run time, Little's law) `a + 2 sqrt(a) + 1` of
+/// them fit: square-root staffing (Halfin and Whitt, 1981). Kept on part of the targets, not as
+/// crumbs on each, which would take room from large tasks everywhere; and only a quarter of each
+/// of these unless that is not enough, so that other work can use what prompt work leaves (prompt
+/// tasks take many slots and few processors).
 class Headroom
 {
 public:
@@ -25,21 +26,26 @@
     /// Takes targets in or lets them go, a few at a time.
     void update(Instant now);
 
-    std::uint32_t targets() const { return static_cast<std::uint32_t>(this->pool.size()); }
+    std::uint32_t targets() const
+    {
+        return static_cast<std::uint32_t>(this->ledger.fleet.holders().size());
+    }
 
 private:
     Resources meanCharge() const;
     double wantedTasks(Instant now) const;
     double capacityOf(const TargetRecord &target, const Resources &charge) const;
     Index pick(const Resources &charge);
-    void takeIn(Index target);
-    void letGo(std::size_t position);
+    double tasksOn(const TargetRecord &target, const Resources &charge, double wantedEach) const;
+    double renew(const Resources &charge, double wantedEach);
+    double hold(Index target, const Resources &charge, double wantedEach);
+    std::size_t domainOf(Index target) const;
+    void letGo(Index target);
 
     Ledger &ledger;
     DecayingRate arrivals;
     std::array<MovingMean, resourceKindCount> charges;
     MovingMean runSeconds;
-    std::vector<Index> pool;
     std::array<std::uint32_t, 64> domains{}; ///< targets of the pool in each failure domain
     Index cursor = 0;
 };
--- a/src/decisions/ledger.cpp
+++ b/src/decisions/ledger.cpp
@@ -212,6 +212,8 @@
     task.targetPosition = static_cast<Index>(target.tasks.size());
     target.tasks.push_back(index);
     target.placed += charge;
+    if (key.workClass == WorkClass::Prompt)
+        target.promptPlaced += charge;
     this->fleet.refresh(targetIndex);
     this->placed += charge;
     this->classPlaced(key.workClass) += charge;
@@ -234,6 +236,8 @@
     this->tasks[last].targetPosition = task.targetPosition;
     target.tasks.pop_back();
     target.placed -= task.charge;
+    if (queue.key.workClass == WorkClass::Prompt)
+        target.promptPlaced -= task.charge;
     target.usedMilliCores -= task.usedMilliCores;
     target.usedMemoryMb -= task.usedMemoryMb;
     this->fleet.refresh(task.target);
--- a/src/decisions/placer.cpp
+++ b/src/decisions/placer.cpp
@@ -11,6 +11,11 @@
 constexpr std::size_t maxPlacements = 1024;
 /// With more targets freed at once than this, blocked queues search the whole index instead.
 constexpr std::size_t maxHints = 64;
+/// Targets with room kept for prompt work that one prompt task looks at.
+constexpr std::size_t maxHoldersSeen = 64;
+/// A search looks at part of a large fleet only, so a blocked queue searches again in time even
+/// when no target is known to have gained room.
+constexpr Microseconds retryAfter = std::chrono::seconds(1);
 /// A gang that did not fit is tried again after this long at the soonest: a try costs a search
 /// for each of its tasks.
 constexpr Microseconds gangRetryAfter = std::chrono::milliseconds(100);
@@ -39,8 +44,6 @@
     switch (target.zone()) {
     case Zone::Normal:
         return true;
-    case Zone::Headroom:
-        return queue.key.workClass == WorkClass::Prompt;
     case Zone::Reserved:
         return this->reservations.admits(queue, target,
                                          this->ledger.tasks[queue.head].declaredRunTime, now);
@@ -54,7 +57,8 @@
 {
     return std::any_of(this->hints.begin(), this->hints.end(), [&](Index hint) {
         const TargetRecord &target = this->ledger.fleet[hint];
-        return queue.charge.fitsInto(target.free()) && this->mayUse(queue, target, now);
+        return queue.charge.fitsInto(target.roomFor(queue.key.workClass))
+            && this->mayUse(queue, target, now);
     });
 }
 
@@ -64,9 +68,11 @@
     this->ledger.freedTargets.clear();
     for (const Index hint : this->hints)
         this->ledger.fleet[hint].freed = false;
-    if (this->hints.empty() && !this->reservations.any() && !this->gangsHeldBack)
-        return;
+    const bool any = !this->hints.empty() || this->reservations.any() || this->gangsHeldBack;
     this->gangsHeldBack = false;
+    if (!any && now - this->lastRetry < retryAfter)
+        return;
+    this->lastRetry = any ? this->lastRetry : now;
     const bool many = this->hints.size() > maxHints;
     for (std::size_t i = this->ledger.blocked.size(); i > 0; --i) {
         const Index index = this->ledger.blocked[i - 1];
@@ -78,6 +84,8 @@
                 this->gangsHeldBack = true;
         } else if (many) {
             this->ledger.makeReady(index, false);
+        } else if (now - queue.decidedAt >= retryAfter) {
+            this->ledger.makeReady(index, false);
         } else if (this->hintsFit(queue, now)) {
             this->ledger.makeReady(index, true);
         }
@@ -89,7 +97,7 @@
     const WorkQueue &queue = this->ledger.queues[index];
     return queue.count > 0 && this->ledger.tasks[queue.head].repeatable
         && queue.key.workClass != WorkClass::Gang && queue.key.workClass != WorkClass::Service
-        && queue.charge.fitsInto(target.free())
+        && queue.charge.fitsInto(target.roomFor(queue.key.workClass))
         && this->ledger.withinLimit(this->ledger.teams[queue.key.team], queue.charge);
 }
 
@@ -187,10 +195,12 @@
     double best = std::numeric_limits<double>::max();
     for (const Index hint : this->hints) {
         const TargetRecord &target = this->ledger.fleet[hint];
-        if (!queue.charge.fitsInto(target.free()) || !this->mayUse(queue, target, now))
+        if (!queue.charge.fitsInto(target.roomFor(queue.key.workClass))
+            || !this->mayUse(queue, target, now))
             continue;
         ++found.considered;
-        const double score = this->ledger.fleet.score(queue.charge, target);
+        const double score =
+            this->ledger.fleet.score(queue.charge, target.sharedFree(), target.suspicion);
         if (score < best) {
             best = score;
             found.target = hint;
@@ -199,14 +209,33 @@
     return found;
 }
 
-TargetFound Placer::findTarget(const WorkQueue &queue, const TaskRecord &task, Instant now) const
+TargetFound Placer::findHeadroom(const WorkQueue &queue)
+{
+    const std::vector<Index> &holders = this->ledger.fleet.holders();
+    TargetFound found;
+    for (std::size_t i = 0; i < std::min(holders.size(), maxHoldersSeen); ++i) {
+        // Stays where it last found room; moves on where there is none.
+        this->holderCursor %= holders.size();
+        const TargetRecord &target = this->ledger.fleet[holders[this->holderCursor]];
+        ++found.considered;
+        if (target.zone() == Zone::Normal && queue.charge.fitsInto(target.free())
+            && (target.promptPlaced + queue.charge).fitsInto(target.hold)) {
+            found.target = holders[this->holderCursor];
+            return found;
+        }
+        ++this->holderCursor;
+    }
+    return found;
+}
+
+TargetFound Placer::findTarget(const WorkQueue &queue, const TaskRecord &task, Instant now)
 {
     if (queue.hintsOnly)
         return this->findAmongHints(queue, now);
     if (queue.reservation != noIndex) {
         for (const Index target : this->reservations[queue.reservation].targets) {
             if (this->ledger.fleet[target].zone() == Zone::Reserved
-                && queue.charge.fitsInto(this->ledger.fleet[target].free()))
+                && queue.charge.fitsInto(this->ledger.fleet[target].sharedFree()))
                 return TargetFound{target, 1};
         }
     }
@@ -217,12 +246,10 @@
     TargetFound found;
     std::uint32_t considered = 0;
     if (queue.key.workClass == WorkClass::Prompt) {
-        search.zone = Zone::Headroom;
-        found = this->ledger.fleet.find(search);
+        found = this->findHeadroom(queue);
         considered = found.considered;
     }
     if (found.target == noIndex) {
-        search.zone = Zone::Normal;
         found = this->ledger.fleet.find(search);
         considered += found.considered;
     }
@@ -268,7 +295,7 @@
         for (const Index target : this->reservations[queue.reservation].targets) {
             while (this->plan.size() < gang.members.size()
                    && this->ledger.fleet[target].zone() == Zone::Reserved
-                   && charge.fitsInto(this->ledger.fleet[target].free()))
+                   && charge.fitsInto(this->ledger.fleet[target].sharedFree()))
                 take(target);
         }
     }
--- a/src/decisions/placer.h
+++ b/src/decisions/placer.h
@@ -36,7 +36,8 @@
     bool planGang(const WorkQueue &queue, const GangRecord &gang);
     void undoPlan(const Resources &charge);
     bool overClassShare(const WorkQueue &queue) const;
-    TargetFound findTarget(const WorkQueue &queue, const TaskRecord &task, Instant now) const;
+    TargetFound findTarget(const WorkQueue &queue, const TaskRecord &task, Instant now);
+    TargetFound findHeadroom(const WorkQueue &queue);
     TargetFound findAmongHints(const WorkQueue &queue, Instant now) const;
     void commit(Index task, Index target, Reason reason, std::uint32_t considered, Instant now,
                 std::vector<Decision> &out);
@@ -47,6 +48,8 @@
     DecisionLog &log;
     std::vector<Index> hints; ///< targets that have gained room since the last run
     std::vector<Index> plan; ///< targets of a gang's tasks, taken in the fleet but not the books
+    std::size_t holderCursor = 0;
+    Instant lastRetry{};
     std::size_t placedInRun = 0;
     bool gangsHeldBack = false; ///< room came free sooner than a gang may be tried again
 };
--- a/src/decisions/reservations.cpp
+++ b/src/decisions/reservations.cpp
@@ -9,10 +9,13 @@
 /// Targets looked at to make one reservation: bounds the time of a decision on a large fleet.
 constexpr Index maxTargetsSeen = 4096;
 constexpr std::size_t maxBackfillSeen = 64;
+/// Room that is kept lies idle while it fills, so a small fleet keeps less at once.
+constexpr std::uint32_t targetsPerReservation = 24;
 /// Assumed of a task whose run time is neither declared nor learned.
 constexpr Microseconds unknownRunTime = std::chrono::minutes(5);
-/// A reservation that has not led to a start is planned anew after this many patiences.
-constexpr int patiencesKept = 4;
+/// A reservation that has not led to a start is planned anew this part of the patience after it
+/// should have.
+constexpr int replanAfterPart = 8;
 /// A queue waits this part of its patience before room is kept for it...
 constexpr int reserveAfterPart = 4;
 /// ...if its team is at or below the mean share, and this many patiences otherwise.
@@ -66,16 +69,20 @@
             continue;
         const WorkQueue &queue = this->ledger.queues[reservation.queue];
         const Milliseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
-        if (queue.count == 0 || now - reservation.madeAt > patience * patiencesKept)
+        // Run times are often off, and a hold may have come to stand on a target since.
+        if (queue.count == 0 || now - reservation.readyAt > patience / replanAfterPart)
             this->drop(reservation);
     }
-    for (Index slot = 0; slot < maxReservations; ++slot) {
+    const std::size_t most = std::clamp<std::size_t>(
+        this->ledger.fleet.known() / targetsPerReservation, 1, maxReservations);
+    for (Index slot = 0; slot < most; ++slot) {
         if (this->slots[slot].queue != noIndex)
             continue;
         const Index queue = this->longestWaiting(now);
         if (queue == noIndex)
             return;
-        this->reserve(queue, slot, now);
+        if (!this->reserve(queue, slot, now))
+            return;
     }
 }
 
@@ -95,14 +102,17 @@
     Candidate candidate;
     candidate.target = index;
     candidate.freeAt = now;
-    Resources room = target.free();
+    Resources room = target.sharedFree();
     if (!charge.fitsInto(room)) {
+        // Room kept for prompt work stays so, and a service runs until it is stopped.
+        room = target.info.total - target.hold;
         for (const Index taskIndex : target.tasks) {
             const TaskRecord &task = this->ledger.tasks[taskIndex];
-            if (this->ledger.queues[task.queue].key.workClass == WorkClass::Service)
-                continue; // runs until it is stopped
-            room += task.charge;
-            candidate.freeAt = std::max(candidate.freeAt, this->expectedEnd(task, now));
+            const WorkClass workClass = this->ledger.queues[task.queue].key.workClass;
+            if (workClass == WorkClass::Service)
+                room -= task.charge;
+            else if (workClass != WorkClass::Prompt)
+                candidate.freeAt = std::max(candidate.freeAt, this->expectedEnd(task, now));
         }
     }
     while (charge.fitsInto(room) && candidate.capacity < 1024) {
@@ -112,7 +122,7 @@
     return candidate;
 }
 
-void Reservations::reserve(Index queueIndex, Index slot, Instant now)
+bool Reservations::reserve(Index queueIndex, Index slot, Instant now)
 {
     WorkQueue &queue = this->ledger.queues[queueIndex];
     const Index limit = this->ledger.fleet.limit();
@@ -130,24 +140,27 @@
     std::sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
         return a.freeAt < b.freeAt || (a.freeAt == b.freeAt && a.target < b.target);
     });
+    std::size_t used = 0;
+    std::uint32_t capacity = 0;
+    while (used < candidates.size() && capacity < queue.key.gangSize)
+        capacity += candidates[used++].capacity;
+    if (capacity < queue.key.gangSize)
+        return false; // room kept for a part of a gang would only lie idle
+    candidates.resize(used);
     Reservation &reservation = this->slots[slot];
     reservation.queue = queueIndex;
     reservation.madeAt = now;
-    reservation.readyAt = now;
+    reservation.readyAt = candidates.back().freeAt;
     queue.reservation = slot;
     ++this->active;
-    std::uint32_t capacity = 0;
     for (const Candidate &candidate : candidates) {
-        if (capacity >= queue.key.gangSize)
-            break;
-        capacity += candidate.capacity;
-        reservation.readyAt = std::max(reservation.readyAt, candidate.freeAt);
         reservation.targets.push_back(candidate.target);
         this->ledger.fleet[candidate.target].reservation = slot;
         this->ledger.fleet.refresh(candidate.target);
         this->ledger.markFreed(candidate.target); // for the holder to see
     }
     queue.reason = Reason::GangReserved;
+    return true;
 }
 
 void Reservations::drop(Index queue)
@@ -190,7 +203,7 @@
             if (++seen > maxBackfillSeen)
                 break;
             const TargetRecord &target = this->ledger.fleet[index];
-            if (target.zone() == Zone::Reserved && queue.charge.fitsInto(target.free())
+            if (target.zone() == Zone::Reserved && queue.charge.fitsInto(target.sharedFree())
                 && this->admits(queue, target, declaredRunTime, now))
                 return index;
         }
--- a/src/decisions/reservations.h
+++ b/src/decisions/reservations.h
@@ -47,7 +47,8 @@
 
     bool deserves(Index queue, double meanRank, Instant now) const;
     Index longestWaiting(Instant now) const;
-    void reserve(Index queue, Index slot, Instant now);
+    /// False if even the drained targets that were seen would not hold the queue's head.
+    bool reserve(Index queue, Index slot, Instant now);
     void drop(Reservation &reservation);
     Candidate candidate(Index target, const Resources &charge, Instant now) const;
     Instant expectedEnd(const TaskRecord &task, Instant now) const;
--- a/src/decisions/roommaker.cpp
+++ b/src/decisions/roommaker.cpp
@@ -105,7 +105,7 @@
 VictimSet RoomMaker::victimsOn(Index index, const WorkQueue &queue, Instant now) const
 {
     const TargetRecord &target = this->ledger.fleet[index];
-    Resources wanted = queue.charge - target.free();
+    Resources wanted = queue.charge - target.roomFor(queue.key.workClass);
     std::vector<Victim> victims;
     for (const Index taskIndex : target.tasks) {
         const TaskRecord &task = this->ledger.tasks[taskIndex];
@@ -126,11 +126,13 @@
 {
     WorkQueue &queue = this->ledger.queues[queueIndex];
     const Microseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
-    if (patience.count() == 0 || now - queue.blockedSince < patience
+    // Prompt work waits too long when its head does, even where others of its queue were placed.
+    const bool prompt = queue.key.workClass == WorkClass::Prompt;
+    const Instant since = prompt ? this->ledger.tasks[queue.head].submittedAt : queue.blockedSince;
+    if (patience.count() == 0 || now - since < patience
         || now - queue.roomAskedAt < std::max(patience, askAgainAfter))
         return;
     queue.roomAskedAt = now;
-    const bool prompt = queue.key.workClass == WorkClass::Prompt;
     const Reason reason = prompt                 ? Reason::RoomForPrompt
         : queue.key.workClass == WorkClass::Gang ? Reason::RoomForGang
                                                  : Reason::ShareReclaimed;
@@ -142,7 +144,7 @@
             this->cursor = (this->cursor + 1) % limit;
             const TargetRecord &target = this->ledger.fleet[this->cursor];
             const Zone zone = target.zone();
-            if (zone == Zone::Closed || (zone == Zone::Headroom && !prompt)
+            if (zone == Zone::Closed
                 || (zone == Zone::Reserved && target.reservation != queue.reservation)
                 || !queue.charge.fitsInto(target.info.total))
                 continue;
--- a/src/decisions/shares.cpp
+++ b/src/decisions/shares.cpp
@@ -22,7 +22,7 @@
     return total > 0 ? static_cast<double>(amount) / static_cast<double>(total) : 0.0;
 }
 
-Demand demandOf(const TeamRecord &team, const Resources &total)
+Demand demandOf(const TeamDemand &team, const Resources &total)
 {
     Demand demand;
     demand.weight = std::max(team.policy.weight, 1e-6);
@@ -32,7 +32,8 @@
     demand.share = wanted.dominantShare(total);
     if (demand.share <= 0.0)
         return demand;
-    const Resources &mixed = team.running > 0 ? team.placed : wanted;
+    const double placedShare = team.placed.dominantShare(total);
+    const Resources &mixed = placedShare > 0.0 ? team.placed : wanted;
     const double mixedShare = mixed.dominantShare(total);
     for (std::size_t kind = 0; kind < resourceKindCount && mixedShare > 0.0; ++kind)
         demand.mixture[kind] = part(mixed.amounts[kind], total.amounts[kind]) / mixedShare;
@@ -56,11 +57,11 @@
     return true;
 }
 
-double fillingLevel(const std::vector<Demand> &demands, const Ledger &ledger)
+double fillingLevel(const std::vector<Demand> &demands, const Statistics &statistics)
 {
     std::array<double, resourceKindCount> room{};
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
-        room[kind] = part(ledger.placed.amounts[kind], ledger.fleet.total().amounts[kind]);
+        room[kind] = part(statistics.placed.amounts[kind], statistics.total.amounts[kind]);
     double low = 0.0;
     double high = 0.0;
     for (const Demand &demand : demands)
@@ -85,6 +86,20 @@
 
 } // namespace
 
+void fillShares(Statistics &statistics, const std::vector<TeamDemand> &teams)
+{
+    std::vector<Demand> demands;
+    demands.reserve(teams.size());
+    for (const TeamDemand &team : teams)
+        demands.push_back(demandOf(team, statistics.total));
+    const double level = fillingLevel(demands, statistics);
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        TeamStatistics &entry = statistics.teams[i];
+        entry.share = teams[i].placed.dominantShare(statistics.total);
+        entry.due = std::min(demands[i].share, demands[i].weight * level);
+    }
+}
+
 Statistics shareStatistics(const Ledger &ledger)
 {
     Statistics statistics;
@@ -93,22 +108,19 @@
     statistics.packing = ledger.placed.dominantShare(statistics.total);
     statistics.classes = ledger.classes;
     countTargets(ledger, statistics);
-    std::vector<Demand> demands;
-    for (Index team = 0; team < ledger.teams.limit(); ++team)
-        demands.push_back(demandOf(ledger.teams[team], statistics.total));
-    const double level = fillingLevel(demands, ledger);
+    std::vector<TeamDemand> demands;
     for (Index team = 0; team < ledger.teams.limit(); ++team) {
         const TeamRecord &record = ledger.teams[team];
         TeamStatistics entry;
         entry.team = record.policy.team;
-        entry.share = record.placed.dominantShare(statistics.total);
-        entry.due = std::min(demands[team].share, demands[team].weight * level);
         entry.placed = record.placed;
         entry.limit = record.policy.limit;
         entry.running = record.running;
         entry.waiting = record.waitingTasks();
         statistics.teams.push_back(entry);
+        demands.push_back(TeamDemand{record.policy, record.placed, record.waitingNeed});
     }
+    fillShares(statistics, demands);
     std::sort(statistics.teams.begin(), statistics.teams.end(),
               [](const auto &a, const auto &b) { return a.team < b.team; });
     return statistics;
--- a/src/decisions/targetrecord.h
+++ b/src/decisions/targetrecord.h
@@ -2,9 +2,11 @@
 
 #include "core/clock.h"
 #include "core/resources.h"
+#include "core/workclass.h"
 #include "decisions/indexes.h"
 #include "decisions/targetinfo.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -13,23 +15,24 @@
 /// Who may be placed on a target.
 enum class Zone : std::uint8_t {
     Normal, ///< anyone
-    Headroom, ///< prompt work
     Reserved, ///< the holder of its reservation, and what ends before that starts
     Closed, ///< nobody: unknown, lost, departing or in quarantine
 };
 
-inline constexpr std::size_t zoneCount = 4;
+inline constexpr std::size_t zoneCount = 3;
 
 /// One target and what is set aside on it.
 struct TargetRecord
 {
     TargetInfo info;
     Resources placed;
+    Resources hold; ///< kept for prompt work, what is placed of it included
+    Resources promptPlaced;
     std::vector<Index> tasks; ///< placed here
     std::int64_t usedMilliCores = 0; ///< last measured, of all its tasks
     std::int64_t usedMemoryMb = 0;
     bool known = false; ///< announced and not lost
-    bool headroom = false;
+    Index holdPosition = noIndex; ///< in the fleet's list of targets that have a hold
     bool quarantined = false;
     bool freed = false; ///< has gained room since the last decision
     Index reservation = noIndex;
@@ -48,10 +51,26 @@
             return Zone::Closed;
         if (this->reservation != noIndex)
             return Zone::Reserved;
-        return this->headroom ? Zone::Headroom : Zone::Normal;
+        return Zone::Normal;
     }
 
     Resources free() const { return this->info.total - this->placed; }
+
+    /// What is left for work other than prompt. May be below zero where a hold is new.
+    Resources sharedFree() const
+    {
+        Resources left = this->free();
+        for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
+            const std::int64_t held = this->hold.amounts[kind] - this->promptPlaced.amounts[kind];
+            left.amounts[kind] -= held > 0 ? held : 0;
+        }
+        return left;
+    }
+
+    Resources roomFor(WorkClass workClass) const
+    {
+        return workClass == WorkClass::Prompt ? this->free() : this->sharedFree();
+    }
 };
 
 } // namespace guavavalve::internal
