--- a/src/controller/configurationfollower.cpp
+++ b/src/controller/configurationfollower.cpp
@@ -48,12 +48,8 @@
     if (!token)
         return token.error();
     const std::shared_lock lock(this->mutex);
-    if (this->options.clock() >= this->leaseEnd) {
-        Error error =
-            failure(ErrorCode::Unavailable, "this instance has lost touch with the controller");
-        error.retryAfter = Milliseconds(1000);
-        return error;
-    }
+    if (this->options.clock() >= this->leaseEnd)
+        return noLease();
     const KeyRecord *key = this->view.key(token.value().keyId);
     if (key == nullptr
         || !secretMatches(token.value(), this->options.clusterSecret, key->keyedHash)) {
@@ -62,6 +58,14 @@
     return *key;
 }
 
+Error ConfigurationFollower::noLease()
+{
+    Error error =
+        failure(ErrorCode::Unavailable, "this instance has lost touch with the controller");
+    error.retryAfter = Milliseconds(1000);
+    return error;
+}
+
 void ConfigurationFollower::ask()
 {
     if (this->stopped)
--- a/src/controller/configurationfollower.h
+++ b/src/controller/configurationfollower.h
@@ -50,6 +50,9 @@
     /// \errors Unauthenticated; Unavailable, ran no, without a lease.
     Result<KeyRecord> identify(const std::string &bearer) const;
 
+    /// The refusal of an instance without a lease.
+    static Error noLease();
+
     /// Calls \a reader with the configuration held still.
     template<typename Reader>
     auto read(Reader &&reader) const
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -45,7 +45,7 @@
     void addRoutes();
     void refreshMetrics(Metrics &into) const;
     ReplicaPart::Hooks replicaHooks();
-    Result<OperatorIdentity> identifyOperator(const std::string &token) const;
+    Result<OperatorIdentity> identify(const std::string &token) const;
     OperatorRoutesOptions operatorRoutes();
 
     DaemonSettings settings;
