Settings and state: examples of both deployments, tests of bounds

The examples are loaded and written section by section by a test. Bounds: kept requests, withdrawn keys (an entry that is behind a released key is sent everything), history of a section in bytes.

The guard against a number beyond 64 signed bits survived its removal: every setting of today begins at zero or above, and such a number wraps round to a negative one. Its comment said otherwise and is corrected; a test with a field that allows negative numbers now shows it.

--- a/src/schema/fieldcheck.cpp
+++ b/src/schema/fieldcheck.cpp
@@ -60,7 +60,7 @@
 {
     if (!value.is_number_integer())
         return false;
-    // A number above the signed range would wrap round to a small one that passes.
+    // A number above the signed range would wrap round to a negative one, which some fields allow.
     if (value.is_number_unsigned()
         && value.get<std::uint64_t>()
             > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()))
--- /dev/null
+++ b/test/settings/examplestest.cpp
@@ -0,0 +1,100 @@
+#include <catch2/catch.hpp>
+
+#include "settings/loadsettings.h"
+#include "state/clusterstate.h"
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+using namespace guavavalve;
+
+namespace {
+
+using Folder = std::filesystem::path;
+
+/// The failure domains that the settings of \a folder name, and how many hold a replica.
+struct SettingsSeen
+{
+    std::set<std::string> failureDomains;
+    std::set<std::string> instances;
+    int replicas = 0;
+};
+
+SettingsSeen loadAll(const Folder &folder)
+{
+    SettingsSeen seen;
+    for (const auto &file : std::filesystem::directory_iterator(folder)) {
+        const std::string name = file.path().filename().string();
+        if (name.rfind("settings-", 0) != 0)
+            continue;
+        INFO(name);
+        const auto settings = loadSettings(file.path().string());
+        INFO((settings.has_error() ? settings.error().message : ""));
+        REQUIRE(settings.has_value());
+        seen.failureDomains.insert(settings.value().failureDomain);
+        CHECK(seen.instances.insert(settings.value().instance).second);
+        CHECK(settings.value().clusterId == folder.filename().string());
+        seen.replicas += settings.value().holdsReplica() ? 1 : 0;
+    }
+    return seen;
+}
+
+/// Writes each section of the example as an operator would, the cell's first.
+ClusterState written(const Folder &folder)
+{
+    std::ifstream file(folder / "configuration.json");
+    std::stringstream text;
+    text << file.rdbuf();
+    JsonDocument document = parseJson(text.str(), std::size_t{1} << 20);
+    REQUIRE(document.problems.empty());
+
+    ClusterState state;
+    GrantKey grant;
+    grant.requestId = "first key";
+    grant.keyId = "operator";
+    grant.role = KeyRole::Operator;
+    grant.keyedHash = "hash";
+    REQUIRE(state.apply(grant).has_value());
+    for (const auto &[section, content] : document.value.items()) {
+        INFO(section);
+        WriteSection write;
+        write.requestId = "write of " + section;
+        write.section = section;
+        write.author = "operator";
+        write.content = content.dump();
+        const CommandOutcome outcome = state.apply(write);
+        INFO((outcome.has_error() ? outcome.error().message : ""));
+        REQUIRE(outcome.has_value());
+    }
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("the examples of both deployments are accepted as they stand", "[examples]")
+{
+    const std::map<std::string, std::set<std::string>> domains{
+        {"brandvold", {"regina", "saskatoon", "brandon"}},
+        {"cwm-meryw", {"cymru-a", "cymru-b", "cymru-c", "cymru-d"}}};
+    for (const auto &[name, expected] : domains) {
+        INFO(name);
+        const Folder folder = Folder(EXAMPLES_FOLDER) / name;
+        const SettingsSeen seen = loadAll(folder);
+        CHECK(seen.failureDomains == expected);
+        CHECK(seen.replicas == 3);
+        const ClusterState state = written(folder);
+        CHECK(state.teams().size() == 6);
+        CHECK(state.configuration().cell().totalShares == 1000);
+    }
+}
+
+TEST_CASE("a settings file that is not there is told with its path", "[settings]")
+{
+    const auto settings = loadSettings("no/such/settings.json");
+    REQUIRE(settings.has_error());
+    CHECK(settings.error().code == ErrorCode::NotFound);
+    CHECK(settings.error().message.find("no/such/settings.json") != std::string::npos);
+}
--- a/test/settings/settingstest.cpp
+++ b/test/settings/settingstest.cpp
@@ -66,7 +66,6 @@
                    path + "5, allowed: a whole number from 10 to 10000 ms"));
     CHECK(contains(problemOf(with(R"({"replication": {"heartbeatMs": "50"}})")), path + "\"50\""));
     CHECK(contains(problemOf(with(R"({"replication": {"heartbeatMs": 50.5}})")), path + "50.5"));
-    // It would wrap round to 50 in 64 signed bits.
     CHECK(contains(problemOf(with(R"({"replication": {"heartbeatMs": 18446744073709551615}})")),
                    path + "18446744073709551615"));
     CHECK(contains(problemOf(with(R"({"replication": 7})")), "replication: found 7"));
@@ -150,3 +149,18 @@
     }
     CHECK(refused > rounds / 2);
 }
+
+TEST_CASE("a number beyond 64 signed bits passes for no negative one", "[schema]")
+{
+    FieldSpec spec;
+    spec.path = "offset";
+    spec.type = FieldType::Integer;
+    spec.minimum = -5;
+    spec.maximum = 5;
+    const auto problems = [&spec](const std::string &text) {
+        return checkFields({spec}, nlohmann::json::parse(text)).size();
+    };
+    CHECK(problems(R"({"offset": -1})") == 0);
+    CHECK(problems(R"({"offset": 18446744073709551615})") == 1);
+    CHECK(problems(R"({"offset": -6})") == 1);
+}
--- /dev/null
+++ b/test/state/boundstest.cpp
@@ -0,0 +1,57 @@
+#include "statefixture.h"
+
+#include "state/configurationview.h"
+
+using namespace guavavalve;
+
+TEST_CASE("kept results of requests are bounded and the oldest are released", "[state]")
+{
+    RequestLog log;
+    for (std::size_t i = 0; i < RequestLog::capacity + 10; ++i) {
+        RequestLog::Entry entry;
+        entry.digest = i;
+        log.keep(std::to_string(i), entry);
+    }
+    CHECK(log.size() == RequestLog::capacity);
+    CHECK(log.find("9") == nullptr);
+    REQUIRE(log.find("10") != nullptr);
+    CHECK(log.find("10")->digest == 10);
+}
+
+// An entry is away while more keys are withdrawn than the state remembers. If it were sent only
+// the changes that are left, a key whose record has been released would work there for ever.
+TEST_CASE("an entry that is behind released keys is sent everything", "[state]")
+{
+    StateFixture fixture;
+    REQUIRE(fixture.grant("old", "mill", KeyRole::Team).has_value());
+    ConfigurationView view;
+    REQUIRE(view.applyChanges(fixture.state.configuration().changesSince(0)).has_value());
+    REQUIRE(view.key("old") != nullptr);
+    REQUIRE(fixture.withdraw("old").has_value());
+    for (std::size_t i = 0; i < Configuration::maxWithdrawnKeys; ++i) {
+        const std::string key = "key-" + std::to_string(i);
+        REQUIRE(fixture.grant(key, "mill", KeyRole::Team).has_value());
+        REQUIRE(fixture.withdraw(key).has_value());
+    }
+    const Configuration &configuration = fixture.state.configuration();
+    CHECK(configuration.key("old") == nullptr);
+    const ConfigurationChanges changes = configuration.changesSince(view.version());
+    CHECK(changes.whole);
+    REQUIRE(view.applyChanges(changes).has_value());
+    CHECK(view.key("old") == nullptr);
+    CHECK(view.key("mill-key") != nullptr);
+    CHECK_FALSE(configuration.changesSince(view.version() - 1).whole);
+}
+
+TEST_CASE("a section's history is bounded in bytes and keeps what is in force", "[state]")
+{
+    StateFixture fixture;
+    const std::string padding(60000, ' ');
+    for (std::uint64_t base = 1; base <= 5; ++base)
+        REQUIRE(fixture.write("team.mill", base, "{" + padding + "}").has_value());
+    const Section &section = *fixture.state.configuration().section("team.mill");
+    CHECK(section.history.size() == 2);
+    CHECK(section.current().version == 6);
+    CHECK(codeOf(fixture.write("team.mill", 6, "{" + padding + padding + "}"))
+          == ErrorCode::InvalidArgument);
+}
