--- a/src/state/policydocument.cpp
+++ b/src/state/policydocument.cpp
@@ -61,9 +61,9 @@
     table.integer("defaultShare", &CellSection::defaultShare, Unit::None, {1, 1000000},
                   "Share of a team whose section names none.");
     addResources(table, "defaultLimit", &CellSection::defaultLimit, false,
-                 "Upper limit of a team whose section names none.");
+                 "Upper limit of a team whose section names none; 2^53: no limit.");
     addResources(table, "maxTeamLimit", &CellSection::maxTeamLimit, false,
-                 "The most that a team's upper limit may be.");
+                 "The most that a team's upper limit may be; 2^53: any.");
     table.integer("maxWaitingTasks", &CellSection::maxWaitingTasks, Unit::None, {1, mostTasks},
                   "Tasks that a team may have waiting; more are refused.");
     table.integer("maxTasksPerJob", &CellSection::maxTasksPerJob, Unit::None, {1, 100000},
@@ -92,7 +92,7 @@
                  "Weight against other teams when the cell is full.")
         .operatorsOnly = true;
     addResources(table, "limit", &TeamSection::limit, true,
-                 "Upper limit on what the team may have running.");
+                 "Upper limit on what the team may have running; 2^53: no limit.");
     table.integer("maxWaitingTasks", &TeamSection::maxWaitingTasks, Unit::None, {0, mostTasks},
                   "Tasks that may wait; 0: as the cell says. The cell's bound holds beside it.");
     addClasses(table);
