--- a/src/callers/callerservice.cpp
+++ b/src/callers/callerservice.cpp
@@ -57,7 +57,7 @@
         Instant received;
         bool waits = false; ///< the reply is to come at the job's end
     };
-    using Handler = void (Private::*)(Request);
+    using Handler = void (Private::*)(Request &);
 
     Private(const Dependencies &chosen, KeyCheck check, CallerServiceOptions given)
         : context{chosen.controller, chosen.dispatcher, chosen.targets, chosen.timers}
@@ -80,14 +80,14 @@
     void addRoute(HttpServer &server, const std::string &method, Handler handler);
     Result<CallerIdentity> authenticate(const HttpRequest &request) const;
     void admit(HttpRequest http, const HttpReply &reply, Handler handler);
-    void submit(Request request);
+    void submit(Request &request);
     void submitted(const Request &request, const SubmitRequest &submit, Result<SubmitReply> result);
     void wait(const Request &request, const SubmitRequest &submit, SubmitReply accepted);
-    void look(Request request);
+    void look(Request &request);
     void status(const Request &request, JobId job);
     void answer(const Request &request, JobId job);
     void giveAnswer(const HttpReply &reply, std::size_t index, const JobStatus &status);
-    void cancel(Request request);
+    void cancel(Request &request);
     void count(Ran ran);
     void fail(const HttpReply &reply, const Error &error);
     Instant controllerDeadline() const { return monotonicNow() + this->options.controllerTimeout; }
@@ -96,10 +96,11 @@
 void CallerService::Private::addRoute(HttpServer &server, const std::string &method,
                                       Handler handler)
 {
-    server.route(method, std::string(jobsPath),
-                 [self = this->shared_from_this(), handler](HttpRequest http, HttpReply reply) {
-                     self->admit(std::move(http), reply, handler);
-                 });
+    server.route(
+        method, std::string(jobsPath),
+        [self = this->shared_from_this(), handler](HttpRequest http, const HttpReply &reply) {
+            self->admit(std::move(http), reply, handler);
+        });
 }
 
 Result<CallerIdentity> CallerService::Private::authenticate(const HttpRequest &request) const
@@ -134,10 +135,10 @@
         self->openRequests.close(keyId);
         reply(std::move(response));
     };
-    (this->*handler)(std::move(request));
+    (this->*handler)(request);
 }
 
-void CallerService::Private::submit(Request request)
+void CallerService::Private::submit(Request &request)
 {
     if (!jobPart(request.http.path).empty()) {
         this->fail(request.reply, failure(ErrorCode::NotFound, "jobs are posted to /v1/jobs"));
@@ -195,7 +196,7 @@
     call->start(std::move(accepted));
 }
 
-void CallerService::Private::look(Request request)
+void CallerService::Private::look(Request &request)
 {
     std::string_view part = jobPart(request.http.path);
     const bool wantsAnswer = part.size() > answerSuffix.size()
@@ -274,7 +275,7 @@
                 });
 }
 
-void CallerService::Private::cancel(Request request)
+void CallerService::Private::cancel(Request &request)
 {
     const auto job = parseJobId(std::string(jobPart(request.http.path)));
     if (!job) {
--- a/src/targets/announcementjson.cpp
+++ b/src/targets/announcementjson.cpp
@@ -55,7 +55,8 @@
         std::size_t kind = 0;
         while (kind < resourceKindCount && resourceKindNames[kind] != name)
             ++kind;
-        const std::string path = field + "." + name;
+        std::string path = field;
+        path.append(".").append(name);
         if (kind == resourceKindCount)
             return wrongField(path,
                               "one of milliCores, memoryMb, accelerators, slots, connections");
--- a/src/targets/dispatcher.cpp
+++ b/src/targets/dispatcher.cpp
@@ -58,14 +58,13 @@
 
     Shard &shardOf(TaskId task) { return this->shards[idValue(task) % shardCount]; }
     void carryOut(DispatchOrder order);
-    std::shared_ptr<FollowedAttempt> take(const DispatchOrder &order, bool &isNew);
+    std::shared_ptr<FollowedAttempt> take(DispatchOrder order, bool &isNew);
     void ended(const EndedAttempt &attempt);
 };
 
 /// The attempt of \a order, new or known; null if it has ended or a later one has taken its place.
-std::shared_ptr<FollowedAttempt> Dispatcher::Private::take(const DispatchOrder &order, bool &isNew)
+std::shared_ptr<FollowedAttempt> Dispatcher::Private::take(DispatchOrder order, bool &isNew)
 {
-    std::shared_ptr<FollowedAttempt> dropped;
     Shard &shard = this->shardOf(order.task);
     const std::lock_guard lock(shard.mutex);
     if (shard.ended.count({order.task, order.attempt}) != 0)
@@ -84,7 +83,8 @@
     }
     auto self = this->shared_from_this();
     slot = std::make_shared<FollowedAttempt>(
-        this->context, order, [self](const EndedAttempt &attempt) { self->ended(attempt); });
+        this->context, std::move(order),
+        [self](const EndedAttempt &attempt) { self->ended(attempt); });
     isNew = true;
     return slot;
 }
@@ -93,7 +93,7 @@
 {
     const DispatchAction action = order.action;
     bool isNew = false;
-    const std::shared_ptr<FollowedAttempt> attempt = this->take(order, isNew);
+    const std::shared_ptr<FollowedAttempt> attempt = this->take(std::move(order), isNew);
     if (!attempt)
         return;
     switch (action) {
--- a/src/targets/httptargetclient.cpp
+++ b/src/targets/httptargetclient.cpp
@@ -118,7 +118,7 @@
 
     std::shared_ptr<http_client> pool(const std::string &address);
     void replacePool(const std::string &address, const std::shared_ptr<http_client> &silent);
-    void call(const std::string &address, AttemptId attempt, http_request request,
+    void call(const std::string &address, AttemptId attempt, const http_request &request,
               Milliseconds wait, Done<AttemptReport> done);
     void receive(const std::shared_ptr<Call> &call, const http_response &response) const;
 };
@@ -148,7 +148,7 @@
 }
 
 void HttpTargetClient::Private::call(const std::string &address, AttemptId attempt,
-                                     http_request request, Milliseconds wait,
+                                     const http_request &request, Milliseconds wait,
                                      Done<AttemptReport> done)
 {
     auto call = std::make_shared<Call>();
@@ -169,7 +169,7 @@
         if (call->end(unknownFailure(ErrorCode::DeadlineExceeded, "the target went silent")))
             call->cancellation.cancel();
     });
-    client->request(std::move(request), call->cancellation.get_token())
+    client->request(request, call->cancellation.get_token())
         .then([self, call](const pplx::task<http_response> &reply) {
             try {
                 self->receive(call, reply.get());
@@ -213,7 +213,7 @@
     request.set_request_uri(attemptUri(
         attempt, "/start?" + incarnationParameter(order.incarnation) + "&" + waitParameter(wait)));
     request.set_body(std::vector<unsigned char>(order.payload.begin(), order.payload.end()));
-    this->d->call(order.targetAddress, attempt, std::move(request), wait, std::move(done));
+    this->d->call(order.targetAddress, attempt, request, wait, std::move(done));
 }
 
 void HttpTargetClient::ask(const std::string &address, AttemptId attempt, Incarnation incarnation,
@@ -224,7 +224,7 @@
         parameters += "&" + incarnationParameter(incarnation);
     http_request request(web::http::methods::GET);
     request.set_request_uri(attemptUri(attempt, parameters));
-    this->d->call(address, attempt, std::move(request), wait, std::move(done));
+    this->d->call(address, attempt, request, wait, std::move(done));
 }
 
 void HttpTargetClient::stop(const std::string &address, AttemptId attempt, Incarnation incarnation,
@@ -232,7 +232,7 @@
 {
     http_request request(web::http::methods::POST);
     request.set_request_uri(attemptUri(attempt, "/stop?" + incarnationParameter(incarnation)));
-    this->d->call(address, attempt, std::move(request), Milliseconds(0), std::move(done));
+    this->d->call(address, attempt, request, Milliseconds(0), std::move(done));
 }
 
 void HttpTargetClient::throttle(const std::string &address, AttemptId attempt,
@@ -240,7 +240,7 @@
 {
     http_request request(web::http::methods::POST);
     request.set_request_uri(attemptUri(attempt, "/throttle"));
-    this->d->call(address, attempt, std::move(request), Milliseconds(0), std::move(done));
+    this->d->call(address, attempt, request, Milliseconds(0), std::move(done));
 }
 
 void HttpTargetClient::checkpoint(const std::string &address, AttemptId attempt,
@@ -248,7 +248,7 @@
 {
     http_request request(web::http::methods::POST);
     request.set_request_uri(attemptUri(attempt, "/checkpoint"));
-    this->d->call(address, attempt, std::move(request), Milliseconds(0), std::move(done));
+    this->d->call(address, attempt, request, Milliseconds(0), std::move(done));
 }
 
 std::size_t HttpTargetClient::poolsReplaced() const
--- a/test/standin/attempttable.cpp
+++ b/test/standin/attempttable.cpp
@@ -41,7 +41,7 @@
 {}
 
 void AttemptTable::start(AttemptId id, Incarnation wanted, const std::string &payload,
-                         Milliseconds waitFor, Tell tell)
+                         Milliseconds waitFor, const Tell &tell)
 {
     this->checkLease();
     const Key key{id.task, id.attempt};
@@ -134,7 +134,7 @@
         waiter(view);
 }
 
-void AttemptTable::ask(AttemptId id, Incarnation wanted, Milliseconds waitFor, Tell tell)
+void AttemptTable::ask(AttemptId id, Incarnation wanted, Milliseconds waitFor, const Tell &tell)
 {
     this->checkLease();
     std::unique_lock lock(this->mutex);
@@ -158,7 +158,7 @@
         const std::lock_guard lock(this->mutex);
         const auto found = this->attempts.find(key);
         if (found == this->attempts.end()) {
-            const AttemptView view = this->isCurrent(wanted)
+            AttemptView view = this->isCurrent(wanted)
                 ? endedView(AttemptOutcome::NeverStarted, "refused for ever")
                 : this->unknown(wanted);
             this->attempts[key].view = view;
--- a/test/standin/attempttable.h
+++ b/test/standin/attempttable.h
@@ -51,10 +51,10 @@
     /// Starts an attempt, unless it is known already, refused for ever, or of an incarnation that
     /// is over. \a tell is called when it has ended, or after \a wait.
     void start(guavavalve::AttemptId attempt, guavavalve::Incarnation incarnation,
-               const std::string &payload, guavavalve::Milliseconds wait, Tell tell);
+               const std::string &payload, guavavalve::Milliseconds wait, const Tell &tell);
 
     void ask(guavavalve::AttemptId attempt, guavavalve::Incarnation incarnation,
-             guavavalve::Milliseconds wait, Tell tell);
+             guavavalve::Milliseconds wait, const Tell &tell);
 
     /// Ends an attempt, or refuses it for ever.
     AttemptView stop(guavavalve::AttemptId attempt, guavavalve::Incarnation incarnation);
