--- a/src/controller/operatorservice.cpp
+++ b/src/controller/operatorservice.cpp
@@ -117,7 +117,7 @@
 }
 
 void OperatorService::answer(const OperatorIdentity &, const ShowConfigurationRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
     ConfigurationDocument document;
     this->read([&](const ClusterState &state) {
@@ -134,7 +134,7 @@
 }
 
 void OperatorService::answer(const OperatorIdentity &identity,
-                             const CheckConfigurationRequest &question, Reply reply)
+                             const CheckConfigurationRequest &question, const Reply &reply)
 {
     ConfigurationCheck check;
     this->read([&](const ClusterState &state) {
@@ -161,7 +161,7 @@
 }
 
 void OperatorService::answer(const OperatorIdentity &identity, const WriteSectionRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
     if (const auto valid = checkRequestId(question.requestId); !valid) {
         reply(valid.error());
@@ -189,7 +189,7 @@
 }
 
 void OperatorService::answer(const OperatorIdentity &, const SectionHistoryRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
     SectionHistory history;
     this->read([&](const ClusterState &state) {
@@ -219,12 +219,13 @@
     return result;
 }
 
-void OperatorService::answer(const OperatorIdentity &, const InForceRequest &, Reply reply)
+void OperatorService::answer(const OperatorIdentity &, const InForceRequest &, const Reply &reply)
 {
     reply(OperatorReply(this->inForce()));
 }
 
-void OperatorService::answer(const OperatorIdentity &, const GrantKeyRequest &question, Reply reply)
+void OperatorService::answer(const OperatorIdentity &, const GrantKeyRequest &question,
+                             const Reply &reply)
 {
     if (const auto valid = checkRequestId(question.requestId); !valid) {
         reply(valid.error());
@@ -258,7 +259,8 @@
     });
 }
 
-void OperatorService::answer(const OperatorIdentity &identity, const ListKeysRequest &, Reply reply)
+void OperatorService::answer(const OperatorIdentity &identity, const ListKeysRequest &,
+                             const Reply &reply)
 {
     KeyList list;
     this->read([&](const ClusterState &state) {
@@ -271,7 +273,7 @@
 }
 
 void OperatorService::answer(const OperatorIdentity &, const WithdrawKeyRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
     if (const auto valid = checkRequestId(question.requestId); !valid) {
         reply(valid.error());
@@ -297,9 +299,9 @@
                         });
 }
 
-Done<Nothing> OperatorService::replyWithStatus(Reply reply) const
+Done<Nothing> OperatorService::replyWithStatus(const Reply &reply) const
 {
-    return [log = this->hooks.log, reply = std::move(reply)](Result<Nothing> outcome) {
+    return [log = this->hooks.log, reply](Result<Nothing> outcome) {
         if (!outcome)
             reply(outcome.error());
         else
@@ -307,21 +309,22 @@
     };
 }
 
-void OperatorService::answer(const OperatorIdentity &, const ReplicaStatusRequest &, Reply reply)
+void OperatorService::answer(const OperatorIdentity &, const ReplicaStatusRequest &,
+                             const Reply &reply)
 {
     reply(OperatorReply(this->hooks.log->status()));
 }
 
 void OperatorService::answer(const OperatorIdentity &, const AddReplicaRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
-    this->hooks.log->addMember(question.member, this->replyWithStatus(std::move(reply)));
+    this->hooks.log->addMember(question.member, this->replyWithStatus(reply));
 }
 
 void OperatorService::answer(const OperatorIdentity &, const RemoveReplicaRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
-    this->hooks.log->removeMember(question.instance, this->replyWithStatus(std::move(reply)));
+    this->hooks.log->removeMember(question.instance, this->replyWithStatus(reply));
 }
 
 } // namespace guavavalve
--- a/src/controller/operatorservice.h
+++ b/src/controller/operatorservice.h
@@ -29,30 +29,30 @@
     Result<OperatorIdentity> verify(const OperatorIdentity &claimed) const;
     Result<void> permit(const OperatorIdentity &identity, const OperatorQuestion &question) const;
 
-    void answer(const OperatorIdentity &, const ShowConfigurationRequest &, Reply);
-    void answer(const OperatorIdentity &, const CheckConfigurationRequest &, Reply);
-    void answer(const OperatorIdentity &, const WriteSectionRequest &, Reply);
-    void answer(const OperatorIdentity &, const SectionHistoryRequest &, Reply);
-    void answer(const OperatorIdentity &, const InForceRequest &, Reply);
-    void answer(const OperatorIdentity &, const GrantKeyRequest &, Reply);
-    void answer(const OperatorIdentity &, const ListKeysRequest &, Reply);
-    void answer(const OperatorIdentity &, const WithdrawKeyRequest &, Reply);
-    void answer(const OperatorIdentity &, const ListTargetsRequest &, Reply);
-    void answer(const OperatorIdentity &, const DrainTargetRequest &, Reply);
-    void answer(const OperatorIdentity &, const ReplicaStatusRequest &, Reply);
-    void answer(const OperatorIdentity &, const AddReplicaRequest &, Reply);
-    void answer(const OperatorIdentity &, const RemoveReplicaRequest &, Reply);
-    void answer(const OperatorIdentity &, const ListJobsRequest &, Reply);
-    void answer(const OperatorIdentity &, const ExplainJobRequest &, Reply);
-    void answer(const OperatorIdentity &, const ListTeamsRequest &, Reply);
-    void answer(const OperatorIdentity &, const CellStatusRequest &, Reply);
+    void answer(const OperatorIdentity &, const ShowConfigurationRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const CheckConfigurationRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const WriteSectionRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const SectionHistoryRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const InForceRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const GrantKeyRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const ListKeysRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const WithdrawKeyRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const ListTargetsRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const DrainTargetRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const ReplicaStatusRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const AddReplicaRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const RemoveReplicaRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const ListJobsRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const ExplainJobRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const ListTeamsRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const CellStatusRequest &, const Reply &);
 
     void read(const OperatorHooks::StateReader &reader) const { this->hooks.readState(reader); }
     ConfigurationInForce inForce() const;
     TargetList targetList() const;
     TeamList teamList() const;
     std::vector<WaitingSummary> waitingList() const;
-    Done<Nothing> replyWithStatus(Reply reply) const;
+    Done<Nothing> replyWithStatus(const Reply &reply) const;
 
     OperatorHooks hooks;
 };
--- a/src/controller/operatorviews.cpp
+++ b/src/controller/operatorviews.cpp
@@ -111,13 +111,14 @@
     return list;
 }
 
-void OperatorService::answer(const OperatorIdentity &, const ListTargetsRequest &, Reply reply)
+void OperatorService::answer(const OperatorIdentity &, const ListTargetsRequest &,
+                             const Reply &reply)
 {
     reply(OperatorReply(this->targetList()));
 }
 
 void OperatorService::answer(const OperatorIdentity &, const DrainTargetRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
     SetTargetDraining command;
     this->read([&](const ClusterState &state) {
@@ -170,13 +171,13 @@
     return list;
 }
 
-void OperatorService::answer(const OperatorIdentity &, const ListTeamsRequest &, Reply reply)
+void OperatorService::answer(const OperatorIdentity &, const ListTeamsRequest &, const Reply &reply)
 {
     reply(OperatorReply(this->teamList()));
 }
 
 void OperatorService::answer(const OperatorIdentity &identity, const ListJobsRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
     const std::string team = identity.isOperator ? question.team : identity.team;
     const std::uint32_t atMost = std::min(question.atMost, maxJobsListed);
@@ -199,7 +200,7 @@
 }
 
 void OperatorService::answer(const OperatorIdentity &identity, const ExplainJobRequest &question,
-                             Reply reply)
+                             const Reply &reply)
 {
     const Result<JobStatus> status = this->hooks.jobStatus(question.job);
     // Another team's job is answered as an unknown one: its being there is not theirs to know.
@@ -245,7 +246,8 @@
     return result;
 }
 
-void OperatorService::answer(const OperatorIdentity &, const CellStatusRequest &, Reply reply)
+void OperatorService::answer(const OperatorIdentity &, const CellStatusRequest &,
+                             const Reply &reply)
 {
     CellStatus status;
     status.replicas = this->hooks.log->status();
