--- a/bench/decisions/trial.cpp
+++ b/bench/decisions/trial.cpp
@@ -133,14 +133,15 @@
         this->realUse[idValue(task.target)] -= task.real;
         task.target = TargetId::None;
         if (done) {
-            this->timed(
-                [&] { this->scheduler.taskEnded(timed.task, TaskEnd::Succeeded, this->now); });
+            this->timed([&] {
+                this->scheduler.taskEnded(timed.task, AttemptOutcome::Succeeded, this->now);
+            });
             this->tasks.erase(item);
             continue;
         }
         // A failed task is tried again; one that was saved or stopped goes on later.
         this->result.failed += fails && this->measuring ? 1 : 0;
-        const TaskEnd end = fails ? TaskEnd::Failed : TaskEnd::Stopped;
+        const AttemptOutcome end = fails ? AttemptOutcome::Failed : AttemptOutcome::Stopped;
         this->timed([&] { this->scheduler.requeue(timed.task, end, this->now); });
     }
 }
