--- /dev/null
+++ b/test/scenarios/cell.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "scenarios/childprocess.h"
+#include "scenarios/forwarder.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace scenarios {
+
+/// Polls \a condition; throws with \a what if it does not come true within a long patience.
+void waitUntil(const std::string &what, const std::function<bool()> &condition);
+
+/// A small cell of separate processes: entries with replicas, and stand-in targets behind
+/// forwarders.
+class Cell
+{
+public:
+    /// \a build: the folder of the programs; \a folder: an empty one for settings, data and logs.
+    Cell(std::string build, std::string folder);
+    ~Cell();
+
+    /// Starts \a count entries, each with a replica, forms the group, configures one team and
+    /// grants its key.
+    void startEntries(int count);
+    /// Starts \a count targets with \a flags, and waits until they are ready.
+    void startTargets(int count, const std::vector<std::string> &flags);
+
+    ChildProcess &entry(int number); ///< from 1
+    ChildProcess &target(int number); ///< from 1
+    Forwarder &forwarder(int number); ///< of target \a number
+    void restartEntry(int number);
+    void restartTarget(int number);
+    /// The number of the entry whose replica leads.
+    int controller();
+    std::string entryUrl(int number) const;
+    std::string targetUrl(int number) const; ///< past the forwarder
+    int entryCount() const { return static_cast<int>(this->entries.size()); }
+    int targetCount() const { return static_cast<int>(this->targets.size()); }
+    const std::string &callerKey() const { return this->key; }
+    /// The lines of all targets' ledgers.
+    std::vector<std::string> ledgerLines() const;
+    /// Runs the tool as an operator; throws if it fails.
+    std::string operate(const std::string &arguments);
+
+private:
+    struct Entry
+    {
+        std::uint16_t callersPort = 0;
+        std::uint16_t messengerPort = 0;
+        std::unique_ptr<ChildProcess> process;
+    };
+    struct Target
+    {
+        std::uint16_t port = 0;
+        std::vector<std::string> arguments;
+        std::unique_ptr<Forwarder> forwarder;
+        std::unique_ptr<ChildProcess> process;
+    };
+
+    void writeSettings(std::size_t index) const;
+    void formAndConfigure();
+    std::string tool(const std::string &arguments, const std::string &withKey, int &status);
+    std::string servers() const;
+    std::string logPath(const std::string &name) const;
+    std::string entryName(std::size_t index) const;
+    bool isServed(int number) const;
+
+    std::string build;
+    std::string folder;
+    std::string secret;
+    std::string operatorKey;
+    std::string key;
+    std::vector<Entry> entries;
+    std::vector<Target> targets;
+};
+
+} // namespace scenarios
--- /dev/null
+++ b/test/scenarios/story.cpp
@@ -0,0 +1,335 @@
+#include "scenarios/story.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+namespace scenarios {
+
+namespace {
+
+const std::map<std::string, std::string> headerOfOption{
+    {"key", "Idempotency-Key"},
+    {"class", "Guavavalve-Class"},
+    {"need", "Guavavalve-Need"},
+    {"tasks", "Guavavalve-Tasks"},
+    {"repeatable", "Guavavalve-Repeatable"},
+    {"startWithinMs", "Guavavalve-Start-Within-Ms"},
+    {"finishWithinMs", "Guavavalve-Finish-Within-Ms"},
+};
+
+[[noreturn]] void fail(const std::string &message)
+{
+    throw std::runtime_error(message);
+}
+
+int number(const std::string &text)
+{
+    try {
+        return std::stoi(text);
+    } catch (const std::exception &) {
+        fail("\"" + text + "\" is not a number");
+    }
+}
+
+/// "a*" matches every name that begins with "a"; anything else only itself.
+bool matches(const std::string &pattern, const std::string &name)
+{
+    if (!pattern.empty() && pattern.back() == '*')
+        return name.compare(0, pattern.size() - 1, pattern, 0, pattern.size() - 1) == 0;
+    return name == pattern;
+}
+
+} // namespace
+
+Story::Story(Cell &cell)
+    : cell(cell)
+{}
+
+Story::~Story() = default;
+
+void Story::play(const std::string &line)
+{
+    // Everything after " : " is a payload or JSON, taken as it is.
+    const std::size_t colon = line.find(" : ");
+    const std::string rest = colon == std::string::npos ? "" : line.substr(colon + 3);
+    std::istringstream stream(line.substr(0, colon));
+    Words words;
+    for (std::string word; stream >> word;)
+        words.push_back(word);
+    if (words.size() == 1 && words[0] == "operate") {
+        std::cout << this->cell.operate(rest) << std::endl;
+        return;
+    }
+    if (words.size() < 2)
+        fail("a line has a verb and what it is about");
+    const std::string &verb = words[0];
+    if (verb == "start")
+        this->startProcesses(words);
+    else if (verb == "submit" || verb == "post")
+        this->submit(words, rest, verb == "submit");
+    else if (verb == "cancel")
+        this->cancel(words[1]);
+    else if (verb == "cut" || verb == "silence" || verb == "silence-replies" || verb == "heal")
+        this->actOnConnections(verb, words);
+    else if (verb == "control")
+        this->control(number(words.at(2)), rest);
+    else if (verb == "wait")
+        this->waitFor(words);
+    else if (verb == "expect")
+        this->expect(words);
+    else
+        this->actOnProcess(verb, words);
+}
+
+void Story::startProcesses(const Words &words)
+{
+    const int count = number(words.at(1));
+    if (words.at(2) == "entries")
+        this->cell.startEntries(count);
+    else if (words.at(2) == "targets")
+        this->cell.startTargets(count, Words(words.begin() + 3, words.end()));
+    else
+        fail("start what? entries or targets");
+}
+
+void Story::submit(const Words &words, const std::string &payload, bool waits)
+{
+    int count = 1;
+    int entry = 0;
+    std::map<std::string, std::string> headers{
+        {"Authorization", "Bearer " + this->cell.callerKey()}};
+    for (std::size_t i = 2; i < words.size(); ++i) {
+        const std::size_t equals = words[i].find('=');
+        const std::string option = words[i].substr(0, equals);
+        const std::string value = equals == std::string::npos ? "" : words[i].substr(equals + 1);
+        if (option == "times")
+            count = number(value);
+        else if (option == "entry")
+            entry = number(value);
+        else if (headerOfOption.count(option) != 0)
+            headers[headerOfOption.at(option)] = value;
+        else
+            fail("no such option: " + option);
+    }
+    for (int i = 1; i <= count; ++i) {
+        const std::string name = count == 1 ? words[1] : words[1] + std::to_string(i);
+        const int at = entry != 0 ? entry : this->nextRunningEntry();
+        this->submissions.emplace_back(name, "id=" + name + " " + payload,
+                                       this->cell.entryUrl(at) + "/v1/jobs", headers, waits);
+    }
+}
+
+int Story::nextRunningEntry()
+{
+    for (int tried = 0; tried < this->cell.entryCount(); ++tried) {
+        const int number = this->nextEntry++ % this->cell.entryCount() + 1;
+        if (this->cell.entry(number).isRunning())
+            return number;
+    }
+    fail("no entry runs");
+}
+
+void Story::cancel(const std::string &pattern)
+{
+    for (const Submission *each : this->matching(pattern)) {
+        waitUntil("the cancellation of " + each->name() + " is taken", [&] {
+            for (int i = 1; i <= this->cell.entryCount(); ++i) {
+                try {
+                    const auto answer = fakes::callHttp(
+                        "DELETE", this->cell.entryUrl(i) + "/v1/jobs/" + each->job(),
+                        {{"Authorization", "Bearer " + this->cell.callerKey()}});
+                    if (answer.status == 200)
+                        return true;
+                } catch (const std::exception &) {
+                    continue;
+                }
+            }
+            return false;
+        });
+    }
+}
+
+void Story::actOnProcess(const std::string &verb, const Words &words)
+{
+    const bool isTarget = words[1] == "target";
+    const int which = words[1] == "controller" ? this->cell.controller() : number(words.at(2));
+    ChildProcess &process = isTarget ? this->cell.target(which) : this->cell.entry(which);
+    if (verb == "kill")
+        process.kill();
+    else if (verb == "terminate")
+        process.terminate();
+    else if (verb == "freeze")
+        process.freeze();
+    else if (verb == "thaw")
+        process.thaw();
+    else if (verb == "restart" && isTarget)
+        this->cell.restartTarget(which);
+    else if (verb == "restart")
+        this->cell.restartEntry(which);
+    else
+        fail("no such verb: " + verb);
+}
+
+void Story::actOnConnections(const std::string &verb, const Words &words)
+{
+    // "cut target 1" or "silence all targets"
+    const bool all = words[1] == "all";
+    for (int i = 1; i <= this->cell.targetCount(); ++i) {
+        if (!all && i != number(words.at(2)))
+            continue;
+        Forwarder &forwarder = this->cell.forwarder(i);
+        if (verb == "cut")
+            forwarder.cut();
+        else if (verb == "silence")
+            forwarder.silence();
+        else if (verb == "silence-replies")
+            forwarder.silenceReplies();
+        else
+            forwarder.heal();
+    }
+}
+
+void Story::control(int target, const std::string &json)
+{
+    const auto answer =
+        fakes::callHttp("POST", this->cell.targetUrl(target) + "/control", {}, json);
+    if (answer.status != 200)
+        fail("the target refused: " + answer.body);
+}
+
+bool Story::isFinished(const Submission &submission)
+{
+    for (int i = 1; i <= this->cell.entryCount(); ++i) {
+        try {
+            const auto answer =
+                fakes::callHttp("GET", this->cell.entryUrl(i) + "/v1/jobs/" + submission.job(),
+                                {{"Authorization", "Bearer " + this->cell.callerKey()}});
+            const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+            if (answer.status == 200 && body.value("finished", false))
+                return true;
+        } catch (const std::exception &) {
+            continue;
+        }
+    }
+    return false;
+}
+
+void Story::waitFor(const Words &words)
+{
+    if (words.size() < 4 || words[1] != "until")
+        fail("wait until started|answered|finished NAME, or wait until starts COUNT");
+    const std::string &what = words[2];
+    const std::string &pattern = words[3];
+    if (what == "starts") {
+        waitUntil("targets have started " + pattern, [&] {
+            return static_cast<int>(this->cell.ledgerLines().size()) >= number(pattern);
+        });
+        return;
+    }
+    if (what == "controller") {
+        this->cell.controller();
+        return;
+    }
+    for (const Submission *each : this->matching(pattern)) {
+        waitUntil(each->name() + " is " + what, [&] {
+            if (what == "started")
+                return this->startsOf(each->name()) > 0;
+            if (what == "finished")
+                return this->isFinished(*each);
+            return each->isAnswered();
+        });
+    }
+}
+
+void Story::expect(const Words &words)
+{
+    const std::string &pattern = words.at(1);
+    const std::string &what = words.at(2);
+    if (what == "starts") {
+        this->expectStarts(pattern, words.at(3));
+        return;
+    }
+    if (pattern == "no" && what == "overcommit") {
+        for (const std::string &line : this->cell.ledgerLines()) {
+            if (line.compare(0, 4, "over") == 0)
+                fail("a target was given more than it has: " + line);
+        }
+        return;
+    }
+    for (const Submission *each : this->matching(pattern)) {
+        waitUntil(each->name() + " is answered", [&] { return each->isAnswered(); });
+        if (what == "answer" && !each->hasWholeAnswer())
+            fail("no whole answer: " + this->describe(*each));
+        if (what == "status" && std::to_string(each->answer().status) != words.at(3))
+            fail("another status: " + this->describe(*each));
+        if (what == "ran" && each->bodyField("ran") != words.at(3))
+            fail("another outcome: " + this->describe(*each));
+        if (what == "honest")
+            this->expectHonest(*each);
+    }
+}
+
+void Story::expectStarts(const std::string &pattern, const std::string &how)
+{
+    for (const Submission *each : this->matching(pattern)) {
+        const std::size_t starts = this->startsOf(each->name());
+        const bool holds = (how == "once" && starts == 1) || (how == "never" && starts == 0)
+            || (how == "at-most-once" && starts <= 1) || (how == "some" && starts >= 1);
+        if (!holds)
+            fail(each->name() + " was started " + std::to_string(starts) + " times, not " + how);
+    }
+}
+
+/// A whole answer to what was started, or a refusal that is true.
+void Story::expectHonest(const Submission &submission) const
+{
+    const std::size_t starts = this->startsOf(submission.name());
+    const fakes::HttpAnswer answer = submission.answer();
+    const std::string ran = submission.bodyField("ran");
+    if (answer.status == 0)
+        return; // the entry was killed under it: the connection says nothing
+    if (answer.status == 200 && (!submission.hasWholeAnswer() || starts == 0))
+        fail("not its own whole answer: " + this->describe(submission));
+    if (ran == "no" && starts != 0)
+        fail("said not run, and ran: " + this->describe(submission));
+    if (ran == "yes" && starts == 0)
+        fail("said run, and did not: " + this->describe(submission));
+    if (answer.status != 200 && ran.empty())
+        fail("does not say whether it ran: " + this->describe(submission));
+}
+
+std::vector<const Submission *> Story::matching(const std::string &pattern) const
+{
+    std::vector<const Submission *> found;
+    for (const Submission &each : this->submissions) {
+        if (matches(pattern, each.name()))
+            found.push_back(&each);
+    }
+    if (found.empty())
+        fail("nothing was submitted as " + pattern);
+    return found;
+}
+
+std::size_t Story::startsOf(const std::string &name) const
+{
+    const std::vector<std::string> lines = this->cell.ledgerLines();
+    const std::string mark = " id=" + name + " ";
+    return static_cast<std::size_t>(
+        std::count_if(lines.begin(), lines.end(), [&](const std::string &line) {
+            return line.find(mark) != std::string::npos;
+        }));
+}
+
+std::string Story::describe(const Submission &submission) const
+{
+    const fakes::HttpAnswer answer = submission.answer();
+    return submission.name() + ": status " + std::to_string(answer.status) + ", started "
+        + std::to_string(this->startsOf(submission.name())) + " times, body "
+        + answer.body.substr(0, 300);
+}
+
+} // namespace scenarios
--- a/test/standin/attempttable.cpp
+++ b/test/standin/attempttable.cpp
@@ -70,11 +70,11 @@
 
 void AttemptTable::run(const Key &key, Incarnation incarnation, const std::string &payload)
 {
-    this->ledger.started({key.first, key.second}, incarnation);
+    this->ledger.started({key.first, key.second}, incarnation, payload);
     this->runningNow.insert(key);
     if (static_cast<std::int64_t>(this->runningNow.size()) > this->options.slots)
         this->ledger.overcommitted({key.first, key.second});
-    const bool fails = this->failing || payload.find("fail") == 0;
+    const bool fails = this->failing || payload.find("fail") != std::string::npos;
     const AttemptOutcome outcome = fails ? AttemptOutcome::Failed : AttemptOutcome::Succeeded;
     std::string answer = fails ? "failed as told" : this->answerTo(payload);
     const std::int64_t runMs = numberIn(payload, "runMs", this->options.runMs);
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -10,6 +10,7 @@
 ABSL_FLAG(std::string, name, "target", "the target's identity, kept over its restarts");
 ABSL_FLAG(std::string, address, "127.0.0.1", "IP to listen on");
 ABSL_FLAG(uint16_t, port, 0, "port to listen on; 0: a free one");
+ABSL_FLAG(std::string, announced_address, "", "ip:port to announce; empty: the one listened on");
 ABSL_FLAG(std::vector<std::string>, entries, {}, "entries (ip:port) to announce to, with commas");
 ABSL_FLAG(std::string, failure_domain, "domain-a", "failure domain");
 ABSL_FLAG(std::string, rack, "rack-1", "rack");
@@ -31,6 +32,7 @@
     options.name = absl::GetFlag(FLAGS_name);
     options.address = absl::GetFlag(FLAGS_address);
     options.port = absl::GetFlag(FLAGS_port);
+    options.announcedAddress = absl::GetFlag(FLAGS_announced_address);
     options.entries = absl::GetFlag(FLAGS_entries);
     options.failureDomain = absl::GetFlag(FLAGS_failure_domain);
     options.rack = absl::GetFlag(FLAGS_rack);
--- a/test/standin/standintarget.cpp
+++ b/test/standin/standintarget.cpp
@@ -283,7 +283,9 @@
     Announcement announcement;
     announcement.name = this->options.name;
     announcement.incarnation = this->attempts->incarnation();
-    announcement.address = this->options.address + ":" + std::to_string(this->port);
+    announcement.address = this->options.announcedAddress;
+    if (announcement.address.empty())
+        announcement.address = this->options.address + ":" + std::to_string(this->port);
     announcement.failureDomain = this->options.failureDomain;
     announcement.rack = this->options.rack;
     announcement.total = this->options.total;
--- a/test/standin/standintarget.h
+++ b/test/standin/standintarget.h
@@ -20,6 +20,7 @@
     std::string name = "target";
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
+    std::string announcedAddress; ///< "ip:port"; empty: the one listened on
     std::vector<std::string> entries; ///< none: announces nowhere, and has its lease for ever
     std::string failureDomain = "domain-a";
     std::string rack = "rack-1";
