controller: a placement made before any entry was heard is not orphaned

Cause: a new controller took requests before the first heartbeat of any entry reached it, found no living entry to dispatch, and committed placements with an empty dispatcher. Nobody started or followed them; they held their slots and, at 100 requests a second, took all 32 slots of the cell.

Ruled out: a lost answer of the old controller (jobs accepted before the kill all ended); targets (they held no such attempts).

Targets are listed with their incarnation.

--- a/src/controller/cellcontrollerplace.cpp
+++ b/src/controller/cellcontrollerplace.cpp
@@ -89,7 +89,15 @@
     });
     if (const PendingSubmit *submit = this->pendingOf(decision.task))
         preferred = submit->request.entry;
-    place.dispatcher = this->entryTable.pick(preferred, this->options.clock());
+    const Instant now = this->options.clock();
+    place.dispatcher = this->entryTable.pick(preferred, now);
+    if (place.dispatcher.empty()) {
+        // A new controller may place before any entry's heartbeat has reached it. Without a
+        // dispatcher the task would hold its place for ever; the entry that asked gets the order
+        // with its answer, and if it is not heard in time another one follows the attempt.
+        place.dispatcher = preferred;
+        this->entryTable.expect(preferred, now + this->options.entryTimeout);
+    }
     return place;
 }
 
--- a/src/controller/operatorviews.cpp
+++ b/src/controller/operatorviews.cpp
@@ -36,6 +36,7 @@
     summary.failureDomain = target.failureDomain;
     summary.rack = target.rack;
     summary.address = target.address;
+    summary.incarnation = target.incarnation;
     summary.state = targetState(target, quarantined);
     summary.total = target.total;
     summary.placed = target.used;
--- a/src/controller/targetrequests.h
+++ b/src/controller/targetrequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ids.h"
 #include "core/resources.h"
 
 #include <cereal/types/string.hpp>
@@ -18,6 +19,7 @@
     std::string failureDomain;
     std::string rack;
     std::string address;
+    Incarnation incarnation = 0;
     std::string state; ///< "ready", "draining", "departing", "quarantined" or "lost"
     Resources total;
     Resources placed; ///< given to attempts that are not known to be over
@@ -26,8 +28,8 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->name, this->failureDomain, this->rack, this->address, this->state,
-                this->total, this->placed, this->tasks);
+        archive(this->name, this->failureDomain, this->rack, this->address, this->incarnation,
+                this->state, this->total, this->placed, this->tasks);
     }
 };
 
--- a/src/operators/operatorjson.cpp
+++ b/src/operators/operatorjson.cpp
@@ -114,6 +114,7 @@
             {"failureDomain", target.failureDomain},
             {"rack", target.rack},
             {"address", target.address},
+            {"incarnation", target.incarnation},
             {"state", target.state},
             {"total", toJson(target.total)},
             {"placed", toJson(target.placed)},
--- a/test/controller/cellcontrollertest.cpp
+++ b/test/controller/cellcontrollertest.cpp
@@ -135,6 +135,29 @@
     CHECK(refused.error().code == ErrorCode::NotLeader);
 }
 
+// A controller is killed under load. Its successor takes requests before any entry has sent it a
+// heartbeat, and places them with no entry to start them: they hold their slots for ever and the
+// callers hang until every slot of the fleet is gone.
+TEST_CASE("a placement made before any entry was heard is started or given to another entry",
+          "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    const auto reply = cell.submit(ControllerFixture::request("a"));
+    REQUIRE(reply);
+    REQUIRE(reply.value().dispatches.size() == 1);
+    CHECK(reply.value().dispatches.front().action == DispatchAction::Start);
+
+    // The entry that asked is never heard of again.
+    const TaskId task = reply.value().dispatches.front().task;
+    CHECK(ControllerFixture::waitUntil([&] {
+        static_cast<void>(cell.synchronise("e2"));
+        static_cast<void>(cell.announce(ControllerFixture::target("t1")));
+        return cell.state.read(
+            [&](const ClusterState &cluster) { return cluster.task(task)->dispatcher == "e2"; });
+    }));
+}
+
 TEST_CASE("a cancelled job that waits ends at once and one that runs is stopped", "[controller]")
 {
     ControllerFixture cell;
