A lowered lease is still counted by a new controller; one place for the lease

Cause: a new controller counted every target's lease from its election by the cell's present lease. If that had been lowered shortly before (10 s to 0.5 s, say), a target that held the old one still ran its tasks when they were freed and placed elsewhere. The state now keeps the last 64 leases and the controller counts by the longest. Ruled out: telling by time when the old lease is over, since the state has no clock.

The settings leases.targetMs, leases.driftMarginMs and limits.maxWaitingTasks are gone: the cell's section has all three, nothing read the settings, and two sources for a lease are one too many.

--- a/src/controller/cellcontroller.cpp
+++ b/src/controller/cellcontroller.cpp
@@ -231,9 +231,8 @@
                                             Instant entryDeadline)
 {
     // A new controller does not know what leases its predecessor gave, so every lease is counted
-    // from this election: none that the predecessor gave can last longer.
-    const CellSection &cell = cluster.configuration().cell();
-    const Milliseconds lease(cell.targetLeaseMs + cell.driftMarginMs);
+    // from this election, at the longest that the predecessor may have given.
+    const Milliseconds lease(cluster.configuration().longestTargetLeaseMs());
     for (const auto &[id, target] : cluster.targets()) {
         if (!target.lapsed)
             this->leases.renew(id, now + lease);
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -32,8 +32,6 @@
 
     std::int64_t electionTimeoutMs = 1000;
     std::int64_t heartbeatMs = 100;
-    std::int64_t targetLeaseMs = 3000;
-    std::int64_t leaseDriftMarginMs = 300;
     std::int64_t configurationLeaseMs = 4000;
     std::int64_t announcementIntervalMs = 500;
     std::int64_t callTimeoutMs = 2000;
@@ -45,7 +43,6 @@
     std::int64_t maxConnections = 4096;
     std::int64_t maxConnectionsPerCaller = 256;
     std::int64_t maxOpenRequests = 8192;
-    std::int64_t maxWaitingTasks = 200000;
     std::int64_t maxMessengerQueue = 4096;
 
     LogFormat logFormat = LogFormat::Text;
--- a/src/settings/daemonsettingstable.cpp
+++ b/src/settings/daemonsettingstable.cpp
@@ -60,10 +60,6 @@
                   "Time between a leader's heartbeats; at most a third of the election timeout.");
     table.integer("replication.snapshotEntries", &Settings::snapshotEntries, Unit::None,
                   {100, 10000000}, "Entries of the log after which a snapshot is taken.");
-    table.integer("leases.targetMs", &Settings::targetLeaseMs, Unit::Ms, {200, 600000},
-                  "Lease of a target, counted from when it sent its announcement.");
-    table.integer("leases.driftMarginMs", &Settings::leaseDriftMarginMs, Unit::Ms, {0, 60000},
-                  "Added to a lease by whoever waits for its end, for clocks that run unlike.");
     table.integer("leases.configurationMs", &Settings::configurationLeaseMs, Unit::Ms, {200, 60000},
                   "An entry that has not renewed this long stops accepting work.");
     table.integer("timeouts.announcementMs", &Settings::announcementIntervalMs, Unit::Ms,
@@ -89,8 +85,6 @@
                   {1, 1000000}, "Connections of one caller's address.");
     table.integer("limits.maxOpenRequests", &Settings::maxOpenRequests, Unit::None, {1, 1000000},
                   "Requests open at once; more are refused truly.");
-    table.integer("limits.maxWaitingTasks", &Settings::maxWaitingTasks, Unit::None, {1, 10000000},
-                  "Tasks that may wait in the controller.");
     table.integer("limits.maxMessengerQueue", &Settings::maxMessengerQueue, Unit::None,
                   {16, 1000000}, "Frames waiting for one peer; more are refused.");
 }
--- a/src/settings/loadsettings.cpp
+++ b/src/settings/loadsettings.cpp
@@ -24,10 +24,6 @@
         problems.push_back({"replication.heartbeatMs", std::to_string(settings.heartbeatMs),
                             "at most a third of replication.electionTimeoutMs, "
                                 + std::to_string(settings.electionTimeoutMs)});
-    if (settings.announcementIntervalMs * 2 > settings.targetLeaseMs)
-        problems.push_back(
-            {"timeouts.announcementMs", std::to_string(settings.announcementIntervalMs),
-             "at most half of leases.targetMs, " + std::to_string(settings.targetLeaseMs)});
     if (settings.replicas.empty() && !settings.holdsReplica())
         problems.push_back({"cluster.replicas", "nothing",
                             "at least one address, as this instance holds no replica itself"});
--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -49,6 +49,11 @@
     return text;
 }
 
+std::int64_t wholeLeaseMs(const CellSection &cell)
+{
+    return cell.targetLeaseMs + cell.driftMarginMs;
+}
+
 Result<void> checkGrantTexts(const GrantKey &command)
 {
     if (!isName(command.keyId))
@@ -155,6 +160,8 @@
     if (!reading.problems.empty())
         return failure(ErrorCode::InvalidArgument,
                        problemsText("the document as it would become", reading.problems));
+    if (command.section == cellSection)
+        this->keepLease();
     this->policies = std::move(reading.policies);
 
     Section &section = this->sectionTable[command.section];
@@ -176,6 +183,21 @@
     return changed;
 }
 
+void Configuration::keepLease()
+{
+    this->earlierLeases.push_back(internal::wholeLeaseMs(this->cell()));
+    if (this->earlierLeases.size() > maxEarlierLeases)
+        this->earlierLeases.erase(this->earlierLeases.begin());
+}
+
+std::int64_t Configuration::longestTargetLeaseMs() const
+{
+    std::int64_t longest = internal::wholeLeaseMs(this->cell());
+    for (const std::int64_t lease : this->earlierLeases)
+        longest = std::max(longest, lease);
+    return longest;
+}
+
 SectionPreview Configuration::preview(const WriteSection &command) const
 {
     SectionPreview preview;
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -28,6 +28,7 @@
     static constexpr std::size_t maxSectionBytes = std::size_t{64} * 1024;
     static constexpr std::size_t maxHistory = 32; ///< versions a section
     static constexpr std::size_t maxHistoryBytes = std::size_t{128} * 1024; ///< a section
+    static constexpr std::size_t maxEarlierLeases = 64;
     static constexpr std::size_t maxKeys = 20000; ///< in use
     static constexpr std::size_t maxWithdrawnKeys = 20000; ///< oldest released
 
@@ -43,6 +44,15 @@
     /// The cell's policy: what its section says, or the defaults.
     const CellSection &cell() const { return this->policies.cell; }
 
+    /// The longest lease, margin included, that a controller may have given under this or one of
+    /// the last 64 versions of the cell's section, in ms.
+    ///
+    /// Guards against a lease that is lowered shortly before the controller dies. Its successor
+    /// knows the new lease only; counting by that it would free tasks of a target that still holds
+    /// the old one, and they would run twice. The state has no clock to tell when the old lease is
+    /// over, so it forgets by count.
+    std::int64_t longestTargetLeaseMs() const;
+
     /// \errors see WriteSection.
     Result<ConfigurationChanged> write(const WriteSection &command);
 
@@ -66,13 +76,15 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->documentVersion, this->keysReleasedAt, this->sectionTable, this->keyTable);
+        archive(this->documentVersion, this->keysReleasedAt, this->sectionTable, this->keyTable,
+                this->earlierLeases);
     }
 
 private:
     Result<void> checkAuthor(const WriteSection &command) const;
     Result<void> checkBase(const WriteSection &command) const;
     DocumentReading readWith(const WriteSection &command) const;
+    void keepLease();
     std::size_t operatorKeys() const;
     void releaseOldestWithdrawn();
 
@@ -82,6 +94,7 @@
     std::uint64_t keysReleasedAt = 0;
     std::map<std::string, Section> sectionTable;
     std::map<std::string, KeyRecord> keyTable;
+    std::vector<std::int64_t> earlierLeases; ///< ms, margin included; oldest first
     // Found again from the tables by readPolicies().
     PolicyDocument policies;
     std::size_t withdrawnKeys = 0;
--- a/test/state/configurationtest.cpp
+++ b/test/state/configurationtest.cpp
@@ -207,3 +207,21 @@
     CHECK(view.applyChanges(bad).error().code == ErrorCode::Corrupt);
     CHECK(view.team("mill")->share == 150);
 }
+
+// An operator lowers the targets' lease and the controller dies. Its successor must still wait
+// for the old lease: a target that was given it runs its tasks until then, and they would run
+// twice.
+TEST_CASE("a lowered lease is still counted by a new controller", "[state]")
+{
+    StateFixture fixture;
+    REQUIRE(fixture.write("cell", 1, R"({"targetLeaseMs": 10000})").has_value());
+    REQUIRE(fixture.write("cell", 2, R"({"targetLeaseMs": 500, "driftMarginMs": 50})").has_value());
+    ClusterState copy(3);
+    REQUIRE(copy.restore(fixture.state.snapshot()).has_value());
+    CHECK(copy.configuration().cell().targetLeaseMs == 500);
+    CHECK(copy.configuration().longestTargetLeaseMs() == 10300);
+    for (std::uint64_t base = 3; base < 3 + Configuration::maxEarlierLeases; ++base)
+        REQUIRE(fixture.write("cell", base, R"({"targetLeaseMs": 500, "driftMarginMs": 50})")
+                    .has_value());
+    CHECK(fixture.state.configuration().longestTargetLeaseMs() == 550);
+}
--- a/test/state/jobstest.cpp
+++ b/test/state/jobstest.cpp
@@ -119,6 +119,20 @@
     CHECK(fixture.state.recount().has_value());
 }
 
+TEST_CASE("a late answer does not revive what was cancelled meanwhile", "[state]")
+{
+    StateFixture fixture;
+    const TaskId task = fixture.accept(fixture.job("build"));
+    REQUIRE(fixture.place(task, 1).has_value());
+    REQUIRE(fixture.registerTarget("t1", 2).has_value());
+    CancelJob cancel;
+    cancel.job = static_cast<JobId>(idValue(task));
+    REQUIRE(fixture.state.apply(cancel).has_value());
+    CHECK(codeOf(fixture.end(task, 1, AttemptOutcome::Succeeded)) == ErrorCode::Conflict);
+    CHECK(fixture.stateOf(task) == TaskState::Cancelled);
+    CHECK(fixture.ranOf(task) == Ran::Unknown);
+}
+
 TEST_CASE("an attempt that never started leaves even unrepeatable work free", "[state]")
 {
     StateFixture fixture;
