State: what is kept of a refused operator request is bounded

Cause: a refusal's text is kept for a resend, 4,096 of them, and a section of 64 KiB made of unknown names gave a text of hundreds of kilobytes; names of any length went into the summary. At most 50 problems of 400 bytes are told, 8 KiB are kept, and a request with longer names than 512 bytes together is refused before it is kept.

--- a/src/schema/problem.cpp
+++ b/src/schema/problem.cpp
@@ -1,6 +1,17 @@
 #include "schema/problem.h"
 
 namespace guavavalve {
+namespace internal {
+
+namespace {
+
+/// A document made of faults must not make an answer, or what is kept of it, without bounds.
+constexpr std::size_t mostShownProblems = 50;
+constexpr std::size_t longestShownProblem = 400;
+
+} // namespace
+
+} // namespace internal
 
 std::string Problem::text() const
 {
@@ -12,8 +23,12 @@
 {
     std::string text =
         document + " has " + std::to_string(problems.size()) + " problem(s), nothing was applied";
-    for (const Problem &problem : problems)
-        text += "\n  " + problem.text();
+    std::size_t shown = 0;
+    for (const Problem &problem : problems) {
+        if (++shown > internal::mostShownProblems)
+            return text + "\n  and more";
+        text += "\n  " + problem.text().substr(0, internal::longestShownProblem);
+    }
     return text;
 }
 
--- a/src/schema/problem.h
+++ b/src/schema/problem.h
@@ -16,7 +16,7 @@
     std::string text() const;
 };
 
-/// All of \a problems, one a line, below a line that counts them.
+/// The first 50 of \a problems, one a line, below a line that counts them all.
 std::string problemsText(const std::string &document, const std::vector<Problem> &problems);
 
 } // namespace guavavalve
--- a/src/state/clusterstatedetails.h
+++ b/src/state/clusterstatedetails.h
@@ -15,6 +15,10 @@
 inline constexpr std::size_t longestId = 256;
 /// Longest message that is kept with the end of an attempt, in bytes.
 inline constexpr std::size_t longestMessage = 1024;
+/// Longest error that is kept with an operator's request, in bytes.
+inline constexpr std::size_t longestKeptError = 8192;
+/// Longest summary of an operator's request, in bytes: a section's name and a key's.
+inline constexpr std::size_t longestSummary = 2 * longestId;
 inline constexpr std::size_t mostTargets = 100000;
 
 template<typename Id>
--- a/src/state/operatorcommands.cpp
+++ b/src/state/operatorcommands.cpp
@@ -27,10 +27,14 @@
     return digestOf<WriteSection>(command);
 }
 
+/// The outcome as it is kept and answered; its bounds keep those of the state.
 CommandOutcome outcomeOf(const Result<ConfigurationChanged> &result)
 {
-    if (result.has_error())
-        return result.error();
+    if (result.has_error()) {
+        Error error = result.error();
+        error.message = error.message.substr(0, longestKeptError);
+        return error;
+    }
     return CommandValue(result.value());
 }
 
@@ -49,6 +53,9 @@
     if (requestId.empty() || requestId.size() > internal::longestId)
         return failure(ErrorCode::InvalidArgument,
                        "a request needs an identity of 1 to 256 bytes, chosen by its sender");
+    if (summary.size() > internal::longestSummary)
+        return failure(ErrorCode::InvalidArgument,
+                       "a key's identity or a section's name is too long");
     const std::uint64_t digest = internal::digestOf(command);
     if (const RequestLog::Entry *first = this->requests.find(requestId)) {
         if (first->digest == digest)
--- a/test/state/boundstest.cpp
+++ b/test/state/boundstest.cpp
@@ -55,3 +55,24 @@
     CHECK(codeOf(fixture.write("team.mill", 6, "{" + padding + padding + "}"))
           == ErrorCode::InvalidArgument);
 }
+
+// Someone sends sections that consist of faults, over and over. Each refusal is kept for its
+// resend, so without bounds the state would grow by what is wrong with them until it is killed.
+TEST_CASE("what is kept of a refused request is bounded", "[state]")
+{
+    StateFixture fixture;
+    std::string content = "{";
+    for (int i = 0; i < 3000; ++i)
+        content += (i == 0 ? "\"n" : ",\"n") + std::to_string(i) + "\": 1";
+    const auto faults = fixture.write("team.mill", 1, content + "}");
+    CHECK(codeOf(faults) == ErrorCode::InvalidArgument);
+    CHECK(faults.error().message.size() < 5000);
+    const std::string longName(20000, 'x');
+    const auto names = fixture.write("team.mill", 1, "{\"" + longName + "\": 1}");
+    CHECK(names.error().message.size() < 1000);
+
+    const std::size_t before = fixture.state.snapshot().size();
+    CHECK(codeOf(fixture.write("team." + longName, 0, "{}")) == ErrorCode::InvalidArgument);
+    CHECK(codeOf(fixture.withdraw(longName)) == ErrorCode::InvalidArgument);
+    CHECK(fixture.state.snapshot().size() == before);
+}
