--- /dev/null
+++ b/test/replicas/raftnodefailuretest.cpp
@@ -0,0 +1,323 @@
+#include <catch2/catch.hpp>
+
+#include "failingstorage.h"
+#include "journal/journal.h"
+#include "testgroup.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <vector>
+
+using namespace guavavalve;
+
+namespace {
+
+void startAndForm(TestGroup &group, const std::vector<std::string> &names)
+{
+    for (const std::string &name : names)
+        REQUIRE(group.start(name));
+    const auto formed = group.form(names.front(), names);
+    INFO((formed ? "" : formed.error().message));
+    REQUIRE(formed);
+    REQUIRE(group.waitForLeader() != nullptr);
+}
+
+bool isVoter(const ReplicaStatus &status, const std::string &instance)
+{
+    return std::any_of(status.members.begin(), status.members.end(), [&](const auto &member) {
+        return member.instance == instance && member.voter;
+    });
+}
+
+std::string followerOf(TestGroup &group)
+{
+    const std::string leader = group.waitForLeader()->name;
+    for (const auto &[name, instance] : group.instances) {
+        if (name != leader)
+            return name;
+    }
+    return {};
+}
+
+} // namespace
+
+// A disk stops syncing. What is on it is unknown from then on, so the replica must tell that the
+// process has to stop, and acknowledge nothing more.
+TEST_CASE("a failed sync stops the replica and acknowledges nothing", "[raftnode]")
+{
+    TcpMessenger messenger([] {
+        MessengerOptions options;
+        options.instance = "a";
+        options.listenAddress = "127.0.0.1:0";
+        options.clusterId = "test";
+        options.sharedSecret = "a secret of the tests";
+        return options;
+    }());
+    GroupRouter router(messenger);
+    REQUIRE(messenger.start());
+    TemporaryFolder folder;
+    RecordingMachine machine;
+    auto fails = std::make_shared<std::atomic<bool>>(false);
+    std::atomic<int> stops{0};
+    RaftOptions options;
+    options.instance = "a";
+    options.address = "127.0.0.1:" + std::to_string(messenger.port());
+    options.clusterId = "test";
+    options.onStorageFailure = [&](const Error &) { ++stops; };
+    JournalOptions journal;
+    journal.clusterId = "test";
+    journal.random = [] { return std::uint64_t{9}; };
+    auto storage = std::make_unique<FailingStorage>(
+        openJournal(folder.path(), std::move(journal)).value(), fails);
+    RaftNode node(options, std::move(storage), router, machine);
+    REQUIRE(node.start());
+    REQUIRE(await<Nothing>([&](Done<Nothing> done) {
+        node.form({{"a", options.address, true, 0}}, std::move(done));
+    }));
+    REQUIRE(waitFor([&] { return node.holdsLeaderLease(); }));
+    *fails = true;
+    std::atomic<int> acknowledged{0};
+    std::atomic<int> ended{0};
+    node.propose("lost", [&](const Result<std::string> &outcome) {
+        acknowledged += outcome ? 1 : 0;
+        ++ended;
+    });
+    CHECK(waitFor([&] { return stops == 1; }));
+    CHECK_FALSE(node.holdsLeaderLease());
+    node.stop();
+    CHECK(ended == 1);
+    CHECK(acknowledged == 0);
+    CHECK(machine.commands().empty());
+    messenger.stop();
+}
+
+TEST_CASE("a follower refuses commands at once and names the leader", "[raftnode]")
+{
+    TestGroup group;
+    startAndForm(group, {"a", "b", "c"});
+    const std::string leader = group.waitForLeader()->name;
+    const std::string follower = followerOf(group);
+    REQUIRE(waitFor([&] { return group.at(follower).node->status().leader == leader; }));
+    const auto outcome = await<std::string>(
+        [&](Done<std::string> done) { group.at(follower).node->propose("x", std::move(done)); });
+    REQUIRE(outcome.has_error());
+    CHECK(outcome.error().code == ErrorCode::NotLeader);
+    CHECK(outcome.error().ran == Ran::No);
+    CHECK(outcome.error().message.find(leader) != std::string::npos);
+}
+
+// No quorum is there and commands keep coming. They must not pile up without bound: beyond the
+// cap they are refused at once, and truly not proposed.
+TEST_CASE("commands that cannot be queued are refused as not run", "[raftnode]")
+{
+    TestGroup group([](RaftOptions &options) { options.maxQueuedProposals = 10; });
+    startAndForm(group, {"a", "b", "c"});
+    TestInstance *leader = group.waitForLeader();
+    for (const char *name : {"a", "b", "c"}) {
+        if (name != leader->name)
+            group.stop(name);
+    }
+    std::atomic<int> refused{0};
+    std::atomic<int> ended{0};
+    for (int i = 0; i < 50; ++i) {
+        leader->node->propose("x", [&](const Result<std::string> &outcome) {
+            const bool isFull = outcome.has_error()
+                && outcome.error().code == ErrorCode::Unavailable && outcome.error().ran == Ran::No;
+            refused += isFull ? 1 : 0;
+            ++ended;
+        });
+    }
+    CHECK(refused >= 40);
+    // The rest end when the leader steps down for want of a quorum.
+    CHECK(waitFor([&] { return ended == 50; }));
+    CHECK_FALSE(leader->node->holdsLeaderLease());
+}
+
+TEST_CASE("members are added and removed while commands go on", "[raftnode]")
+{
+    TestGroup group;
+    startAndForm(group, {"a", "b", "c"});
+    REQUIRE(group.propose("one"));
+    REQUIRE(group.start("d"));
+    const auto added = await<Nothing>([&](Done<Nothing> done) {
+        group.waitForLeader()->node->addMember(group.member("d"), std::move(done));
+    });
+    REQUIRE(added);
+    CHECK(isVoter(group.waitForLeader()->node->status(), "d"));
+    REQUIRE(group.propose("two"));
+    CHECK(group.allHave(2));
+    const std::string leaving = followerOf(group);
+    const auto removed = await<Nothing>([&](Done<Nothing> done) {
+        group.waitForLeader()->node->removeMember(leaving, std::move(done));
+    });
+    REQUIRE(removed);
+    CHECK_FALSE(isVoter(group.waitForLeader()->node->status(), leaving));
+    group.stop(leaving);
+    REQUIRE(group.propose("three"));
+    CHECK(group.allHave(3));
+    const auto unknown = await<Nothing>([&](Done<Nothing> done) {
+        group.waitForLeader()->node->removeMember("nobody", std::move(done));
+    });
+    CHECK(unknown.error().code == ErrorCode::NotFound);
+}
+
+// An instance's disk is replaced by an empty one and the instance comes back at its address, with
+// no operator's help. It must be a member again, with all the state, and able to carry a quorum.
+TEST_CASE("an instance with an empty disk is taken back by itself", "[raftnode]")
+{
+    TestGroup group;
+    startAndForm(group, {"a", "b", "c"});
+    for (int i = 0; i < 10; ++i)
+        REQUIRE(group.propose(std::to_string(i)));
+    const std::string lost = followerOf(group);
+    group.stop(lost);
+    group.loseDisk(lost);
+    REQUIRE(group.start(lost));
+    CHECK(waitFor([&] {
+        return group.at(lost).node->status().role == ReplicaRole::Follower
+            && group.at(lost).machine.commands().size() == 10;
+    }));
+    // Straight after, another follower is lost: the repaired one and the leader are a quorum.
+    const std::string leader = group.waitForLeader()->name;
+    for (const char *name : {"a", "b", "c"}) {
+        if (name != leader && name != lost)
+            group.stop(name);
+    }
+    REQUIRE(group.propose("after"));
+    CHECK(group.allHave(11));
+}
+
+// A process restarts after hundreds of changes; the log has been compacted meanwhile. It must
+// come up with the same state, and its folder must stay small.
+TEST_CASE("snapshots bring back a replica after 500 changes", "[raftnode]")
+{
+    TestGroup group([](RaftOptions &options) {
+        options.snapshotAfterEntries = 50;
+        options.keptEntries = 10;
+    });
+    startAndForm(group, {"a", "b", "c"});
+    const std::string away = followerOf(group);
+    group.stop(away);
+    for (int i = 0; i < 500; ++i)
+        REQUIRE(group.propose(std::to_string(i)));
+    REQUIRE(group.start(away));
+    CHECK(group.allHave(500));
+    group.instances.clear();
+    for (const char *name : {"a", "b", "c"})
+        REQUIRE(group.start(name));
+    REQUIRE(group.propose("last"));
+    CHECK(group.allHave(501));
+    CHECK(group.at("a").machine.commands() == group.at("b").machine.commands());
+    CHECK(group.at("a").machine.commands() == group.at("c").machine.commands());
+}
+
+TEST_CASE("leadership is handed over on request", "[raftnode]")
+{
+    TestGroup group;
+    startAndForm(group, {"a", "b", "c"});
+    const std::string old = group.waitForLeader()->name;
+    const auto handed = await<Nothing>(
+        [&](Done<Nothing> done) { group.at(old).node->transferLeadership(std::move(done)); });
+    INFO((handed ? "" : handed.error().message));
+    REQUIRE(handed);
+    CHECK(waitFor([&] {
+        TestInstance *leader = group.leader();
+        return leader != nullptr && leader->name != old;
+    }));
+}
+
+// A controller is started from the state as of its election. Were it told before everything
+// committed earlier is applied, it would decide from an old state.
+TEST_CASE("leadership is told once the state is current and taken back when lost", "[raftnode]")
+{
+    std::mutex mutex;
+    std::vector<std::string> told;
+    TestGroup group([&](RaftOptions &options) {
+        options.onLeadership = [&, name = options.instance](bool leads, std::uint64_t) {
+            const std::size_t applied = group.at(name).machine.commands().size();
+            const std::lock_guard lock(mutex);
+            told.push_back((leads ? "leads with " : "lost with ") + std::to_string(applied));
+        };
+    });
+    startAndForm(group, {"a", "b", "c"});
+    for (int i = 0; i < 5; ++i)
+        REQUIRE(group.propose(std::to_string(i)));
+    TestInstance *old = group.waitForLeader();
+    const std::string oldName = old->name;
+    REQUIRE(await<Nothing>(
+        [&](Done<Nothing> done) { old->node->transferLeadership(std::move(done)); }));
+    REQUIRE(group.propose("six"));
+    for (const char *name : {"a", "b", "c"})
+        group.at(name).node->stop();
+    REQUIRE(told.size() >= 3);
+    CHECK(told.front() == "leads with 0");
+    CHECK(std::count(told.begin(), told.end(), "lost with 5") >= 1);
+    CHECK(std::count(told.begin(), told.end(), "leads with 5") >= 1);
+}
+
+// The leader's process is frozen and wakes. The others may have moved on meanwhile, so before it
+// has even looked at a message, it must not answer reads from its old state.
+TEST_CASE("a leader that wakes from a freeze holds no lease", "[raftnode]")
+{
+    auto skipped = std::make_shared<std::atomic<std::int64_t>>(0);
+    TestGroup group([&](RaftOptions &options) {
+        options.clock = [skipped] { return monotonicNow() + Microseconds(skipped->load()); };
+    });
+    startAndForm(group, {"a", "b", "c"});
+    TestInstance *leader = group.waitForLeader();
+    *skipped = 400000; // to its own clock, 400 ms have passed since its last breath
+    CHECK_FALSE(leader->node->holdsLeaderLease());
+    CHECK(group.waitForLeader() != nullptr);
+}
+
+TEST_CASE("one process holds replicas of several groups", "[raftnode]")
+{
+    TestGroup group;
+    REQUIRE(group.start("a"));
+    RecordingMachine machine;
+    TemporaryFolder folder;
+    RaftOptions options;
+    options.instance = "a";
+    options.address = group.at("a").address;
+    options.clusterId = "test";
+    options.group = static_cast<GroupId>(7);
+    options.dataFolder = folder.path();
+    auto second = openRaftNode(options, *group.at("a").router, machine);
+    REQUIRE(second);
+    for (ReplicatedLog *log : {static_cast<ReplicatedLog *>(group.at("a").node.get()),
+                               static_cast<ReplicatedLog *>(second.value().get())}) {
+        REQUIRE(await<Nothing>(
+            [&](Done<Nothing> done) { log->form({group.member("a")}, std::move(done)); }));
+        REQUIRE(waitFor([&] { return log->holdsLeaderLease(); }));
+    }
+    REQUIRE(await<std::string>(
+        [&](Done<std::string> done) { second.value()->propose("x", std::move(done)); }));
+    CHECK(machine.commands().size() == 1);
+    CHECK(group.at("a").machine.commands().empty());
+}
+
+// Two operators form groups out of the same instances at the same time, from two places. At most
+// one may succeed: two groups would decide about the same targets.
+TEST_CASE("two formations at once do not both succeed", "[raftnode]")
+{
+    TestGroup group;
+    for (const char *name : {"a", "b", "c"})
+        REQUIRE(group.start(name));
+    std::vector<ReplicaMember> members{group.member("a"), group.member("b"), group.member("c")};
+    std::atomic<int> succeeded{0};
+    std::atomic<int> ended{0};
+    for (const char *name : {"a", "b"}) {
+        group.at(name).node->form(members, [&](const Result<Nothing> &outcome) {
+            succeeded += outcome ? 1 : 0;
+            ++ended;
+        });
+    }
+    CHECK(waitFor([&] { return ended == 2; }));
+    CHECK(succeeded <= 1);
+    CHECK(waitFor([&] {
+        const auto again = group.form("a", {"a", "b", "c"});
+        return again.has_value() || again.error().code == ErrorCode::Conflict;
+    }));
+}
