--- a/src/decisions/ledger.cpp
+++ b/src/decisions/ledger.cpp
@@ -212,6 +212,8 @@
     task.targetPosition = static_cast<Index>(target.tasks.size());
     target.tasks.push_back(index);
     target.placed += charge;
+    if (key.workClass == WorkClass::Prompt)
+        target.promptPlaced += charge;
     this->fleet.refresh(targetIndex);
     this->placed += charge;
     this->classPlaced(key.workClass) += charge;
@@ -234,6 +236,8 @@
     this->tasks[last].targetPosition = task.targetPosition;
     target.tasks.pop_back();
     target.placed -= task.charge;
+    if (queue.key.workClass == WorkClass::Prompt)
+        target.promptPlaced -= task.charge;
     target.usedMilliCores -= task.usedMilliCores;
     target.usedMemoryMb -= task.usedMemoryMb;
     this->fleet.refresh(task.target);
@@ -301,6 +305,10 @@
     (*list)[queue.statePosition] = last;
     this->queues[last].statePosition = queue.statePosition;
     list->pop_back();
+    if (queue.state == QueueState::NoRoom) {
+        this->blockedCharges[queue.statePosition] = this->blockedCharges.back();
+        this->blockedCharges.pop_back();
+    }
     if (queue.state == QueueState::Ready && list->empty())
         this->disorder(queue.key.team, roundOf(queue.key.workClass));
     queue.state = QueueState::Idle;
@@ -316,6 +324,8 @@
         return;
     queue.statePosition = static_cast<Index>(list->size());
     list->push_back(index);
+    if (state == QueueState::NoRoom)
+        this->blockedCharges.push_back(queue.charge);
     if (state == QueueState::Ready)
         this->order(queue.key.team, roundOf(queue.key.workClass));
 }
--- a/src/decisions/placer.cpp
+++ b/src/decisions/placer.cpp
@@ -9,8 +9,14 @@
 
 /// Placements of one run: bounds the time of a decision after a burst of submissions.
 constexpr std::size_t maxPlacements = 1024;
-/// With more targets freed at once than this, blocked queues search the whole index instead.
+/// Targets that gained room which one run looks at; the others follow in the next.
 constexpr std::size_t maxHints = 64;
+/// Targets with room kept for prompt work that one prompt task looks at.
+constexpr std::size_t maxHoldersSeen = 64;
+/// A search looks at part of a large fleet only, so a blocked queue searches again in time even
+/// when no target is known to have gained room.
+constexpr Microseconds retryAfter = std::chrono::seconds(1);
+constexpr std::size_t retriesInRun = 8;
 /// A gang that did not fit is tried again after this long at the soonest: a try costs a search
 /// for each of its tasks.
 constexpr Microseconds gangRetryAfter = std::chrono::milliseconds(100);
@@ -31,7 +37,7 @@
     this->wakeQueues(now);
     this->runRound(Round::Prompt, now, out);
     this->runRound(Round::Other, now, out);
-    return this->placedInRun >= maxPlacements;
+    return this->placedInRun >= maxPlacements || !this->ledger.freedTargets.empty();
 }
 
 bool Placer::mayUse(const WorkQueue &queue, const TargetRecord &target, Instant now) const
@@ -39,8 +45,6 @@
     switch (target.zone()) {
     case Zone::Normal:
         return true;
-    case Zone::Headroom:
-        return queue.key.workClass == WorkClass::Prompt;
     case Zone::Reserved:
         return this->reservations.admits(queue, target,
                                          this->ledger.tasks[queue.head].declaredRunTime, now);
@@ -54,33 +58,53 @@
 {
     return std::any_of(this->hints.begin(), this->hints.end(), [&](Index hint) {
         const TargetRecord &target = this->ledger.fleet[hint];
-        return queue.charge.fitsInto(target.free()) && this->mayUse(queue, target, now);
+        return queue.charge.fitsInto(target.roomFor(queue.key.workClass))
+            && this->mayUse(queue, target, now);
     });
 }
 
+void Placer::takeHints()
+{
+    std::vector<Index> &freed = this->ledger.freedTargets;
+    const std::size_t count = std::min(freed.size(), maxHints);
+    this->hints.assign(freed.begin(), freed.begin() + static_cast<std::ptrdiff_t>(count));
+    freed.erase(freed.begin(), freed.begin() + static_cast<std::ptrdiff_t>(count));
+    this->hintRoom = Resources();
+    for (const Index hint : this->hints) {
+        TargetRecord &target = this->ledger.fleet[hint];
+        target.freed = false;
+        const Resources free = target.free();
+        for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
+            std::int64_t &most = this->hintRoom.amounts[kind];
+            most = std::max(most, free.amounts[kind]);
+        }
+    }
+}
+
 void Placer::wakeQueues(Instant now)
 {
-    this->hints.swap(this->ledger.freedTargets);
-    this->ledger.freedTargets.clear();
-    for (const Index hint : this->hints)
-        this->ledger.fleet[hint].freed = false;
-    if (this->hints.empty() && !this->reservations.any() && !this->gangsHeldBack)
-        return;
-    this->gangsHeldBack = false;
-    const bool many = this->hints.size() > maxHints;
+    this->takeHints();
     for (std::size_t i = this->ledger.blocked.size(); i > 0; --i) {
+        if (!this->ledger.blockedCharges[i - 1].fitsInto(this->hintRoom))
+            continue;
         const Index index = this->ledger.blocked[i - 1];
         const WorkQueue &queue = this->ledger.queues[index];
-        if (queue.key.workClass == WorkClass::Gang) {
-            if (now - queue.decidedAt >= gangRetryAfter)
-                this->ledger.makeReady(index, false);
-            else
-                this->gangsHeldBack = true;
-        } else if (many) {
-            this->ledger.makeReady(index, false);
-        } else if (this->hintsFit(queue, now)) {
+        if (queue.key.workClass != WorkClass::Gang && this->hintsFit(queue, now))
             this->ledger.makeReady(index, true);
-        }
+    }
+    this->retryOldest(now);
+}
+
+void Placer::retryOldest(Instant now)
+{
+    // A few at a time, going round: each costs a search over the index, a gang one for each task.
+    for (std::size_t i = 0; i < retriesInRun && !this->ledger.blocked.empty(); ++i) {
+        this->retryCursor = (this->retryCursor + 1) % this->ledger.blocked.size();
+        const Index index = this->ledger.blocked[this->retryCursor];
+        const WorkQueue &queue = this->ledger.queues[index];
+        const bool gang = queue.key.workClass == WorkClass::Gang;
+        if (now - queue.decidedAt >= (gang ? gangRetryAfter : retryAfter))
+            this->ledger.makeReady(index, false);
     }
 }
 
@@ -89,7 +113,7 @@
     const WorkQueue &queue = this->ledger.queues[index];
     return queue.count > 0 && this->ledger.tasks[queue.head].repeatable
         && queue.key.workClass != WorkClass::Gang && queue.key.workClass != WorkClass::Service
-        && queue.charge.fitsInto(target.free())
+        && queue.charge.fitsInto(target.roomFor(queue.key.workClass))
         && this->ledger.withinLimit(this->ledger.teams[queue.key.team], queue.charge);
 }
 
@@ -187,10 +211,12 @@
     double best = std::numeric_limits<double>::max();
     for (const Index hint : this->hints) {
         const TargetRecord &target = this->ledger.fleet[hint];
-        if (!queue.charge.fitsInto(target.free()) || !this->mayUse(queue, target, now))
+        if (!queue.charge.fitsInto(target.roomFor(queue.key.workClass))
+            || !this->mayUse(queue, target, now))
             continue;
         ++found.considered;
-        const double score = this->ledger.fleet.score(queue.charge, target);
+        const double score =
+            this->ledger.fleet.score(queue.charge, target.sharedFree(), target.suspicion);
         if (score < best) {
             best = score;
             found.target = hint;
@@ -199,14 +225,33 @@
     return found;
 }
 
-TargetFound Placer::findTarget(const WorkQueue &queue, const TaskRecord &task, Instant now) const
+TargetFound Placer::findHeadroom(const WorkQueue &queue)
+{
+    const std::vector<Index> &holders = this->ledger.fleet.holders();
+    TargetFound found;
+    for (std::size_t i = 0; i < std::min(holders.size(), maxHoldersSeen); ++i) {
+        // Stays where it last found room; moves on where there is none.
+        this->holderCursor %= holders.size();
+        const TargetRecord &target = this->ledger.fleet[holders[this->holderCursor]];
+        ++found.considered;
+        if (target.zone() == Zone::Normal && queue.charge.fitsInto(target.free())
+            && (target.promptPlaced + queue.charge).fitsInto(target.hold)) {
+            found.target = holders[this->holderCursor];
+            return found;
+        }
+        ++this->holderCursor;
+    }
+    return found;
+}
+
+TargetFound Placer::findTarget(const WorkQueue &queue, const TaskRecord &task, Instant now)
 {
     if (queue.hintsOnly)
         return this->findAmongHints(queue, now);
     if (queue.reservation != noIndex) {
         for (const Index target : this->reservations[queue.reservation].targets) {
             if (this->ledger.fleet[target].zone() == Zone::Reserved
-                && queue.charge.fitsInto(this->ledger.fleet[target].free()))
+                && queue.charge.fitsInto(this->ledger.fleet[target].sharedFree()))
                 return TargetFound{target, 1};
         }
     }
@@ -217,12 +262,10 @@
     TargetFound found;
     std::uint32_t considered = 0;
     if (queue.key.workClass == WorkClass::Prompt) {
-        search.zone = Zone::Headroom;
-        found = this->ledger.fleet.find(search);
+        found = this->findHeadroom(queue);
         considered = found.considered;
     }
     if (found.target == noIndex) {
-        search.zone = Zone::Normal;
         found = this->ledger.fleet.find(search);
         considered += found.considered;
     }
@@ -268,7 +311,7 @@
         for (const Index target : this->reservations[queue.reservation].targets) {
             while (this->plan.size() < gang.members.size()
                    && this->ledger.fleet[target].zone() == Zone::Reserved
-                   && charge.fitsInto(this->ledger.fleet[target].free()))
+                   && charge.fitsInto(this->ledger.fleet[target].sharedFree()))
                 take(target);
         }
     }
