--- a/test/replicas/testgroup.h
+++ b/test/replicas/testgroup.h
@@ -1,16 +1,18 @@
 #pragma once
 
-#include "recordingmachine.h"
+#include "journal/journal.h"
 #include "replicas/grouprouter.h"
 #include "replicas/raftnode.h"
+#include "replicas/recordingmachine.h"
 #include "replicas/tcpmessenger.h"
-#include "temporaryfolder.h"
+#include "replicas/temporaryfolder.h"
 
 #include <chrono>
 #include <functional>
 #include <future>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 
@@ -69,9 +71,11 @@
 {
 public:
     using Adjust = std::function<void(RaftOptions &)>;
+    using Wrap = std::function<std::unique_ptr<Storage>(std::unique_ptr<Storage>)>;
 
-    explicit TestGroup(Adjust adjustment = {})
+    explicit TestGroup(Adjust adjustment = {}, Wrap storageWrap = {})
         : adjust(std::move(adjustment))
+        , wrap(std::move(storageWrap))
     {}
 
     /// Starts, or starts anew with a fresh state machine, the instance \a name.
@@ -98,7 +102,7 @@
         raft.dataFolder = this->folder.path() + "/" + name;
         if (this->adjust)
             this->adjust(raft);
-        auto node = openRaftNode(std::move(raft), *instance->router, instance->machine);
+        auto node = this->open(std::move(raft), *instance);
         if (!node)
             return node.error();
         instance->node = std::move(node).value();
@@ -172,7 +176,28 @@
     std::map<std::string, std::unique_ptr<TestInstance>> instances;
 
 private:
+    Result<std::unique_ptr<RaftNode>> open(RaftOptions options, TestInstance &instance)
+    {
+        if (!this->wrap)
+            return openRaftNode(std::move(options), *instance.router, instance.machine);
+        JournalOptions journalOptions;
+        journalOptions.clusterId = options.clusterId;
+        journalOptions.random = [device = std::make_shared<std::random_device>()] {
+            return std::uint64_t{(*device)()};
+        };
+        auto journal = openJournal(options.dataFolder, std::move(journalOptions));
+        if (!journal)
+            return journal.error();
+        auto node =
+            std::make_unique<RaftNode>(std::move(options), this->wrap(std::move(journal).value()),
+                                       *instance.router, instance.machine);
+        if (auto started = node->start(); !started)
+            return started.error();
+        return node;
+    }
+
     Adjust adjust;
+    Wrap wrap;
     TemporaryFolder folder;
     std::map<std::string, std::string> addresses;
 };
