Replicas: a spare takes the place of a voter that is gone for good

A learner's record now names the voter that goes when it is ready, so the intent is in the log and a new leader carries on; the same path serves an instance that lost its disk. Now the learner waits while the old one answers, and a replica that knows this formation may be admitted.

--- a/src/replicas/memberrecord.h
+++ b/src/replicas/memberrecord.h
@@ -16,11 +16,14 @@
     ReplicaId replica = ReplicaId::None; ///< the identity of its data folder
     std::string address; ///< "ip:port" of its messenger
     bool voter = false;
+    /// Of a learner: the voter that goes when this one is ready. In the log, so that a new leader
+    /// carries on with the replacement.
+    ReplicaId replaces = ReplicaId::None;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->instance, this->replica, this->address, this->voter);
+        archive(this->instance, this->replica, this->address, this->voter, this->replaces);
     }
 };
 
--- a/src/replicas/raftcore.h
+++ b/src/replicas/raftcore.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -80,6 +81,9 @@
     /// The list in force at \a index, which must not be before the log's base.
     const MemberList &membersAt(LogIndex index) const;
     const std::map<ReplicaId, Progress> &followers() const { return this->progress; }
+    /// As a leader that may change members now: a voter that has not answered for \a goneAfter
+    /// and that no learner is to replace yet.
+    std::optional<MemberRecord> goneVoter(Milliseconds goneAfter) const;
     bool isTransferring() const { return this->transferTarget != ReplicaId::None; }
     bool isSendingSnapshot() const;
     /// No other replica can lead before this instant; the epoch if that is not known.
@@ -159,6 +163,7 @@
     bool admitReplacement();
     bool promoteLearner();
     bool isCaughtUp(const MemberRecord &member) const;
+    bool hasAnswered(ReplicaId replica, Milliseconds within) const;
 
     RaftCoreOptions options;
     ReplicaId own;
--- a/src/replicas/raftdriver.cpp
+++ b/src/replicas/raftdriver.cpp
@@ -282,6 +282,7 @@
     this->watchLeadership();
     this->considerSnapshot();
     this->settleMembers();
+    this->replaceGoneVoter();
     this->publish();
 }
 
--- a/src/replicas/raftdriver.h
+++ b/src/replicas/raftdriver.h
@@ -95,8 +95,10 @@
     void onFormingMember(const std::shared_ptr<Forming> &forming, std::size_t position,
                          const Result<IdentityReply> &found);
     void formWhenIdentified(const std::shared_ptr<Forming> &forming);
-    void join(const ReplicaMember &member, const IdentityReply &found, Done<Nothing> done);
+    void join(const ReplicaMember &member, const IdentityReply &found, ReplicaId replaces,
+              Done<Nothing> done);
     void settleMembers();
+    void replaceGoneVoter();
 
     RaftOptions options;
     std::unique_ptr<Storage> storage;
@@ -125,6 +127,8 @@
     std::vector<Done<Nothing>> transferring;
     std::uint64_t ledTerm = 0; ///< the term in which this replica leads; zero: it does not
     std::uint64_t announcedTerm = 0; ///< the term that onLeadership was told; zero: none
+    std::size_t sparesTried = 0;
+    Instant nextReplacement{};
     std::uint64_t reservedFor = 0;
     Instant reservedUntil{};
     bool takesSnapshot = false;
--- a/src/replicas/raftdrivermembers.cpp
+++ b/src/replicas/raftdrivermembers.cpp
@@ -165,7 +165,7 @@
         }
         this->identify(member.address, 0, [this, member, done](Result<IdentityReply> found) {
             if (found)
-                this->join(member, found.value(), done);
+                this->join(member, found.value(), ReplicaId::None, done);
             else
                 done(found.error());
         });
@@ -174,7 +174,8 @@
         done(failure(ErrorCode::Unavailable, "this replica is not running"));
 }
 
-void RaftDriver::join(const ReplicaMember &member, const IdentityReply &found, Done<Nothing> done)
+void RaftDriver::join(const ReplicaMember &member, const IdentityReply &found, ReplicaId replaces,
+                      Done<Nothing> done)
 {
     if (found.instance != member.instance) {
         done(failure(ErrorCode::InvalidArgument,
@@ -186,7 +187,8 @@
         done(failure(ErrorCode::Conflict, member.instance + " belongs to another group"));
         return;
     }
-    auto index = this->core->addLearner({member.instance, found.replica, member.address, false});
+    auto index =
+        this->core->addLearner({member.instance, found.replica, member.address, false, replaces});
     if (index)
         this->joining.push_back({found.replica, std::move(done)});
     else
@@ -249,4 +251,38 @@
         done(failure(ErrorCode::Unavailable, "the successor did not take over in time"));
 }
 
+/// Guards against a group that stays one loss away from standing still: a voter that is gone for
+/// good would count against every quorum until an operator looked. A spare joins as a learner;
+/// once it has synced everything the lost one goes and the spare becomes a voter.
+void RaftDriver::replaceGoneVoter()
+{
+    const Instant now = this->options.clock();
+    const bool isConfigured =
+        this->options.goneAfter > Milliseconds(0) && this->options.spares != nullptr;
+    if (!isConfigured || this->ledTerm == 0 || now < this->nextReplacement)
+        return;
+    this->nextReplacement = now + 2 * identifyLimit;
+    const auto gone = this->core->goneVoter(this->options.goneAfter);
+    if (!gone)
+        return;
+    std::vector<ReplicaMember> candidates;
+    for (ReplicaMember &spare : this->options.spares()) {
+        const auto &members = this->core->members().members;
+        const bool isMember = std::any_of(members.begin(), members.end(), [&](const auto &m) {
+            return m.instance == spare.instance;
+        });
+        if (!isMember)
+            candidates.push_back(std::move(spare));
+    }
+    if (candidates.empty())
+        return;
+    const ReplicaMember spare = candidates[this->sparesTried++ % candidates.size()];
+    this->identify(spare.address, 0,
+                   [this, spare, replaces = gone->replica](const Result<IdentityReply> &found) {
+                       if (found)
+                           this->join(spare, found.value(), replaces,
+                                      [](const Result<Nothing> &) {});
+                   });
+}
+
 } // namespace guavavalve::internal
--- a/src/replicas/raftmembership.cpp
+++ b/src/replicas/raftmembership.cpp
@@ -49,6 +49,11 @@
     if (!this->mayChangeMembers())
         return failure(ErrorCode::Unavailable, "another change of members is under way");
     member.voter = false;
+    for (const MemberRecord &other : this->members().members) {
+        // The same instance with another disk: what is left of the lost one goes.
+        if (other.instance == member.instance)
+            member.replaces = other.replica;
+    }
     MemberList list = this->members();
     list.members.push_back(std::move(member));
     return this->proposeMembers(list);
@@ -73,9 +78,12 @@
 
 void RaftCore::onIdentityReply(const RaftMessage & /*message*/, const IdentityReply &answer)
 {
-    if (!this->isFormed() || answer.formation != 0)
+    const bool isOurs = answer.formation == 0 || answer.formation == this->hard.formation;
+    if (!this->isFormed() || !isOurs)
         return;
     const MemberRecord *member = this->members().find(answer.replica);
+    if (member != nullptr && answer.formation != 0)
+        return;
     if (member != nullptr) {
         // It has never voted or stored anything under this identity, so it may begin to. Without
         // this, a voter that missed the formation could not help to elect a leader.
@@ -115,19 +123,41 @@
         if (this->members().find(newcomer) != nullptr)
             continue;
         MemberList list = this->members();
-        list.members.push_back({member.instance, newcomer, member.address, false});
+        list.members.push_back({member.instance, newcomer, member.address, false, member.replica});
         this->proposeMembers(list);
         return true;
     }
     return false;
 }
 
+bool RaftCore::hasAnswered(ReplicaId replica, Milliseconds within) const
+{
+    const auto peer = this->progress.find(replica);
+    return peer != this->progress.end() && this->now <= peer->second.answeredAt + within;
+}
+
+std::optional<MemberRecord> RaftCore::goneVoter(Milliseconds goneAfter) const
+{
+    if (!this->mayChangeMembers() || this->now < this->leadsSince + goneAfter)
+        return std::nullopt;
+    const auto &all = this->members().members;
+    for (const MemberRecord &member : all) {
+        const bool isReplaced = std::any_of(
+            all.begin(), all.end(), [&](const auto &m) { return m.replaces == member.replica; });
+        const bool isGone = member.voter && member.replica != this->own
+            && !this->hasAnswered(member.replica, goneAfter);
+        if (isGone && !isReplaced)
+            return member;
+    }
+    return std::nullopt;
+}
+
 bool RaftCore::isCaughtUp(const MemberRecord &member) const
 {
     const auto peer = this->progress.find(member.replica);
     return peer != this->progress.end() && peer->second.state == Progress::State::Replicate
         && peer->second.match >= this->commit
-        && this->now <= peer->second.answeredAt + this->options.electionMin;
+        && this->hasAnswered(member.replica, this->options.electionMin);
 }
 
 /// Guards against a second loss straight after a repair: a newcomer that counted before it had
@@ -136,18 +166,20 @@
 bool RaftCore::promoteLearner()
 {
     for (const MemberRecord &member : this->members().members) {
-        if (member.voter || !this->isCaughtUp(member))
+        // While the one to be replaced answers, the learner stays a learner, ready.
+        if (member.voter || !this->isCaughtUp(member)
+            || this->hasAnswered(member.replaces, this->options.electionMin))
             continue;
         MemberList list = this->members();
-        const auto old = std::find_if(list.members.begin(), list.members.end(), [&](const auto &m) {
-            return m.instance == member.instance && m.replica != member.replica;
-        });
-        if (old != list.members.end() && old->replica != this->own)
+        const auto old = std::find_if(list.members.begin(), list.members.end(),
+                                      [&](const auto &m) { return m.replica == member.replaces; });
+        const auto learner =
+            std::find_if(list.members.begin(), list.members.end(),
+                         [&](const auto &m) { return m.replica == member.replica; });
+        if (old != list.members.end())
             list.members.erase(old);
         else
-            std::find_if(list.members.begin(), list.members.end(), [&](const auto &m) {
-                return m.replica == member.replica;
-            })->voter = true;
+            learner->voter = true;
         this->proposeMembers(list);
         return true;
     }
--- a/src/replicas/raftoptions.h
+++ b/src/replicas/raftoptions.h
@@ -4,11 +4,13 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "journal/replicaidentity.h"
+#include "replicas/replicatedlog.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace guavavalve {
 
@@ -39,6 +41,11 @@
     /// Entries kept in memory behind a snapshot, so that a follower a little behind needs none.
     std::size_t keptEntries = 2000;
 
+    /// A voter silent for this long is gone for good: a spare takes its place. Zero: never.
+    Milliseconds goneAfter{0};
+    /// Instances with an empty data folder that may take a gone voter's place, best first.
+    std::function<std::vector<ReplicaMember>()> spares;
+
     Clock clock = monotonicNow;
     std::function<std::uint64_t()> random; ///< empty: std::random_device
     /// Called outside any lock, in order: true once this replica leads and has applied its own
--- a/test/replicas/raftnodefailuretest.cpp
+++ b/test/replicas/raftnodefailuretest.cpp
@@ -189,6 +189,33 @@
     CHECK(group.allHave(11));
 }
 
+// An instance is gone for good and no operator looks. A spare instance with an empty disk takes
+// its place by itself, so that the group can bear the next loss.
+TEST_CASE("a spare takes the place of a voter that is gone for good", "[raftnode]")
+{
+    std::vector<ReplicaMember> spares;
+    TestGroup group([&](RaftOptions &options) {
+        options.goneAfter = Milliseconds(1000);
+        options.spares = [&] { return spares; };
+    });
+    REQUIRE(group.start("d"));
+    spares.push_back(group.member("d"));
+    startAndForm(group, {"a", "b", "c"});
+    REQUIRE(group.propose("one"));
+    const std::string gone = followerOf(group);
+    group.stop(gone);
+    CHECK(waitFor([&] {
+        TestInstance *leader = group.leader();
+        return leader != nullptr && isVoter(leader->node->status(), "d")
+            && !isVoter(leader->node->status(), gone) && leader->node->status().members.size() == 3;
+    }));
+    CHECK(group.allHave(1));
+    // The next loss: the leader and the spare, or whoever is left, go on.
+    group.stop(group.waitForLeader()->name);
+    REQUIRE(group.propose("two"));
+    CHECK(group.allHave(2));
+}
+
 // A process restarts after hundreds of changes; the log has been compacted meanwhile. It must
 // come up with the same state, and its folder must stay small.
 TEST_CASE("snapshots bring back a replica after 500 changes", "[raftnode]")
