--- a/test/replicas/raftcoretest.cpp
+++ b/test/replicas/raftcoretest.cpp
@@ -77,6 +77,22 @@
     CHECK(simulation.applied(away) == simulation.applied(leader));
 }
 
+// Only the link between the leader and one follower breaks; the other follower hears both. It
+// must not help the cut-off one to depose a leader that it hears itself, or the two that cannot
+// see each other would take turns for ever, and reads under the lease would be stale.
+TEST_CASE("a broken link to one follower deposes no one", "[raft]")
+{
+    RaftSimulation simulation(13, 3, 3);
+    begin(simulation);
+    const std::size_t leader = leaderOf(simulation);
+    const std::uint64_t term = simulation.core(leader).term();
+    simulation.cutLink(leader, otherThan(leader));
+    simulation.run(anHour / 60);
+    CHECK(leaderOf(simulation) == leader);
+    CHECK(simulation.core(leader).term() == term);
+    CHECK(simulation.failure() == RaftSimulation::none);
+}
+
 // A controller is cut off for long while the others go on under a new leader. When it is back it
 // must follow, and what it had not committed must give way.
 TEST_CASE("a leader that returns after a long time follows the new one", "[raft]")
--- a/test/replicas/raftsimulation.cpp
+++ b/test/replicas/raftsimulation.cpp
@@ -200,7 +200,8 @@
     Flight flight = std::move(this->network[at]);
     this->network.erase(this->network.begin() + static_cast<std::ptrdiff_t>(at));
     Node &node = this->nodes[flight.to];
-    const bool isCut = this->isolated.count(flight.from) != this->isolated.count(flight.to);
+    const bool isCut = this->isolated.count(flight.from) != this->isolated.count(flight.to)
+        || this->cutLinks.count(std::minmax(flight.from, flight.to)) != 0;
     if (isCut || !node.core || static_cast<int>(this->pick(100)) < this->odds.drop) {
         Node &sender = this->nodes[flight.from];
         const bool isTold = !flight.isReply && sender.core && this->pick(2) == 0;
@@ -337,7 +338,7 @@
 {
     const std::size_t index = this->pick(this->nodes.size());
     Node &node = this->nodes[index];
-    switch (this->pick(8)) {
+    switch (this->pick(12)) {
     case 0:
         this->crash(index);
         break;
@@ -355,16 +356,41 @@
         break;
     case 5:
         this->isolated.clear();
+        this->cutLinks.clear();
         break;
     case 6:
         node.frozenUntil = this->now + Milliseconds(this->pick(1500));
         break;
+    case 7:
+        this->powerLoss();
+        break;
+    case 8:
+    case 9:
+        this->cutLink(index, this->pick(this->nodes.size()));
+        break;
     default:
         if (this->canLoseDisk())
             this->loseDisk(index);
     }
 }
 
+/// Everything is killed at once, each replica in the middle of one of its next writes.
+void RaftSimulation::powerLoss()
+{
+    for (Node &node : this->nodes) {
+        if (node.core)
+            node.folder->stepsLeft = static_cast<std::int64_t>(1 + this->pick(3));
+    }
+    for (int i = 0; i < 60; ++i) {
+        this->proposeAtLeader();
+        this->deliver();
+    }
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        this->crash(i);
+        this->restart(i);
+    }
+}
+
 void RaftSimulation::randomMemberChange()
 {
     const auto leads = this->leader();
@@ -430,6 +456,7 @@
 {
     this->odds = {0, 0, 0};
     this->isolated.clear();
+    this->cutLinks.clear();
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
         this->nodes[i].frozenUntil = this->now;
         this->nodes[i].folder->stepsLeft = -1;
--- a/test/replicas/raftsimulation.h
+++ b/test/replicas/raftsimulation.h
@@ -4,6 +4,7 @@
 #include "journal/journal.h"
 #include "replicas/raftcore.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -41,6 +42,8 @@
     // Scripted events.
     void cutOff(std::size_t node) { this->isolated.insert(node); }
     void reconnect(std::size_t node) { this->isolated.erase(node); }
+    /// Cuts only the link between two, in both directions.
+    void cutLink(std::size_t a, std::size_t b) { this->cutLinks.insert(std::minmax(a, b)); }
     void crash(std::size_t node);
     void restart(std::size_t node);
     void loseDisk(std::size_t node);
@@ -108,6 +111,7 @@
     void fail(const std::string &what);
     bool canLoseDisk() const;
     void randomFault();
+    void powerLoss();
     void randomMemberChange();
     std::uint64_t pick(std::uint64_t bound) { return this->random() % bound; }
 
@@ -118,6 +122,7 @@
     std::deque<Flight> network;
     std::map<std::uint64_t, Call> calls;
     std::set<std::size_t> isolated;
+    std::set<std::pair<std::size_t, std::size_t>> cutLinks; ///< the lower number first
     std::uint64_t lastToken = 0;
     std::uint64_t commands = 0;
     std::set<ReplicaId> lostIdentities;
