--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,11 +1,10 @@
 #include "daemon/daemon.h"
 
 #include "core/codec.h"
+#include "operators/operatoridentification.h"
 #include "platform/logging.h"
 #include "platform/platformroutes.h"
 
-#include <sodium.h>
-
 #include <utility>
 
 namespace guavavalve {
@@ -60,12 +59,6 @@
     return std::make_shared<ConfigurationFollower>(std::move(options), controller);
 }
 
-bool equalInConstantTime(const std::string &left, const std::string &right)
-{
-    return left.size() == right.size()
-        && sodium_memcmp(left.data(), right.data(), left.size()) == 0;
-}
-
 } // namespace
 
 Daemon::Daemon(DaemonSettings given, std::string secret)
@@ -188,28 +181,15 @@
         keyCheck, options);
 }
 
-Result<OperatorIdentity> Daemon::identifyOperator(const std::string &token) const
-{
-    OperatorIdentity identity;
-    if (equalInConstantTime(token, this->clusterSecret)) {
-        identity.keyId = OperatorService::clusterKeyId;
-        identity.isOperator = true;
-        return identity;
-    }
-    const Result<KeyRecord> key = this->follower->identify(token);
-    if (!key)
-        return key.error();
-    identity.keyId = key.value().id;
-    identity.team = key.value().team;
-    identity.isOperator = key.value().role == KeyRole::Operator;
-    return identity;
-}
-
 OperatorRoutesOptions Daemon::operatorRoutes()
 {
     OperatorRoutesOptions options;
     options.client = &this->controller;
-    options.identify = [this](const std::string &token) { return this->identifyOperator(token); };
+    options.identify = [this](const std::string &token) {
+        return identifyOperator(token, this->clusterSecret, [this](const std::string &shown) {
+            return this->follower->identify(shown);
+        });
+    };
     options.form = [this](const FormGroupRequest &request, Instant,
                           const Done<ReplicaStatus> &done) {
         if (!this->replica) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -45,7 +45,6 @@
     void addRoutes();
     void refreshMetrics(Metrics &into) const;
     ReplicaPart::Hooks replicaHooks();
-    Result<OperatorIdentity> identifyOperator(const std::string &token) const;
     OperatorRoutesOptions operatorRoutes();
 
     DaemonSettings settings;
--- a/src/operators/operatoridentification.h
+++ b/src/operators/operatoridentification.h
@@ -2,24 +2,22 @@
 
 #include "controller/operatoridentity.h"
 #include "core/error.h"
+#include "state/keyrecord.h"
 
 #include <functional>
-#include <optional>
 #include <string>
 
 namespace guavavalve {
 
-struct KeyRecord;
-
-/// Finds a key's record in this instance's copy of the configuration, if it is there.
-using KeyLookup = std::function<std::optional<KeyRecord>(const std::string &keyId)>;
+/// The record of the key that \a token is, by this instance's copy of the configuration.
+/// \errors Unauthenticated.
+using KeyIdentification = std::function<Result<KeyRecord>(const std::string &token)>;
 
 /// Who holds \a token: a key of the configuration, or "cluster-secret:SECRET", which is whoever
 /// knows the cluster's own secret and is an operator before there are any keys.
-/// \errors Unauthenticated; the same for an unknown, withdrawn or wrong key, so that guesses
-/// learn nothing.
+/// \errors Unauthenticated.
 Result<OperatorIdentity> identifyOperator(const std::string &token,
                                           const std::string &clusterSecret,
-                                          const KeyLookup &lookup);
+                                          const KeyIdentification &identifyKey);
 
 } // namespace guavavalve
--- a/test/operators/operatorbench.h
+++ b/test/operators/operatorbench.h
@@ -9,6 +9,7 @@
 #include "replicas/inmemorylog.h"
 #include "state/clusterstate.h"
 #include "state/keyrecord.h"
+#include "state/keysecret.h"
 
 #include <catch2/catch.hpp>
 
@@ -32,10 +33,7 @@
     {
         OperatorRoutesOptions options;
         options.client = &this->service;
-        options.identify = [this](const std::string &token) {
-            return identifyOperator(token, secret,
-                                    [this](const std::string &id) { return this->key(id); });
-        };
+        options.identify = [this](const std::string &token) { return this->identify(token); };
         options.form = [this](FormGroupRequest, Instant, Done<ReplicaStatus> done) {
             ++this->formed;
             done(this->log.status());
@@ -77,6 +75,13 @@
         });
     }
 
+    /// Who holds \a token, as an entry with the newest configuration finds.
+    Result<OperatorIdentity> identify(const std::string &token) const
+    {
+        return identifyOperator(
+            token, secret, [this](const std::string &shown) { return this->identifyKey(shown); });
+    }
+
     std::string address() const { return "127.0.0.1:" + std::to_string(this->server.port()); }
     static std::string clusterToken() { return std::string("cluster-secret:") + secret; }
     static OperatorIdentity clusterHolder() { return {OperatorService::clusterKeyId, "", true}; }
@@ -106,6 +111,15 @@
     int formed = 0;
 
 private:
+    Result<KeyRecord> identifyKey(const std::string &token) const
+    {
+        BOOST_OUTCOME_TRY(shown, parseToken(token));
+        const std::optional<KeyRecord> record = this->key(shown.keyId);
+        if (!record || record->withdrawn || !secretMatches(shown, secret, record->keyedHash))
+            return failure(ErrorCode::Unauthenticated, "the key is unknown or has been withdrawn");
+        return *record;
+    }
+
     void propose(Command command, const Done<CommandValue> &done)
     {
         CommandBatch batch;
