--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -106,8 +106,8 @@
         "entry-${domains[2]}=${messengers[2]}" "--server=$servers" "--key=$cluster_key" \
         >"$folder/form.log" 2>&1 || fail "the group was not formed: $(cat "$folder/form.log")"
     wait_until "a controller leads" "$tool" keys list "--server=$servers" "--key=$cluster_key"
-    operator_key="$("$tool" keys grant --role=operator "--server=$servers" "--key=$cluster_key")" \
-        || fail "no operator's key was granted"
+    operator_key="$("$tool" keys grant --role=operator --wait "--server=$servers" \
+        "--key=$cluster_key")" || fail "no operator's key was granted"
     entries_are_ready
     local team
     echo '{"promptHeadroomPercent": 10}' >"$folder/cell.section"
@@ -117,8 +117,8 @@
     for team in floor builds; do
         as_operator config set "team.$team" "$folder/$team.section" || fail "team.$team was refused"
     done
-    floor_key="$(as_operator keys grant --team=floor)" || fail "no key for team floor"
-    builds_key="$(as_operator keys grant --team=builds)" || fail "no key for team builds"
+    floor_key="$(as_operator keys grant --team=floor --wait)" || fail "no key for team floor"
+    builds_key="$(as_operator keys grant --team=builds --wait)" || fail "no key for team builds"
 }
 
 start_targets() {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -34,9 +34,13 @@
     local what="$1" entry="$2"
     send "$entry" "$floor_key" '/v1/jobs?wait=true' -H 'Guavavalve-Class: prompt' \
         -H 'Guavavalve-Start-Within-Ms: 10000' --data-binary 'how far is coil line 7?'
-    local whole="$status"
-    [ "$(header content-length)" = "$(stat -c %s "$folder/body")" ] || whole="cut short"
-    outcome "$what" 200 "$whole" "waited $(header guavavalve-waited-ms) ms"
+    local found="$status"
+    if [ "$status" != 200 ]; then
+        found="$status $(field error)"
+    elif [ "$(header content-length)" != "$(stat -c %s "$folder/body")" ]; then
+        found="200, cut short"
+    fi
+    outcome "$what" 200 "$found" "waited $(header guavavalve-waited-ms) ms"
 }
 
 batch_request() {
