--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -1,11 +1,14 @@
 #include "decisions/fairscheduler.h"
 #include "decisions/firstfitscheduler.h"
+#include "decisions/tracerecorder.h"
 #include "trial.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
+#include <fstream>
 #include <memory>
+#include <string>
 
 using namespace guavavalve;
 using namespace guavavalve::bench;
@@ -54,10 +57,54 @@
     printRow(cell, "first-fit", settings, Trial(firstFit, cell, settings).run());
 }
 
+constexpr double promptStretch = 40.0;
+
+/// Records a short trial of a deployment at its real size, with targets that fail everything and
+/// wrong sizes, and states what replaying it must show.
+int writeTrace(Deployment cell, const std::string &path, double packing, double shareError,
+               double promptWaitMs)
+{
+    std::ofstream file(path);
+    FairScheduler fair;
+    TraceRecorder recorder(fair, file, "fair");
+    for (const char *breach : {"room-breaches", "limit-breaches", "double-placements"})
+        recorder.expectAtMost(breach, 0);
+    recorder.expectAtLeast("packing", packing);
+    recorder.expectAtMost("share-error", shareError);
+    recorder.expectAtMost("prompt-wait-p99-ms", promptWaitMs);
+    recorder.expectAtLeast("quarantined", 1);
+    // Fewer and longer prompt tasks, so that the trace stays small.
+    for (WorkKind &kind : cell.kinds)
+        kind.runSeconds *= kind.workClass == WorkClass::Prompt ? promptStretch : 1.0;
+    TrialSettings settings;
+    settings.load = 1.2;
+    settings.seconds = 45;
+    settings.tick = std::chrono::milliseconds(50);
+    settings.wrongSizes = true;
+    settings.failingTargets = 0.05;
+    settings.seed = 4;
+    Trial(recorder, cell, settings).run();
+    file.flush();
+    if (!file) {
+        std::fprintf(stderr, "decisionsbench: cannot write %s\n", path.c_str());
+        return 1;
+    }
+    return 0;
+}
+
+int writeTraces(const std::string &folder)
+{
+    const int brandvoldResult = writeTrace(brandvold(), folder + "/brandvold.jsonl", 0.8, 0.06, 20);
+    const int cwmResult = writeTrace(cwmMeryw(), folder + "/cwm-meryw.jsonl", 0.7, 0.08, 10);
+    return brandvoldResult + cwmResult;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    if (argc == 3 && std::strcmp(argv[1], "--write-traces") == 0)
+        return writeTraces(argv[2]);
     const bool quick = argc > 1 && std::strcmp(argv[1], "--quick") == 0;
     printHeader();
     if (argc > 1 && std::strcmp(argv[1], "--large") == 0) {
--- a/bench/decisions/trial.cpp
+++ b/bench/decisions/trial.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Microseconds tick{1000};
 constexpr Microseconds sampleEvery = std::chrono::seconds(1);
 /// Usage reports reach the scheduler this long after the measurement.
 constexpr Microseconds usageLag = std::chrono::seconds(2);
@@ -45,7 +44,8 @@
     const double busiest = *std::max_element(offered.begin(), offered.end());
     for (const WorkKind &kind : cell.kinds) {
         const double demand = kind.need.dominantShare(cell.total) * kind.tasks * kind.runSeconds;
-        this->jobsPerTick.push_back(how.load / busiest * kind.part / demand * 0.001);
+        this->jobsPerTick.push_back(how.load / busiest * kind.part / demand
+                                    * std::chrono::duration<double>(how.tick).count());
     }
     this->realUse.resize(cell.targets.size() + 1);
     for (const TargetInfo &target : cell.targets) {
@@ -260,7 +260,7 @@
     Instant nextSample = this->now + seconds(this->settings.warmUpSeconds);
     const Instant end = this->now + seconds(this->settings.seconds);
     while (this->now < end) {
-        this->now += tick;
+        this->now += this->settings.tick;
         this->measuring = this->now - this->start >= seconds(this->settings.warmUpSeconds);
         const std::uint64_t before = this->nextId;
         const std::size_t timedBefore = this->timeline.size() + this->reports.size();
--- a/bench/decisions/trial.h
+++ b/bench/decisions/trial.h
@@ -22,6 +22,7 @@
     bool wrongSizes = false; ///< sizes and run times declared are off by up to a factor of four
     double failingTargets = 0.0; ///< part of the targets that fail everything at once
     std::uint32_t seed = 1;
+    Microseconds tick{1000}; ///< events of one tick are told together, then decided about
 };
 
 /// What was measured in one trial.
@@ -44,7 +45,7 @@
     std::uint64_t preempted = 0;
 };
 
-/// Plays one deployment's work against a scheduler in ticks of a millisecond. The same seed gives
+/// Plays one deployment's work against a scheduler in ticks. The same seed gives
 /// the same arrivals whatever the scheduler decides.
 class Trial
 {
--- a/src/decisions/fairscheduler.cpp
+++ b/src/decisions/fairscheduler.cpp
@@ -21,8 +21,9 @@
 namespace {
 
 constexpr std::size_t decisionsKept = 16384;
-/// How often reservations, headroom and the making of room are looked at.
-constexpr Microseconds upkeepEvery = std::chrono::milliseconds(50);
+/// How often one of the three parts of the upkeep is done, in turn: all at once would make one
+/// decision in many a long one.
+constexpr Microseconds upkeepEvery = std::chrono::milliseconds(20);
 /// Usage measured sooner than this after a start is of a task that is still starting up.
 constexpr Microseconds usageSettles = std::chrono::seconds(1);
 
@@ -30,6 +31,8 @@
 
 struct FairScheduler::Parts
 {
+    enum class UpkeepPart : std::uint8_t { Headroom, Reservations, Room };
+
     Ledger ledger;
     DecisionLog log{decisionsKept};
     Reservations reservations{ledger};
@@ -39,6 +42,7 @@
     Placer placer{ledger, reservations, quarantine, log};
     Deadlines deadlines;
     Instant lastUpkeep{};
+    UpkeepPart upkeepPart = UpkeepPart::Headroom;
     bool moreToPlace = false;
     bool changed = false; ///< something was told since the last decide()
 
@@ -257,12 +261,14 @@
     const TeamRecord &team = this->ledger.teams[queue.key.team];
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
         // A correction must not make a task that was accepted one that never fits.
-        const std::int64_t most =
-            std::min(this->ledger.fleet.largest().amounts[kind], team.policy.limit.amounts[kind]);
+        const std::int64_t most = std::min(this->ledger.fleet.largest().amounts[kind],
+                                           team.policy.limit.amounts[kind]
+                                               / static_cast<std::int64_t>(queue.key.gangSize));
         const std::int64_t declared = queue.key.need.amounts[kind];
         charge.amounts[kind] = std::min(charge.amounts[kind], std::max(most, declared));
     }
-    if (queue.key.gangSize == 1 && this->ledger.fleet.capacityFor(charge, 1) > 0)
+    const std::uint64_t together = queue.key.gangSize;
+    if (this->ledger.fleet.capacityFor(charge, together) >= together)
         queue.charge = charge;
 }
 
@@ -300,9 +306,20 @@
     if (now - this->lastUpkeep < upkeepEvery)
         return;
     this->lastUpkeep = now;
-    this->headroom.update(now);
-    this->reservations.update(now);
-    this->roomMaker.update(now, out);
+    switch (this->upkeepPart) {
+    case UpkeepPart::Headroom:
+        this->headroom.update(now);
+        this->upkeepPart = UpkeepPart::Reservations;
+        return;
+    case UpkeepPart::Reservations:
+        this->reservations.update(now);
+        this->upkeepPart = UpkeepPart::Room;
+        return;
+    case UpkeepPart::Room:
+        this->roomMaker.update(now, out);
+        this->upkeepPart = UpkeepPart::Headroom;
+        return;
+    }
 }
 
 void FairScheduler::decide(Instant now, std::vector<Decision> &out)
--- /dev/null
+++ b/src/decisions/replaybooks.cpp
@@ -0,0 +1,111 @@
+#include "decisions/replaybooks.h"
+
+#include <algorithm>
+#include <string>
+
+namespace guavavalve::internal {
+
+void ReplayBooks::applyPolicy(const Policy &policy)
+{
+    this->limits.clear();
+    for (const TeamPolicy &team : policy.teams)
+        this->limits[team.team] = team.limit;
+}
+
+void ReplayBooks::submitted(const TaskRequest &task, Instant now)
+{
+    Entry &entry = this->tasks[task.id];
+    entry.team = task.team;
+    entry.prompt = task.workClass == WorkClass::Prompt;
+    entry.gang = task.workClass == WorkClass::Gang;
+    entry.job = task.job;
+    entry.submittedAt = now;
+}
+
+void ReplayBooks::restored(const TaskRequest &task, const Resources &charge, TargetId target,
+                           Instant now)
+{
+    this->submitted(task, now);
+    this->place(this->tasks[task.id], target, charge, now);
+    this->tasks[task.id].started = true;
+}
+
+void ReplayBooks::released(TaskId task)
+{
+    const auto item = this->tasks.find(task);
+    if (item == this->tasks.end() || item->second.target == TargetId::None)
+        return;
+    Entry &entry = item->second;
+    this->onTarget[entry.target] -= entry.charge;
+    this->ofTeam[entry.team] -= entry.charge;
+    entry.target = TargetId::None;
+}
+
+void ReplayBooks::rejected(TaskId task)
+{
+    const auto item = this->tasks.find(task);
+    if (item == this->tasks.end() || item->second.target == TargetId::None)
+        return;
+    const Entry first = item->second;
+    this->released(task);
+    if (!first.gang)
+        return;
+    for (const auto &[id, entry] : this->tasks) {
+        if (entry.job == first.job && entry.placedAt == first.placedAt)
+            this->released(id);
+    }
+}
+
+void ReplayBooks::place(Entry &entry, TargetId target, const Resources &charge, Instant now)
+{
+    entry.placedAt = now;
+    entry.target = target;
+    entry.charge = charge;
+    this->onTarget[target] += charge;
+    this->ofTeam[entry.team] += charge;
+}
+
+void ReplayBooks::decided(const Decision &decision, Instant now)
+{
+    Entry &entry = this->tasks[decision.task];
+    switch (decision.kind) {
+    case DecisionKind::Refuse:
+        ++this->refused;
+        return;
+    case DecisionKind::Throttle:
+    case DecisionKind::Checkpoint:
+    case DecisionKind::Stop:
+        ++this->preempted;
+        return;
+    case DecisionKind::Place:
+        break;
+    }
+    ++this->placed;
+    if (entry.target != TargetId::None)
+        ++this->doublePlacements;
+    this->place(entry, decision.target, decision.charge, now);
+    if (!this->onTarget[decision.target].fitsInto(this->totals[decision.target]))
+        ++this->roomBreaches;
+    if (!this->ofTeam[entry.team].fitsInto(this->limits[entry.team]))
+        ++this->limitBreaches;
+    if (entry.prompt && !entry.started) {
+        const std::chrono::duration<double, std::milli> wait = now - entry.submittedAt;
+        this->promptWaitsMs.push_back(wait.count());
+    }
+    entry.started = true;
+}
+
+void ReplayBooks::report(std::map<std::string, double> &measures) const
+{
+    measures["placed"] = static_cast<double>(this->placed);
+    measures["refused"] = static_cast<double>(this->refused);
+    measures["preempted"] = static_cast<double>(this->preempted);
+    measures["room-breaches"] = static_cast<double>(this->roomBreaches);
+    measures["limit-breaches"] = static_cast<double>(this->limitBreaches);
+    measures["double-placements"] = static_cast<double>(this->doublePlacements);
+    std::vector<double> waits = this->promptWaitsMs;
+    std::sort(waits.begin(), waits.end());
+    measures["prompt-wait-p99-ms"] = waits.empty() ? 0.0 : waits[waits.size() * 99 / 100];
+}
+
+} // namespace guavavalve::internal
--- a/src/decisions/reservations.cpp
+++ b/src/decisions/reservations.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 /// Targets looked at to make one reservation: bounds the time of a decision on a large fleet.
+constexpr Index minTargetsSeen = 512;
 constexpr Index maxTargetsSeen = 4096;
+constexpr Index seenPerTask = 4;
 constexpr std::size_t maxBackfillSeen = 64;
 /// Room that is kept lies idle while it fills, so a small fleet keeps less at once.
 constexpr std::uint32_t targetsPerReservation = 24;
@@ -16,10 +18,14 @@
 /// A reservation that has not led to a start is planned anew this part of the patience after it
 /// should have.
 constexpr int replanAfterPart = 8;
-/// A queue waits this part of its patience before room is kept for it...
+/// A queue waits this part of its patience, but not longer than the time below, before room is
+/// kept for it...
 constexpr int reserveAfterPart = 4;
 /// ...if its team is at or below the mean share, and this many patiences otherwise.
 constexpr int patiencesAboveShare = 2;
+constexpr Microseconds reserveAfterMost = std::chrono::seconds(2);
+/// Above any urgency that comes from a share.
+constexpr double overdueUrgency = 100.0;
 
 } // namespace
 
@@ -27,39 +33,51 @@
     : ledger(books)
 {}
 
-bool Reservations::deserves(Index index, double meanRank, Instant now) const
+double Reservations::meanRank() const
+{
+    double sum = 0.0;
+    std::size_t teams = 0;
+    for (Index team = 0; team < this->ledger.teams.limit(); ++team) {
+        sum += this->ledger.teams[team].rank;
+        teams += this->ledger.teams[team].running > 0 ? 1 : 0;
+    }
+    return sum / static_cast<double>(std::max<std::size_t>(teams, 1));
+}
+
+double Reservations::urgency(const WorkQueue &queue, double mean, Instant now) const
 {
-    const WorkQueue &queue = this->ledger.queues[index];
     const Milliseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
+    const TeamRecord &team = this->ledger.teams[queue.key.team];
     if (queue.reservation != noIndex || queue.key.workClass == WorkClass::Prompt
-        || patience.count() == 0)
-        return false;
+        || patience.count() == 0 || !this->ledger.withinLimit(team, queue.charge))
+        return 0.0;
     const Microseconds waited = now - queue.blockedSince;
-    if (waited >= patience * patiencesAboveShare)
-        return true;
-    const TeamRecord &team = this->ledger.teams[queue.key.team];
-    return waited >= patience / reserveAfterPart && team.rank <= meanRank;
+    // Whoever has waited this long gets its turn, whatever its team's share: or a large job of a
+    // team that always has small work running would wait for ever.
+    if (waited >= patience * patiencesAboveShare) {
+        return overdueUrgency
+            + std::chrono::duration<double>(waited).count()
+            / std::chrono::duration<double>(patience).count();
+    }
+    if (waited < std::min<Microseconds>(patience / reserveAfterPart, reserveAfterMost)
+        || team.rank > mean)
+        return 0.0;
+    return 1.0 + (mean - team.rank) / std::max(mean, 1e-12);
 }
 
-Index Reservations::longestWaiting(Instant now) const
+Index Reservations::mostUrgent(Instant now) const
 {
-    double rankSum = 0.0;
-    std::size_t teams = 0;
-    for (Index team = 0; team < this->ledger.teams.limit(); ++team) {
-        rankSum += this->ledger.teams[team].rank;
-        teams += this->ledger.teams[team].running > 0 ? 1 : 0;
-    }
-    const double meanRank = rankSum / static_cast<double>(std::max<std::size_t>(teams, 1));
-    Index longest = noIndex;
+    const double mean = this->meanRank();
+    Index best = noIndex;
+    double most = 0.0;
     for (const Index index : this->ledger.blocked) {
-        const WorkQueue &queue = this->ledger.queues[index];
-        if (!this->deserves(index, meanRank, now)
-            || !this->ledger.withinLimit(this->ledger.teams[queue.key.team], queue.charge))
-            continue;
-        if (longest == noIndex || queue.blockedSince < this->ledger.queues[longest].blockedSince)
-            longest = index;
+        const double urgent = this->urgency(this->ledger.queues[index], mean, now);
+        if (urgent > most) {
+            most = urgent;
+            best = index;
+        }
     }
-    return longest;
+    return best;
 }
 
 void Reservations::update(Instant now)
@@ -75,15 +93,14 @@
     }
     const std::size_t most = std::clamp<std::size_t>(
         this->ledger.fleet.known() / targetsPerReservation, 1, maxReservations);
-    for (Index slot = 0; slot < most; ++slot) {
-        if (this->slots[slot].queue != noIndex)
-            continue;
-        const Index queue = this->longestWaiting(now);
-        if (queue == noIndex)
-            return;
-        if (!this->reserve(queue, slot, now))
-            return;
-    }
+    if (this->active >= most)
+        return;
+    const Index queue = this->mostUrgent(now);
+    if (queue == noIndex)
+        return;
+    const auto unused = std::find_if(this->slots.begin(), this->slots.end(),
+                                     [](const auto &slot) { return slot.queue == noIndex; });
+    this->reserve(queue, static_cast<Index>(unused - this->slots.begin()), now);
 }
 
 Instant Reservations::expectedEnd(const TaskRecord &task, Instant now) const
@@ -127,7 +144,8 @@
     WorkQueue &queue = this->ledger.queues[queueIndex];
     const Index limit = this->ledger.fleet.limit();
     std::vector<Candidate> candidates;
-    const Index seen = std::min(limit, maxTargetsSeen);
+    const Index seen = std::min(
+        {limit, maxTargetsSeen, std::max(minTargetsSeen, queue.key.gangSize * seenPerTask)});
     for (Index i = 0; i < seen; ++i) {
         this->cursor = (this->cursor + 1) % limit;
         const Zone zone = this->ledger.fleet[this->cursor].zone();
@@ -194,14 +212,17 @@
         && now + runTime <= this->slots[target.reservation].readyAt;
 }
 
-Index Reservations::findBackfill(const WorkQueue &queue, Microseconds declaredRunTime,
-                                 Instant now) const
+Index Reservations::findBackfill(const WorkQueue &queue, Microseconds declaredRunTime, Instant now)
 {
-    for (const Reservation &reservation : this->slots) {
-        std::size_t seen = 0;
+    std::size_t seen = 0;
+    for (std::size_t i = 0; i < this->slots.size(); ++i) {
+        const Reservation &reservation =
+            this->slots[(this->backfillCursor + i) % this->slots.size()];
         for (const Index index : reservation.targets) {
-            if (++seen > maxBackfillSeen)
-                break;
+            if (++seen > maxBackfillSeen) {
+                this->backfillCursor = (this->backfillCursor + i) % this->slots.size();
+                return noIndex;
+            }
             const TargetRecord &target = this->ledger.fleet[index];
             if (target.zone() == Zone::Reserved && queue.charge.fitsInto(target.sharedFree())
                 && this->admits(queue, target, declaredRunTime, now))
--- a/src/decisions/reservations.h
+++ b/src/decisions/reservations.h
@@ -17,7 +17,7 @@
 public:
     explicit Reservations(Ledger &ledger);
 
-    /// Reserves for the queues that have waited longest, and drops what is no longer wanted.
+    /// Reserves for the most urgent queue, and drops what is no longer wanted.
     void update(Instant now);
 
     /// The queue's head has been placed or is gone.
@@ -30,12 +30,12 @@
                 Instant now) const;
 
     /// A reserved target that \a queue may be backfilled on, or noIndex.
-    Index findBackfill(const WorkQueue &queue, Microseconds declaredRunTime, Instant now) const;
+    Index findBackfill(const WorkQueue &queue, Microseconds declaredRunTime, Instant now);
 
     bool any() const { return this->active > 0; }
 
 private:
-    static constexpr std::size_t maxReservations = 4;
+    static constexpr std::size_t maxReservations = 64;
 
     /// A target and when it is expected to have room.
     struct Candidate
@@ -45,8 +45,12 @@
         std::uint32_t capacity = 0; ///< tasks of the need that it will hold then
     };
 
-    bool deserves(Index queue, double meanRank, Instant now) const;
-    Index longestWaiting(Instant now) const;
+    /// Mean rank of the teams that have something placed.
+    double meanRank() const;
+
+    /// How much a blocked queue deserves a reservation; zero: not at all.
+    double urgency(const WorkQueue &queue, double mean, Instant now) const;
+    Index mostUrgent(Instant now) const;
     /// False if even the drained targets that were seen would not hold the queue's head.
     bool reserve(Index queue, Index slot, Instant now);
     void drop(Reservation &reservation);
@@ -56,6 +60,7 @@
     Ledger &ledger;
     std::array<Reservation, maxReservations> slots;
     std::size_t active = 0;
+    std::size_t backfillCursor = 0;
     Index cursor = 0; ///< where the next look over the fleet starts
 };
 
--- a/src/decisions/roommaker.cpp
+++ b/src/decisions/roommaker.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /// Targets weighed to make room for one task: bounds the time of a decision on a large fleet.
-constexpr Index maxTargetsSeen = 64;
+constexpr Index maxTargetsSeen = 32;
+/// Queues that one update makes room for.
+constexpr int maxQueuesServed = 4;
 /// Heads of one queue that room is made for at once.
 constexpr std::uint32_t maxHeads = 8;
 /// A checkpoint that has not ended its task after this long is followed by a stop, and a stop by
@@ -67,8 +69,16 @@
         this->relieve(target, now, out);
     this->overused.clear();
     this->insist(now, out);
-    for (const Index queue : this->ledger.blocked)
-        this->makeRoomFor(queue, now, out);
+    int served = 0;
+    const std::size_t count = this->ledger.blocked.size();
+    for (std::size_t i = 0; i < count && served < maxQueuesServed; ++i) {
+        this->queueCursor = (this->queueCursor + 1) % count;
+        const Index queue = this->ledger.blocked[this->queueCursor];
+        if (this->waitsTooLong(this->ledger.queues[queue], now)) {
+            this->makeRoomFor(queue, now, out);
+            ++served;
+        }
+    }
 }
 
 bool RoomMaker::mayEnd(const TaskRecord &task) const
@@ -122,16 +132,21 @@
     return cheapestSet(std::move(victims), wanted);
 }
 
-void RoomMaker::makeRoomFor(Index queueIndex, Instant now, std::vector<Decision> &out)
+bool RoomMaker::waitsTooLong(const WorkQueue &queue, Instant now) const
 {
-    WorkQueue &queue = this->ledger.queues[queueIndex];
     const Microseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
+    if (patience.count() == 0 || now - queue.roomAskedAt < std::max(patience, askAgainAfter))
+        return false;
     // Prompt work waits too long when its head does, even where others of its queue were placed.
     const bool prompt = queue.key.workClass == WorkClass::Prompt;
     const Instant since = prompt ? this->ledger.tasks[queue.head].submittedAt : queue.blockedSince;
-    if (patience.count() == 0 || now - since < patience
-        || now - queue.roomAskedAt < std::max(patience, askAgainAfter))
-        return;
+    return now - since >= patience;
+}
+
+void RoomMaker::makeRoomFor(Index queueIndex, Instant now, std::vector<Decision> &out)
+{
+    WorkQueue &queue = this->ledger.queues[queueIndex];
+    const bool prompt = queue.key.workClass == WorkClass::Prompt;
     queue.roomAskedAt = now;
     const Reason reason = prompt                 ? Reason::RoomForPrompt
         : queue.key.workClass == WorkClass::Gang ? Reason::RoomForGang
--- a/src/decisions/roommaker.h
+++ b/src/decisions/roommaker.h
@@ -50,6 +50,7 @@
         Reason reason = Reason::None;
     };
 
+    bool waitsTooLong(const WorkQueue &queue, Instant now) const;
     void makeRoomFor(Index queue, Instant now, std::vector<Decision> &out);
     bool mayEnd(const TaskRecord &task) const;
     bool givesWay(const TaskRecord &task, const WorkQueue &queue) const;
@@ -69,6 +70,7 @@
     std::vector<Index> overused;
     std::vector<TaskId> broken; ///< of gangs, to be stopped
     bool limitsToCheck = false;
+    std::size_t queueCursor = 0;
     Index cursor = 0;
 };
 
--- /dev/null
+++ b/src/decisions/tracecodec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "decisions/decision.h"
+#include "decisions/policy.h"
+#include "decisions/targetinfo.h"
+#include "decisions/taskend.h"
+#include "decisions/taskrequest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace guavavalve::internal {
+
+using Json = nlohmann::json;
+
+/// How traces write the scheduler's types. Reading throws nlohmann's exceptions or
+/// std::invalid_argument; replayTrace() catches them at one place.
+Json toJson(const Resources &resources);
+Json toJson(const Policy &policy);
+Json toJson(const TargetInfo &target);
+Json toJson(const TaskRequest &task);
+Json toJson(const Decision &decision);
+Json toJson(Instant instant);
+
+Resources resourcesFrom(const Json &json);
+Policy policyFrom(const Json &json);
+TargetInfo targetFrom(const Json &json);
+TaskRequest taskFrom(const Json &json);
+Instant instantFrom(const Json &json);
+TaskEnd taskEndFrom(const Json &json);
+
+} // namespace guavavalve::internal
--- a/src/decisions/victimset.cpp
+++ b/src/decisions/victimset.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t maxExact = 10;
+constexpr std::size_t maxExact = 8;
 
 VictimSet chosen(const std::vector<Victim> &victims, std::uint32_t mask)
 {
--- a/src/decisions/victimset.h
+++ b/src/decisions/victimset.h
@@ -23,7 +23,7 @@
     bool sufficient = false;
 };
 
-/// The cheapest set of \a victims that frees \a wanted at least: exact for up to ten victims, and
+/// The cheapest set of \a victims that frees \a wanted at least: exact for up to eight victims, and
 /// beyond that the cheapest first, with what turns out not to be needed dropped again.
 VictimSet cheapestSet(std::vector<Victim> victims, const Resources &wanted);
 
