--- /dev/null
+++ b/src/controller/cellcontrollersubmit.cpp
@@ -0,0 +1,215 @@
+#include "controller/cellcontroller.h"
+
+#include "controller/clusterstatemachine.h"
+#include "controller/jobdescription.h"
+#include "replicas/replicatedlog.h"
+
+namespace guavavalve {
+
+void CellController::accept(SubmitRequest request, const Done<SubmitReply> &done)
+{
+    const PendingKey key{request.team, request.idempotencyKey};
+    const auto pending = this->submits.find(key);
+    if (pending != this->submits.end()) {
+        if (pending->second.request.digest == request.digest)
+            pending->second.waiting.push_back(done);
+        else
+            done(failure(ErrorCode::Conflict, "the idempotency key stands for another request"));
+        return;
+    }
+    if (request.tasks == 0) {
+        done(failure(ErrorCode::InvalidArgument, "a job has one task at the least"));
+        return;
+    }
+
+    TeamId team = TeamId::None;
+    bool known = false;
+    this->state.read([&](const ClusterState &cluster) {
+        const TeamRecord *record = cluster.teamNamed(request.team);
+        if (record == nullptr)
+            return;
+        team = record->id;
+        known = cluster.jobFor(team, request.idempotencyKey) != nullptr;
+    });
+    if (team == TeamId::None) {
+        done(failure(ErrorCode::PermissionDenied,
+                     "team " + request.team + " has no section in the configuration"));
+        return;
+    }
+
+    PendingSubmit submit;
+    submit.time = this->time();
+    submit.job = static_cast<JobId>(this->nextTaskValue);
+    submit.request = std::move(request);
+    submit.waiting.push_back(done);
+    if (!known) {
+        const Result<void> taken = this->enqueueTasks(submit, team);
+        if (!taken) {
+            done(taken.error());
+            return;
+        }
+    }
+    this->nextTaskValue += submit.request.tasks;
+    this->submitsByJob.emplace(submit.job, key);
+    this->submits.emplace(key, std::move(submit));
+    this->proposeAcceptance(key, team);
+}
+
+Result<void> CellController::enqueueTasks(const PendingSubmit &pending, TeamId team)
+{
+    const SubmitRequest &request = pending.request;
+    TaskRequest task;
+    task.job = pending.job;
+    task.jobTasks = request.tasks;
+    task.team = team;
+    task.workClass = request.workClass;
+    task.need = request.need;
+    if (request.startWithinMs > 0)
+        task.startBy = pending.time.now + Milliseconds(request.startWithinMs);
+    task.declaredRunTime = Milliseconds(request.declaredRunTimeMs);
+    task.repeatable = request.repeatable;
+    for (std::uint32_t i = 0; i < request.tasks; ++i) {
+        task.id = static_cast<TaskId>(idValue(pending.job) + i);
+        Result<void> taken = this->scheduler->submit(task, pending.time.now);
+        if (taken)
+            continue;
+        // All of a job or none: nothing of it has been proposed yet.
+        for (std::uint32_t j = 0; j < i; ++j) {
+            this->scheduler->cancel(static_cast<TaskId>(idValue(pending.job) + j),
+                                    pending.time.now);
+        }
+        return taken;
+    }
+    return boost::outcome_v2::success();
+}
+
+void CellController::proposeAcceptance(const PendingKey &key, TeamId team)
+{
+    const PendingSubmit &submit = this->submits.at(key);
+    const SubmitRequest &request = submit.request;
+    AcceptJob command;
+    command.first = submit.job;
+    command.keyId = request.keyId;
+    command.team = team;
+    command.idempotencyKey = request.idempotencyKey;
+    command.digest = request.digest;
+    command.workClass = request.workClass;
+    command.need = request.need;
+    command.tasks = request.tasks;
+    command.repeatable = request.repeatable;
+    command.declaredRunTimeMs = request.declaredRunTimeMs;
+    command.acceptedAt = submit.time.cellMs;
+    if (request.startWithinMs > 0)
+        command.startBy = submit.time.cellMs + request.startWithinMs;
+    if (request.finishWithinMs > 0)
+        command.finishBy = submit.time.cellMs + request.finishWithinMs;
+    command.payload = request.payload;
+    command.entry = request.entry;
+    this->add(std::move(command), [this, key](const Result<CommandValue> &outcome) {
+        this->acceptanceCommitted(key, outcome);
+    });
+}
+
+void CellController::acceptanceCommitted(const PendingKey &key, const Result<CommandValue> &outcome)
+{
+    const auto found = this->submits.find(key);
+    if (found == this->submits.end())
+        return;
+    const PendingSubmit submit = std::move(found->second);
+    this->submits.erase(found);
+    this->submitsByJob.erase(submit.job);
+
+    const auto *accepted = outcome ? std::get_if<JobAccepted>(&outcome.value()) : nullptr;
+    const bool isNew = accepted != nullptr && accepted->job == submit.job;
+    if (!isNew && this->leading) {
+        const Instant now = this->options.clock();
+        for (std::uint32_t i = 0; i < submit.request.tasks; ++i)
+            this->scheduler->cancel(static_cast<TaskId>(idValue(submit.job) + i), now);
+    }
+    if (accepted == nullptr) {
+        const Error error =
+            outcome ? failure(ErrorCode::Internal, "not a job's acceptance") : outcome.error();
+        for (const auto &done : submit.waiting)
+            done(error);
+        return;
+    }
+    const SubmitReply reply = this->replyTo(submit.request, *accepted);
+    for (std::size_t i = 0; i < submit.waiting.size(); ++i) {
+        SubmitReply own = reply;
+        if (i > 0) {
+            // One sender only: whoever joined asks for the job's end instead.
+            own.joined = true;
+            own.dispatches.clear();
+        }
+        submit.waiting[i](std::move(own));
+    }
+}
+
+SubmitReply CellController::replyTo(const SubmitRequest &request, const JobAccepted &accepted)
+{
+    SubmitReply reply;
+    reply.job = accepted.job;
+    reply.joined = accepted.joined;
+    const DispatchAction action = accepted.joined ? DispatchAction::Follow : DispatchAction::Start;
+    this->state.read([&](const ClusterState &cluster) {
+        const JobRecord *job = cluster.job(accepted.job);
+        for (std::size_t i = 0; job != nullptr && i < job->tasks.size(); ++i) {
+            const TaskRecord &task = job->tasks[i];
+            if (task.state != TaskState::Placed || task.dispatcher != request.entry)
+                continue;
+            reply.dispatches.push_back(describeOrder(cluster, *job, i, action));
+            if (action == DispatchAction::Start)
+                this->startedByReply.insert(job->taskId(i));
+        }
+    });
+    return reply;
+}
+
+const CellController::PendingSubmit *CellController::pendingOf(TaskId task) const
+{
+    auto after = this->submitsByJob.upper_bound(static_cast<JobId>(idValue(task)));
+    if (after == this->submitsByJob.begin())
+        return nullptr;
+    const PendingSubmit &submit = this->submits.at((--after)->second);
+    const bool within = idValue(task) < idValue(submit.job) + submit.request.tasks;
+    return within ? &submit : nullptr;
+}
+
+void CellController::cancel(const std::string &team, JobId job, const Done<JobStatus> &done)
+{
+    const Result<JobStatus> status = this->statusOf(team, job);
+    if (!status || status.value().finished) {
+        done(status);
+        return;
+    }
+    CancelJob command;
+    command.job = job;
+    command.cancelledAt = this->options.cellTime();
+    this->add(command, [this, team, job, done](const Result<CommandValue> &outcome) {
+        if (!outcome) {
+            done(outcome.error());
+            return;
+        }
+        this->stopPlacedTasks(job);
+        done(this->statusOf(team, job));
+        this->jobChanged(job);
+    });
+}
+
+void CellController::stopPlacedTasks(JobId job)
+{
+    const Instant now = this->options.clock();
+    this->state.read([&](const ClusterState &cluster) {
+        const JobRecord *record = cluster.job(job);
+        for (std::size_t i = 0; record != nullptr && i < record->tasks.size(); ++i) {
+            const TaskRecord &task = record->tasks[i];
+            this->scheduler->cancel(record->taskId(i), now);
+            if (task.state == TaskState::Placed) {
+                this->outbox.put(task.dispatcher,
+                                 describeOrder(cluster, *record, i, DispatchAction::Stop), now);
+            }
+        }
+    });
+}
+
+} // namespace guavavalve
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -3,6 +3,7 @@
 /// \file
 /// The scheduler: pure and deterministic. Events and a time in, decisions out.
 
+#include "core/attemptoutcome.h"
 #include "decisions/decision.h"
 #include "decisions/explanation.h"
 #include "decisions/fairscheduler.h"
@@ -13,6 +14,5 @@
 #include "decisions/scheduler.h"
 #include "decisions/statistics.h"
 #include "decisions/targetinfo.h"
-#include "decisions/taskend.h"
 #include "decisions/taskrequest.h"
 #include "decisions/tracerecorder.h"
--- /dev/null
+++ b/src/operators/requestfields.cpp
@@ -0,0 +1,116 @@
+#include "operators/requestfields.h"
+
+#include "platform/httpserver.h"
+
+#include <charconv>
+#include <utility>
+
+namespace guavavalve {
+
+BodyFields::BodyFields(const HttpRequest &request)
+    : object(nlohmann::json::parse(request.body, nullptr, false))
+    , fault(std::make_shared<std::optional<Error>>())
+{
+    if (!this->object.is_object()) {
+        this->refuse("the body is not a JSON object");
+        this->object = nlohmann::json::object();
+    }
+}
+
+BodyFields::BodyFields(nlohmann::json value, std::string objectPath,
+                       std::shared_ptr<std::optional<Error>> firstFault)
+    : object(std::move(value))
+    , path(std::move(objectPath))
+    , fault(std::move(firstFault))
+{}
+
+void BodyFields::refuse(const std::string &message)
+{
+    if (!this->fault->has_value())
+        *this->fault = failure(ErrorCode::InvalidArgument, message);
+}
+
+void BodyFields::refuseField(const std::string &name, const std::string &allowed)
+{
+    constexpr std::size_t shownBytes = 60;
+    std::string found = "is missing";
+    if (const auto field = this->object.find(name); field != this->object.end()) {
+        const auto replace = nlohmann::json::error_handler_t::replace;
+        found = "is " + field->dump(-1, ' ', false, replace).substr(0, shownBytes);
+    }
+    this->refuse(this->path + name + " " + found + "; give " + allowed);
+}
+
+std::string BodyFields::text(const std::string &name)
+{
+    std::string value = this->text(name, "");
+    if (value.empty())
+        this->refuseField(name, "a text that is not empty");
+    return value;
+}
+
+std::string BodyFields::text(const std::string &name, const std::string &otherwise)
+{
+    const auto field = this->object.find(name);
+    if (field == this->object.end())
+        return otherwise;
+    if (field->is_string())
+        return field->get<std::string>();
+    this->refuseField(name, "a text");
+    return otherwise;
+}
+
+bool BodyFields::boolean(const std::string &name, bool otherwise)
+{
+    const auto field = this->object.find(name);
+    if (field == this->object.end())
+        return otherwise;
+    if (field->is_boolean())
+        return field->get<bool>();
+    this->refuseField(name, "true or false");
+    return otherwise;
+}
+
+std::vector<BodyFields> BodyFields::list(const std::string &name)
+{
+    const auto field = this->object.find(name);
+    std::vector<BodyFields> result;
+    if (field == this->object.end() || !field->is_array()) {
+        this->refuseField(name, "a list of objects");
+        return result;
+    }
+    for (std::size_t i = 0; i < field->size(); ++i) {
+        if (!(*field)[i].is_object()) {
+            this->refuseField(name, "a list of objects");
+            return result;
+        }
+        const std::string itemPath = this->path + name + "[" + std::to_string(i) + "].";
+        result.push_back(BodyFields((*field)[i], itemPath, this->fault));
+    }
+    return result;
+}
+
+Result<std::string> requiredParameter(const HttpRequest &request, const std::string &name)
+{
+    std::string text = request.parameter(name);
+    if (text.empty())
+        return failure(ErrorCode::InvalidArgument, "query parameter " + name + " is missing");
+    return text;
+}
+
+Result<std::uint64_t> numberParameter(const HttpRequest &request, const std::string &name,
+                                      std::uint64_t otherwise)
+{
+    const std::string text = request.parameter(name);
+    if (text.empty())
+        return otherwise;
+    std::uint64_t value = 0;
+    const char *const textEnd = text.data() + text.size();
+    const auto [end, problem] = std::from_chars(text.data(), textEnd, value);
+    if (problem != std::errc() || end != textEnd)
+        return failure(ErrorCode::InvalidArgument,
+                       "query parameter " + name + " is \"" + text + "\"; give a whole number");
+    return value;
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/platform/httperror.cpp
@@ -0,0 +1,60 @@
+#include "platform/httperror.h"
+
+#include <nlohmann/json.hpp>
+
+namespace guavavalve {
+
+int httpStatus(const Error &error)
+{
+    switch (error.code) {
+    case ErrorCode::InvalidArgument:
+        return 400;
+    case ErrorCode::Unauthenticated:
+        return 401;
+    case ErrorCode::PermissionDenied:
+        return 403;
+    case ErrorCode::NotFound:
+        return 404;
+    case ErrorCode::Conflict:
+    case ErrorCode::Cancelled:
+        return 409;
+    case ErrorCode::NeverFits:
+        return 422;
+    case ErrorCode::LimitExceeded:
+        return 429;
+    case ErrorCode::TargetFailed:
+    case ErrorCode::IncompleteAnswer:
+        return 502;
+    case ErrorCode::Unavailable:
+    case ErrorCode::NotLeader:
+        return 503;
+    case ErrorCode::DeadlineExceeded:
+        // Refused in time is the service's own matter; not finished in time is a gateway's.
+        return error.ran == Ran::No ? 503 : 504;
+    case ErrorCode::Corrupt:
+    case ErrorCode::Internal:
+        break;
+    }
+    return 500;
+}
+
+HttpResponse errorResponse(const Error &error)
+{
+    constexpr std::int64_t msPerSecond = 1000;
+    HttpResponse response;
+    response.status = httpStatus(error);
+    const std::int64_t retryAfterMs = error.retryAfter.count();
+    const nlohmann::json body{{"error", enumName(errorCodeNames, error.code)},
+                              {"message", error.message},
+                              {"ran", enumName(ranNames, error.ran)},
+                              {"retryAfterMs", retryAfterMs}};
+    // A message may quote bytes of the request that are no UTF-8.
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (retryAfterMs > 0) {
+        response.headers["Retry-After"] =
+            std::to_string((retryAfterMs + msPerSecond - 1) / msPerSecond);
+    }
+    return response;
+}
+
+} // namespace guavavalve
