--- a/src/decisions/roommaker.cpp
+++ b/src/decisions/roommaker.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /// Targets weighed to make room for one task: bounds the time of a decision on a large fleet.
-constexpr Index maxTargetsSeen = 64;
+constexpr Index maxTargetsSeen = 32;
+/// Queues that one update makes room for.
+constexpr int maxQueuesServed = 4;
 /// Heads of one queue that room is made for at once.
 constexpr std::uint32_t maxHeads = 8;
 /// A checkpoint that has not ended its task after this long is followed by a stop, and a stop by
@@ -67,8 +69,16 @@
         this->relieve(target, now, out);
     this->overused.clear();
     this->insist(now, out);
-    for (const Index queue : this->ledger.blocked)
-        this->makeRoomFor(queue, now, out);
+    int served = 0;
+    const std::size_t count = this->ledger.blocked.size();
+    for (std::size_t i = 0; i < count && served < maxQueuesServed; ++i) {
+        this->queueCursor = (this->queueCursor + 1) % count;
+        const Index queue = this->ledger.blocked[this->queueCursor];
+        if (this->waitsTooLong(this->ledger.queues[queue], now)) {
+            this->makeRoomFor(queue, now, out);
+            ++served;
+        }
+    }
 }
 
 bool RoomMaker::mayEnd(const TaskRecord &task) const
@@ -105,7 +115,7 @@
 VictimSet RoomMaker::victimsOn(Index index, const WorkQueue &queue, Instant now) const
 {
     const TargetRecord &target = this->ledger.fleet[index];
-    Resources wanted = queue.charge - target.roomFor(queue.key.workClass);
+    Resources wanted = queue.charge + this->claimedOn(index) - target.roomFor(queue.key.workClass);
     std::vector<Victim> victims;
     for (const Index taskIndex : target.tasks) {
         const TaskRecord &task = this->ledger.tasks[taskIndex];
@@ -122,43 +132,68 @@
     return cheapestSet(std::move(victims), wanted);
 }
 
-void RoomMaker::makeRoomFor(Index queueIndex, Instant now, std::vector<Decision> &out)
+bool RoomMaker::waitsTooLong(const WorkQueue &queue, Instant now) const
 {
-    WorkQueue &queue = this->ledger.queues[queueIndex];
     const Microseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
+    if (patience.count() == 0 || now - queue.roomAskedAt < std::max(patience, askAgainAfter))
+        return false;
     // Prompt work waits too long when its head does, even where others of its queue were placed.
     const bool prompt = queue.key.workClass == WorkClass::Prompt;
     const Instant since = prompt ? this->ledger.tasks[queue.head].submittedAt : queue.blockedSince;
-    if (patience.count() == 0 || now - since < patience
-        || now - queue.roomAskedAt < std::max(patience, askAgainAfter))
-        return;
+    return now - since >= patience;
+}
+
+void RoomMaker::makeRoomFor(Index queueIndex, Instant now, std::vector<Decision> &out)
+{
+    WorkQueue &queue = this->ledger.queues[queueIndex];
+    const bool prompt = queue.key.workClass == WorkClass::Prompt;
     queue.roomAskedAt = now;
     const Reason reason = prompt                 ? Reason::RoomForPrompt
         : queue.key.workClass == WorkClass::Gang ? Reason::RoomForGang
                                                  : Reason::ShareReclaimed;
-    const Index limit = this->ledger.fleet.limit();
     const std::uint32_t heads = std::min(queue.count * queue.key.gangSize, maxHeads);
+    this->claims.clear();
     for (std::uint32_t head = 0; head < heads; ++head) {
-        VictimSet best;
-        for (Index i = 0; i < std::min(limit, maxTargetsSeen); ++i) {
-            this->cursor = (this->cursor + 1) % limit;
-            const TargetRecord &target = this->ledger.fleet[this->cursor];
-            const Zone zone = target.zone();
-            if (zone == Zone::Closed
-                || (zone == Zone::Reserved && target.reservation != queue.reservation)
-                || !queue.charge.fitsInto(target.info.total))
-                continue;
-            VictimSet set = this->victimsOn(this->cursor, queue, now);
-            if (set.sufficient && (!best.sufficient || set.cost < best.cost))
-                best = std::move(set);
-        }
-        if (best.tasks.empty())
+        const VictimSet best = this->bestVictims(queue, now);
+        if (!best.sufficient)
             return;
+        this->claims.push_back(Claim{best.target, queue.charge});
         for (const Index task : best.tasks)
             this->end(task, reason, now, out);
     }
 }
 
+Resources RoomMaker::claimedOn(Index target) const
+{
+    Resources claimed;
+    for (const Claim &claim : this->claims) {
+        if (claim.target == target)
+            claimed += claim.room;
+    }
+    return claimed;
+}
+
+VictimSet RoomMaker::bestVictims(const WorkQueue &queue, Instant now)
+{
+    const bool prompt = queue.key.workClass == WorkClass::Prompt;
+    const Index limit = this->ledger.fleet.limit();
+    VictimSet best;
+    for (Index i = 0; i < std::min(limit, maxTargetsSeen); ++i) {
+        this->cursor = (this->cursor + 1) % limit;
+        const TargetRecord &target = this->ledger.fleet[this->cursor];
+        const Zone zone = target.zone();
+        if (zone == Zone::Closed
+            || (zone == Zone::Reserved && !prompt && target.reservation != queue.reservation)
+            || !queue.charge.fitsInto(target.info.total))
+            continue;
+        VictimSet set = this->victimsOn(this->cursor, queue, now);
+        set.target = this->cursor;
+        if (set.sufficient && (!best.sufficient || set.cost < best.cost))
+            best = std::move(set);
+    }
+    return best;
+}
+
 void RoomMaker::enforceLimits(Instant now, std::vector<Decision> &out)
 {
     std::vector<std::vector<Index>> candidates(this->ledger.teams.limit());
