--- a/src/decisions/fleet.cpp
+++ b/src/decisions/fleet.cpp
@@ -22,7 +22,7 @@
 constexpr double unsureWeight = 1.0;
 
 // Weights of the score, chosen by measurement (docs/design/decisions.md).
-constexpr double imbalanceWeight = 0.5;
+constexpr double imbalanceWeight = 1.0;
 constexpr double strandedAcceleratorWeight = 4.0;
 constexpr double suspicionWeight = 0.5;
 /// A domain with one task more weighs more than any difference in fit.
--- a/src/decisions/headroom.cpp
+++ b/src/decisions/headroom.cpp
@@ -9,15 +9,15 @@
 namespace {
 
 /// Standard deviations of a Poisson load above its mean that the pool holds.
-constexpr double deviationsHeld = 2.0;
+constexpr double deviationsHeld = 2.5;
 /// The pool shrinks only when it is larger than wanted by this factor, so that it does not swing.
-constexpr double shrinkAbove = 1.05;
+constexpr double shrinkAbove = 1.02;
 /// Assumed until prompt tasks have ended.
 constexpr double assumedRunSeconds = 0.1;
 /// Arrivals a second below which nothing is kept.
 constexpr double quietRate = 0.01;
 /// Part of a target that is held; the rest is for other work.
-constexpr double partHeld = 0.25;
+constexpr double partHeld = 0.125;
 constexpr Index maxTargetsSeen = 64;
 constexpr std::size_t minChangesAtOnce = 2;
 constexpr std::size_t changesPart = 16;
--- a/src/decisions/headroom.h
+++ b/src/decisions/headroom.h
@@ -10,9 +10,9 @@
 namespace guavavalve::internal {
 
 /// Keeps room on some targets for prompt work, as much as its arrivals call for. With an offered
-/// load of `a` tasks (arrivals a second by mean run time, Little's law) `a + 2 sqrt(a) + 1` of
+/// load of `a` tasks (arrivals a second by mean run time, Little's law) `a + 2.5 sqrt(a) + 1` of
 /// them fit: square-root staffing (Halfin and Whitt, 1981). Kept on part of the targets, not as
-/// crumbs on each, which would take room from large tasks everywhere; and only a quarter of each
+/// crumbs on each, which would take room from large tasks everywhere; and only an eighth of each
 /// of these unless that is not enough, so that other work can use what prompt work leaves (prompt
 /// tasks take many slots and few processors).
 class Headroom
--- a/src/decisions/placer.cpp
+++ b/src/decisions/placer.cpp
@@ -16,7 +16,10 @@
 /// A search looks at part of a large fleet only, so a blocked queue searches again in time even
 /// when no target is known to have gained room.
 constexpr Microseconds retryAfter = std::chrono::seconds(1);
-constexpr std::size_t retriesInRun = 8;
+constexpr std::size_t retriesInRun = 4;
+/// Blocked queues woken in one run.
+constexpr std::size_t wokenAtLeast = 16;
+constexpr std::size_t wokenPerHint = 8;
 /// A gang that did not fit is tried again after this long at the soonest: a try costs a search
 /// for each of its tasks.
 constexpr Microseconds gangRetryAfter = std::chrono::milliseconds(100);
@@ -37,6 +40,7 @@
     this->wakeQueues(now);
     this->runRound(Round::Prompt, now, out);
     this->runRound(Round::Other, now, out);
+    this->renewHints();
     return this->placedInRun >= maxPlacements || !this->ledger.freedTargets.empty();
 }
 
@@ -56,10 +60,10 @@
 
 bool Placer::hintsFit(const WorkQueue &queue, Instant now) const
 {
-    return std::any_of(this->hints.begin(), this->hints.end(), [&](Index hint) {
-        const TargetRecord &target = this->ledger.fleet[hint];
-        return queue.charge.fitsInto(target.roomFor(queue.key.workClass))
-            && this->mayUse(queue, target, now);
+    const bool prompt = queue.key.workClass == WorkClass::Prompt;
+    return std::any_of(this->hints.begin(), this->hints.end(), [&](const Hint &hint) {
+        return queue.charge.fitsInto(prompt ? hint.free : hint.sharedFree)
+            && this->mayUse(queue, this->ledger.fleet[hint.target], now);
     });
 }
 
@@ -67,13 +71,21 @@
 {
     std::vector<Index> &freed = this->ledger.freedTargets;
     const std::size_t count = std::min(freed.size(), maxHints);
-    this->hints.assign(freed.begin(), freed.begin() + static_cast<std::ptrdiff_t>(count));
+    this->hints.clear();
+    for (std::size_t i = 0; i < count; ++i) {
+        TargetRecord &target = this->ledger.fleet[freed[i]];
+        target.freed = false;
+        this->hints.push_back(Hint{freed[i], target.free(), target.sharedFree()});
+    }
     freed.erase(freed.begin(), freed.begin() + static_cast<std::ptrdiff_t>(count));
+    this->measureHintRoom();
+}
+
+void Placer::measureHintRoom()
+{
     this->hintRoom = Resources();
-    for (const Index hint : this->hints) {
-        TargetRecord &target = this->ledger.fleet[hint];
-        target.freed = false;
-        const Resources free = target.free();
+    for (const Hint &hint : this->hints) {
+        const Resources free = this->ledger.fleet[hint.target].free();
         for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
             std::int64_t &most = this->hintRoom.amounts[kind];
             most = std::max(most, free.amounts[kind]);
@@ -84,17 +96,47 @@
 void Placer::wakeQueues(Instant now)
 {
     this->takeHints();
-    for (std::size_t i = this->ledger.blocked.size(); i > 0; --i) {
-        if (!this->ledger.blockedCharges[i - 1].fitsInto(this->hintRoom))
+    this->unwoken.clear();
+    std::vector<std::pair<double, Index>> fitting;
+    for (std::size_t i = 0; i < this->ledger.blocked.size(); ++i) {
+        if (!this->ledger.blockedCharges[i].fitsInto(this->hintRoom))
             continue;
-        const Index index = this->ledger.blocked[i - 1];
+        const Index index = this->ledger.blocked[i];
         const WorkQueue &queue = this->ledger.queues[index];
         if (queue.key.workClass != WorkClass::Gang && this->hintsFit(queue, now))
+            fitting.emplace_back(this->ledger.teams[queue.key.team].rank, index);
+    }
+    // The freed room is soon taken again: only those whose turn it is are woken, prompt work and
+    // the teams furthest below their share.
+    const std::size_t most = wokenAtLeast + wokenPerHint * this->hints.size();
+    if (fitting.size() > most) {
+        std::nth_element(fitting.begin(), fitting.begin() + static_cast<std::ptrdiff_t>(most),
+                         fitting.end());
+    }
+    for (std::size_t i = 0; i < fitting.size(); ++i) {
+        const Index index = fitting[i].second;
+        if (i < most || this->ledger.queues[index].key.workClass == WorkClass::Prompt)
             this->ledger.makeReady(index, true);
+        else
+            this->unwoken.push_back(index);
     }
     this->retryOldest(now);
 }
 
+void Placer::renewHints()
+{
+    if (this->unwoken.empty())
+        return;
+    this->measureHintRoom();
+    const bool left = std::any_of(this->unwoken.begin(), this->unwoken.end(), [this](Index index) {
+        return this->ledger.queues[index].charge.fitsInto(this->hintRoom);
+    });
+    if (!left)
+        return;
+    for (const Hint &hint : this->hints)
+        this->ledger.markFreed(hint.target);
+}
+
 void Placer::retryOldest(Instant now)
 {
     // A few at a time, going round: each costs a search over the index, a gang one for each task.
@@ -209,8 +251,8 @@
 {
     TargetFound found;
     double best = std::numeric_limits<double>::max();
-    for (const Index hint : this->hints) {
-        const TargetRecord &target = this->ledger.fleet[hint];
+    for (const Hint &hint : this->hints) {
+        const TargetRecord &target = this->ledger.fleet[hint.target];
         if (!queue.charge.fitsInto(target.roomFor(queue.key.workClass))
             || !this->mayUse(queue, target, now))
             continue;
@@ -219,7 +261,7 @@
             this->ledger.fleet.score(queue.charge, target.sharedFree(), target.suspicion);
         if (score < best) {
             best = score;
-            found.target = hint;
+            found.target = hint.target;
         }
     }
     return found;
--- a/src/decisions/placer.h
+++ b/src/decisions/placer.h
@@ -22,8 +22,18 @@
     bool run(Instant now, std::vector<Decision> &out);
 
 private:
+    /// A target that gained room, and what it had at the start of the run.
+    struct Hint
+    {
+        Index target = noIndex;
+        Resources free;
+        Resources sharedFree;
+    };
+
     void takeHints();
+    void measureHintRoom();
     void wakeQueues(Instant now);
+    void renewHints();
     void retryOldest(Instant now);
     bool mayUse(const WorkQueue &queue, const TargetRecord &target, Instant now) const;
     bool hintsFit(const WorkQueue &queue, Instant now) const;
@@ -48,7 +58,8 @@
     Reservations &reservations;
     Quarantine &quarantine;
     DecisionLog &log;
-    std::vector<Index> hints; ///< targets that have gained room since the last run
+    std::vector<Hint> hints; ///< targets that have gained room since the last run
+    std::vector<Index> unwoken; ///< blocked queues that fit a hint and were not looked at
     Resources hintRoom; ///< the most that any of them has free, by kind
     std::vector<Index> plan; ///< targets of a gang's tasks, taken in the fleet but not the books
     std::size_t holderCursor = 0;
--- a/src/decisions/replaytrace.cpp
+++ b/src/decisions/replaytrace.cpp
@@ -135,10 +135,10 @@
     const auto task = TaskId(line.at("id").get<std::uint64_t>());
     if (name == "ended") {
         this->books.released(task);
-        this->scheduler->taskEnded(task, taskEndFrom(line.at("as")), now);
+        this->scheduler->taskEnded(task, outcomeFrom(line.at("as")), now);
     } else if (name == "requeue") {
         this->books.released(task);
-        this->scheduler->requeue(task, taskEndFrom(line.at("as")), now);
+        this->scheduler->requeue(task, outcomeFrom(line.at("as")), now);
     } else if (name == "rejected") {
         this->books.rejected(task);
         this->scheduler->placementRejected(task, now);
