--- a/test/scenarios/childprocess.cpp
+++ b/test/scenarios/childprocess.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,6 +25,8 @@
         const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        // Ends with the runner, also when that is killed by a test's time limit.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         execv(argv[0], argv.data());
         _exit(127);
     }
@@ -54,19 +57,21 @@
 {
     if (this->pid != 0)
         ::kill(this->pid, SIGSTOP);
+    this->frozen = true;
 }
 
 void ChildProcess::thaw()
 {
     if (this->pid != 0)
         ::kill(this->pid, SIGCONT);
+    this->frozen = false;
 }
 
 bool ChildProcess::isRunning()
 {
     if (this->pid != 0 && waitpid(this->pid, nullptr, WNOHANG) == this->pid)
         this->pid = 0;
-    return this->pid != 0;
+    return this->pid != 0 && !this->frozen;
 }
 
 void ChildProcess::wait()
--- a/test/scenarios/childprocess.h
+++ b/test/scenarios/childprocess.h
@@ -20,12 +20,13 @@
     void terminate(); ///< SIGTERM, and waits until it has ended by itself
     void freeze(); ///< SIGSTOP
     void thaw(); ///< SIGCONT
-    bool isRunning();
+    bool isRunning(); ///< and not frozen
 
 private:
     void wait();
 
     pid_t pid = 0;
+    bool frozen = false;
 };
 
 /// Runs \a command in a shell to its end and returns what it printed; \a status is its own.
--- a/test/scenarios/story.cpp
+++ b/test/scenarios/story.cpp
@@ -138,6 +138,8 @@
     for (const Submission *each : this->matching(pattern)) {
         waitUntil("the cancellation of " + each->name() + " is taken", [&] {
             for (int i = 1; i <= this->cell.entryCount(); ++i) {
+                if (!this->cell.entry(i).isRunning())
+                    continue;
                 try {
                     const auto answer = fakes::callHttp(
                         "DELETE", this->cell.entryUrl(i) + "/v1/jobs/" + each->job(),
@@ -204,6 +206,8 @@
 bool Story::isFinished(const Submission &submission)
 {
     for (int i = 1; i <= this->cell.entryCount(); ++i) {
+        if (!this->cell.entry(i).isRunning())
+            continue;
         try {
             const auto answer =
                 fakes::callHttp("GET", this->cell.entryUrl(i) + "/v1/jobs/" + submission.job(),
