--- a/test/scenarios/forwarder.h
+++ b/test/scenarios/forwarder.h
@@ -22,6 +22,10 @@
     /// Delivers what is sent to the target and swallows what it sends back, of the connections
     /// that are open, for good; new ones work.
     void silenceReplies();
+    /// Keeps back what is sent to the target in connections that are open or opened until heal();
+    /// what was kept back arrives at release(), also if its sender has gone since.
+    void hold();
+    void release();
     void heal();
 
 private:
