decisions: the trace files take core's attempt outcome

Ruled out: nothing else stood in the way of the build.

Change: the name.

Result: the whole tree builds.

--- a/src/decisions/tracecodec.cpp
+++ b/src/decisions/tracecodec.cpp
@@ -69,9 +69,9 @@
     return Instant(Microseconds(json.get<std::int64_t>()));
 }
 
-TaskEnd taskEndFrom(const Json &json)
+AttemptOutcome taskEndFrom(const Json &json)
 {
-    return enumFrom(taskEndNames, json);
+    return enumFrom(attemptOutcomeNames, json);
 }
 
 Json toJson(const Policy &policy)
--- a/src/decisions/tracecodec.h
+++ b/src/decisions/tracecodec.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "core/attemptoutcome.h"
 #include "decisions/decision.h"
 #include "decisions/policy.h"
 #include "decisions/targetinfo.h"
-#include "decisions/taskend.h"
 #include "decisions/taskrequest.h"
 
 #include <nlohmann/json.hpp>
@@ -26,6 +26,6 @@
 TargetInfo targetFrom(const Json &json);
 TaskRequest taskFrom(const Json &json);
 Instant instantFrom(const Json &json);
-TaskEnd taskEndFrom(const Json &json);
+AttemptOutcome taskEndFrom(const Json &json);
 
 } // namespace guavavalve::internal
--- a/src/decisions/tracerecorder.cpp
+++ b/src/decisions/tracerecorder.cpp
@@ -87,20 +87,20 @@
     this->scheduler.restorePlaced(task, charge, target, now);
 }
 
-void TraceRecorder::taskEnded(TaskId task, TaskEnd end, Instant now)
+void TraceRecorder::taskEnded(TaskId task, AttemptOutcome end, Instant now)
 {
     Json line = event("ended", now);
     line["id"] = idValue(task);
-    line["as"] = enumName(taskEndNames, end);
+    line["as"] = enumName(attemptOutcomeNames, end);
     this->stream << line << '\n';
     this->scheduler.taskEnded(task, end, now);
 }
 
-void TraceRecorder::requeue(TaskId task, TaskEnd end, Instant now)
+void TraceRecorder::requeue(TaskId task, AttemptOutcome end, Instant now)
 {
     Json line = event("requeue", now);
     line["id"] = idValue(task);
-    line["as"] = enumName(taskEndNames, end);
+    line["as"] = enumName(attemptOutcomeNames, end);
     this->stream << line << '\n';
     this->scheduler.requeue(task, end, now);
 }
--- a/src/decisions/tracerecorder.h
+++ b/src/decisions/tracerecorder.h
@@ -26,8 +26,8 @@
     Result<void> submit(const TaskRequest &task, Instant now) override;
     void restorePlaced(const TaskRequest &task, const Resources &charge, TargetId target,
                        Instant now) override;
-    void taskEnded(TaskId task, TaskEnd end, Instant now) override;
-    void requeue(TaskId task, TaskEnd end, Instant now) override;
+    void taskEnded(TaskId task, AttemptOutcome end, Instant now) override;
+    void requeue(TaskId task, AttemptOutcome end, Instant now) override;
     void placementRejected(TaskId task, Instant now) override;
     bool cancel(TaskId task, Instant now) override;
     void usageReported(TaskId task, const Resources &used, Instant at) override;
--- a/test/decisions/failingtest.cpp
+++ b/test/decisions/failingtest.cpp
@@ -20,7 +20,7 @@
         const auto placed = cell.checked.placed;
         for (const auto &[id, place] : placed) {
             ++starts[place.target];
-            cell.end(id, fails(place) ? TaskEnd::Failed : TaskEnd::Succeeded);
+            cell.end(id, fails(place) ? AttemptOutcome::Failed : AttemptOutcome::Succeeded);
         }
     });
     return starts;
--- a/test/decisions/gangtest.cpp
+++ b/test/decisions/gangtest.cpp
@@ -51,7 +51,7 @@
     REQUIRE(cell.checked.placed.size() == 4);
     const TaskId lost = cell.checked.placed.begin()->first;
     cell.checked.targetLost(cell.targetOf(lost), cell.now);
-    cell.checked.requeue(lost, TaskEnd::Lost, cell.now);
+    cell.checked.requeue(lost, AttemptOutcome::Lost, cell.now);
     const auto decisions = cell.run(std::chrono::seconds(1));
     CHECK(countOf(decisions, DecisionKind::Stop) == 3);
     CHECK(cell.checked.placed.empty());
--- a/test/decisions/queuetest.cpp
+++ b/test/decisions/queuetest.cpp
@@ -69,7 +69,7 @@
     CHECK(cell.scheduler.statistics().of(WorkClass::Batch).running == 32);
     const auto placed = cell.checked.placed;
     for (const auto &[task, place] : placed)
-        cell.checked.requeue(task, TaskEnd::Stopped, cell.now);
+        cell.checked.requeue(task, AttemptOutcome::Stopped, cell.now);
     CHECK(cell.scheduler.statistics().placed == Resources());
     CHECK(cell.decide().empty());
 }
@@ -172,7 +172,7 @@
     const TaskId other = cell.submit(1, WorkClass::Batch, 2000);
     CHECK(cell.decide().empty());
     CHECK(cell.reasonOf(other) == Reason::TeamLimit);
-    cell.scheduler.taskEnded(running.id, TaskEnd::Succeeded, cell.now);
+    cell.scheduler.taskEnded(running.id, AttemptOutcome::Succeeded, cell.now);
     CHECK(cell.decide().size() == 1);
 }
 
--- a/test/decisions/smallcell.h
+++ b/test/decisions/smallcell.h
@@ -92,13 +92,13 @@
                 if (this->obeys
                     && (decision.kind == DecisionKind::Checkpoint
                         || decision.kind == DecisionKind::Stop))
-                    this->checked.requeue(decision.task, TaskEnd::Stopped, this->now);
+                    this->checked.requeue(decision.task, AttemptOutcome::Stopped, this->now);
             }
         }
         return all;
     }
 
-    void end(TaskId task, TaskEnd end = TaskEnd::Succeeded)
+    void end(TaskId task, AttemptOutcome end = AttemptOutcome::Succeeded)
     {
         this->checked.taskEnded(task, end, this->now);
     }
