daemon: the configured number of HTTP threads is used

Cause: settings.workerThreads was read and never used; the HTTP library started its default of 40 threads in each instance. Looked at while the closed loop gave 580 to 930 requests a second with the processors mostly idle in our processes.

Ruled out as the cause of that ceiling: the log (18,474 commits/s at 64 waiting in the same minutes), the sync (0.3 ms), the scheduler (first-fit gave the same), Nagle's algorithm (a second client with it off gave the same). What is left: a thread's wait for a processor, 10 times its run time by the kernel's own count, on a machine that was compiling meanwhile. To be measured again on an idle machine.

Change: initializeHttpThreads() at the start, from the setting.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon/daemon.h"
+#include "platform/httpthreads.h"
 #include "platform/logging.h"
 #include "platform/signalwatcher.h"
 #include "settings/daemonsettingstable.h"
@@ -54,6 +55,7 @@
     logOptions.queueLines = static_cast<std::size_t>(settings.logQueueLines);
     const Logging logging(logOptions);
 
+    initializeHttpThreads(static_cast<std::size_t>(settings.workerThreads));
     std::promise<void> asked;
     const SignalWatcher watcher([&asked](int) { asked.set_value(); });
     Daemon daemon(settings, secret);
