core: reading an empty vector copies nothing to a null address

Found by running coretest, settingstest and statetest under the address and undefined behaviour sanitizers: memcpy() of no bytes to a null pointer, when a target's empty list of tasks is restored.

--- a/src/core/memoryarchive.h
+++ b/src/core/memoryarchive.h
@@ -54,6 +54,8 @@
     {
         if (size > this->rest.size())
             throw cereal::Exception("the message ends too early");
+        if (size == 0)
+            return; // an empty vector has no address to copy to
         std::memcpy(data, this->rest.data(), size);
         this->rest.remove_prefix(size);
     }
