--- a/src/tool/configurationcommands.cpp
+++ b/src/tool/configurationcommands.cpp
@@ -1,13 +1,11 @@
 #include "tool/commandgroups.h"
 #include "tool/files.h"
+#include "tool/inforce.h"
 #include "tool/toolcontext.h"
 #include "tool/toolflags.h"
 
 #include <absl/flags/flag.h>
 
-#include <chrono>
-#include <thread>
-
 namespace guavavalve {
 
 namespace {
@@ -108,29 +106,6 @@
     return document.value()["sections"][0]["version"].get<std::int64_t>();
 }
 
-ExitCode waitUntilInForce(const ToolContext &context, std::uint64_t version)
-{
-    constexpr auto pause = std::chrono::milliseconds(100);
-    const auto end = std::chrono::steady_clock::now()
-        + std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms));
-    while (std::chrono::steady_clock::now() < end) {
-        const Result<json> answer = context.ask(getRequest(std::string(base) + "/in-force"));
-        if (!answer)
-            return context.fail(answer.error());
-        const bool newEnough = answer.value()["version"].get<std::uint64_t>() >= version;
-        if (newEnough && answer.value()["everywhere"].get<bool>()) {
-            if (!context.forPrograms())
-                context.print("in force on every instance\n");
-            return ExitCode::Done;
-        }
-        std::this_thread::sleep_for(pause);
-    }
-    Error error = failure(ErrorCode::Unavailable,
-                          "the change is accepted and not yet in force on every instance");
-    error.ran = Ran::Yes;
-    return context.fail(error);
-}
-
 ExitCode set(const ToolContext &context, const std::vector<std::string> &arguments)
 {
     const std::string &section = arguments[0];
@@ -145,15 +120,10 @@
     request.path = std::string(base) + "/sections/" + encodeForQuery(section) + "?baseVersion="
         + std::to_string(replaced.value()) + "&requestId=" + encodeForQuery(requestId());
     request.body = content.value();
-    std::uint64_t version = 0;
-    const ExitCode code = context.show(request, [&](const json &written) {
+    return thenWait(context, context.show(request, [&](const json &written) {
         context.print(section + " is now version " + formatCell(written["version"])
                       + ", document version " + formatCell(written["documentVersion"]) + "\n");
-        version = written["documentVersion"].get<std::uint64_t>();
-    });
-    if (code != ExitCode::Done || !absl::GetFlag(FLAGS_wait))
-        return code;
-    return waitUntilInForce(context, version);
+    }));
 }
 
 ExitCode history(const ToolContext &context, const std::vector<std::string> &arguments)
--- a/src/tool/httpsession.cpp
+++ b/src/tool/httpsession.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <system_error>
+#include <thread>
 #include <utility>
 
 namespace guavavalve {
@@ -92,7 +93,7 @@
     }
 }
 
-Result<ToolAnswer> HttpSession::send(const ToolRequest &request) const
+Result<ToolAnswer> HttpSession::tryEach(const ToolRequest &request) const
 {
     Error last = failure(ErrorCode::InvalidArgument, "no server was given");
     Ran ran = Ran::No;
@@ -104,12 +105,28 @@
         // What one entry may have done stays open, whatever a further one says.
         ran = std::max(ran, last.ran);
         if (!isWorthTryingElsewhere(last))
-            return last;
+            break;
     }
     last.ran = ran;
     return last;
 }
 
+Result<ToolAnswer> HttpSession::send(const ToolRequest &request) const
+{
+    const Instant deadline = monotonicNow() + this->options.timeout;
+    while (true) {
+        Result<ToolAnswer> answer = this->tryEach(request);
+        // Only what was truly not run, and by an entry that says when to come back.
+        if (answer || answer.error().ran != Ran::No || !isWorthTryingElsewhere(answer.error())
+            || answer.error().retryAfter.count() <= 0)
+            return answer;
+        const Milliseconds wait = answer.error().retryAfter;
+        if (monotonicNow() + wait >= deadline)
+            return answer;
+        std::this_thread::sleep_for(wait);
+    }
+}
+
 std::string encodeForQuery(const std::string &text)
 {
     return web::uri::encode_data_string(text);
@@ -127,9 +144,9 @@
     error.code = enumFromName(errorCodeNames, code).value_or(ErrorCode::Internal);
     error.message = body.value("message", code);
     error.ran = enumFromName(ranNames, body.value("ran", "unknown")).value_or(Ran::Unknown);
-    const auto retryAfter = answer.headers.find("retry-after");
-    if (retryAfter != answer.headers.end())
-        error.retryAfter = std::chrono::seconds(std::atoll(retryAfter->second.c_str()));
+    if (const auto retryAfter = body.find("retryAfterMs");
+        retryAfter != body.end() && retryAfter->is_number_integer())
+        error.retryAfter = Milliseconds(retryAfter->get<std::int64_t>());
     return error;
 }
 
