--- a/src/decisions/tracecodec.h
+++ b/src/decisions/tracecodec.h
@@ -26,6 +26,6 @@
 TargetInfo targetFrom(const Json &json);
 TaskRequest taskFrom(const Json &json);
 Instant instantFrom(const Json &json);
-AttemptOutcome taskEndFrom(const Json &json);
+AttemptOutcome outcomeFrom(const Json &json);
 
 } // namespace guavavalve::internal
