--- a/src/replicas/raftcore.cpp
+++ b/src/replicas/raftcore.cpp
@@ -180,6 +180,8 @@
     const LogIndex keep = this->options.keptEntries;
     const LogIndex base = meta.index > keep ? meta.index - keep : 0;
     this->log.compactTo(base);
+    while (this->log.bytes() > this->options.keptBytes && this->log.baseIndex() < meta.index)
+        this->log.compactTo(this->log.baseIndex() + 1);
     while (this->history.size() > 1 && this->history[1].index <= this->log.baseIndex())
         this->history.pop_front();
 }
--- a/src/replicas/raftdriver.cpp
+++ b/src/replicas/raftdriver.cpp
@@ -40,6 +40,7 @@
     core.snapshotPieceBytes = options.snapshotPieceBytes;
     core.maxSnapshotBytes = options.maxSnapshotBytes;
     core.keptEntries = options.keptEntries;
+    core.keptBytes = options.keptBytes;
     core.random = options.random;
     return core;
 }
@@ -238,8 +239,11 @@
             work = std::exchange(this->tasks, {});
             proposed = std::exchange(this->proposals, {});
         }
-        if (this->hasFailed)
+        if (this->hasFailed) {
+            for (const Proposal &proposal : proposed)
+                proposal.done(failure(ErrorCode::Unavailable, "this replica's storage has failed"));
             continue;
+        }
         for (const Task &task : work)
             task();
         // After the messages: a thread that was held up must not take its own delay for silence.
@@ -292,6 +296,9 @@
         this->fail(*output.fault);
         return;
     }
+    // Before anything is sent that could let another lead: a vote, or a successor's call.
+    if (this->core->leaseUntil() == Instant{})
+        this->leaseUntil = 0;
     this->send(output.beforeSync);
     if (output.snapshot) {
         const InstalledSnapshot &snapshot = *output.snapshot;
--- a/test/replicas/raftcoretest.cpp
+++ b/test/replicas/raftcoretest.cpp
@@ -93,6 +93,71 @@
     CHECK(simulation.failure() == RaftSimulation::none);
 }
 
+// A follower restarts within a moment. It has forgotten that it has just promised its leader not
+// to elect another for a while; one that is cut off from the leader asks for its vote at once.
+TEST_CASE("a voter that has just restarted helps no one to depose its leader", "[raft]")
+{
+    for (std::uint64_t seed = 30; seed < 70; ++seed) {
+        CAPTURE(seed);
+        RaftSimulation simulation(seed, 3, 3);
+        begin(simulation);
+        const std::size_t leader = leaderOf(simulation);
+        const std::uint64_t term = simulation.core(leader).term();
+        const std::size_t cut = otherThan(leader);
+        const std::size_t voter = 3 - leader - cut;
+        simulation.cutLink(leader, cut);
+        simulation.run(aWhile);
+        for (int i = 0; i < 5; ++i) {
+            simulation.crash(voter);
+            simulation.restart(voter);
+            simulation.run(Milliseconds(200));
+        }
+        CHECK(simulation.core(leader).term() == term);
+        CHECK(simulation.failure() == RaftSimulation::none);
+    }
+}
+
+// A follower is killed while it writes an entry. Had it acknowledged before the sync, the leader
+// would tell a caller that the command is committed, and the disk would not have it.
+TEST_CASE("an acknowledgement follows its sync", "[raft]")
+{
+    RaftSimulation simulation(14, 3, 3);
+    begin(simulation);
+    const std::size_t leader = leaderOf(simulation);
+    const std::size_t follower = otherThan(leader);
+    const std::size_t commits = simulation.commits();
+    simulation.crash(3 - leader - follower);
+    simulation.dieInNextWrite(follower);
+    REQUIRE(simulation.proposeAtLeader());
+    simulation.run(Milliseconds(200));
+    CHECK_FALSE(simulation.isAlive(follower));
+    CHECK(simulation.commits() == commits);
+    simulation.restart(follower);
+    simulation.run(2 * aWhile);
+    CHECK(simulation.commits() > commits);
+    CHECK(simulation.failure() == RaftSimulation::none);
+}
+
+// Two leaders of different terms each change the members by one; without a committed entry of
+// the later one's own term between them, their quorums need not overlap.
+TEST_CASE("a new leader changes no members before its own first entry is committed", "[raft]")
+{
+    RaftSimulation simulation(15, 4, 3);
+    begin(simulation);
+    const std::size_t old = leaderOf(simulation);
+    simulation.crash(old);
+    std::optional<std::size_t> leader;
+    for (int i = 0; i < 10000 && !leader; ++i) {
+        simulation.run(Milliseconds(1));
+        leader = simulation.leader();
+    }
+    REQUIRE(leader);
+    REQUIRE(simulation.core(*leader).committed() < simulation.core(*leader).firstOfTerm());
+    CHECK_FALSE(simulation.addMember(3));
+    simulation.run(aWhile);
+    CHECK(simulation.addMember(3));
+}
+
 // A controller is cut off for long while the others go on under a new leader. When it is back it
 // must follow, and what it had not committed must give way.
 TEST_CASE("a leader that returns after a long time follows the new one", "[raft]")
--- a/test/replicas/raftnodefailuretest.cpp
+++ b/test/replicas/raftnodefailuretest.cpp
@@ -86,8 +86,13 @@
     });
     CHECK(waitFor([&] { return stops == 1; }));
     CHECK_FALSE(node.holdsLeaderLease());
+    node.propose("later", [&](const Result<std::string> &outcome) {
+        acknowledged += outcome ? 1 : 0;
+        ++ended;
+    });
+    CHECK(waitFor([&] { return ended == 1; }));
     node.stop();
-    CHECK(ended == 1);
+    CHECK(ended == 2);
     CHECK(acknowledged == 0);
     CHECK(machine.commands().empty());
     messenger.stop();
--- a/test/replicas/raftsimulation.h
+++ b/test/replicas/raftsimulation.h
@@ -47,6 +47,8 @@
     void crash(std::size_t node);
     void restart(std::size_t node);
     void loseDisk(std::size_t node);
+    /// The replica is killed in its next write, before the sync.
+    void dieInNextWrite(std::size_t node) { this->nodes[node].folder->stepsLeft = 1; }
     bool proposeAtLeader();
     std::optional<std::size_t> leader() const;
     RaftCore &core(std::size_t node) { return *this->nodes[node].core; }
