--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -181,25 +181,15 @@
         keyCheck, options);
 }
 
-Result<OperatorIdentity> Daemon::identify(const std::string &token) const
-{
-    const bool clusterSecretShown =
-        token.rfind(std::string(OperatorService::clusterKeyId) + ':', 0) == 0;
-    if (!clusterSecretShown && !this->follower->holdsLease())
-        return ConfigurationFollower::noLease();
-    return identifyOperator(token, this->clusterSecret, [this](const std::string &keyId) {
-        return this->follower->read([&](const ConfigurationView &view) {
-            const KeyRecord *key = view.key(keyId);
-            return key == nullptr ? std::nullopt : std::optional(*key);
-        });
-    });
-}
-
 OperatorRoutesOptions Daemon::operatorRoutes()
 {
     OperatorRoutesOptions options;
     options.client = &this->controller;
-    options.identify = [this](const std::string &token) { return this->identify(token); };
+    options.identify = [this](const std::string &token) {
+        return identifyOperator(token, this->clusterSecret, [this](const std::string &shown) {
+            return this->follower->identify(shown);
+        });
+    };
     options.form = [this](const FormGroupRequest &request, Instant,
                           const Done<ReplicaStatus> &done) {
         if (!this->replica) {
