Replicas: tests of commitment, votes across a restart and identity

Written because taking out their guards was not noticed: an entry of an earlier term commits only beneath one of the leader's own (raftleader.cpp, advanceCommit); a message for a lost replica is not taken by the one that came in its place (raftcore.cpp, isAddressedHere); a leader's own copy counts once synced.

--- a/bench/replicas/main.cpp
+++ b/bench/replicas/main.cpp
@@ -155,6 +155,7 @@
             return static_cast<double>(instance.messenger->counters().bytesSent);
         };
         std::vector<double> before;
+        before.reserve(names.size());
         for (const std::string &name : names)
             before.push_back(sent(group.at(name)));
         const double processor = processorSeconds();
--- /dev/null
+++ b/test/replicas/raftcommittest.cpp
@@ -0,0 +1,133 @@
+#include <catch2/catch.hpp>
+
+#include "core/codec.h"
+#include "replicas/raftcore.h"
+
+using namespace guavavalve;
+
+namespace {
+
+constexpr std::uint64_t formation = 5;
+
+ReplicaId replica(std::uint64_t number)
+{
+    return static_cast<ReplicaId>(number);
+}
+
+MemberList threeMembers()
+{
+    MemberList list;
+    list.formation = formation;
+    for (std::uint64_t number = 1; number <= 3; ++number)
+        list.members.push_back({std::to_string(number), replica(number), "address", true});
+    return list;
+}
+
+/// Replica 1, back with an entry of term 2 that was never committed, and now in term 3.
+RaftCore withOldEntry()
+{
+    RecoveredState state;
+    state.replica = replica(1);
+    state.hardState = {3, ReplicaId::None, formation};
+    state.entries.push_back({1, 1, EntryKind::Members, encode(threeMembers())});
+    state.entries.push_back({2, 2, EntryKind::Command, "old"});
+    RaftCoreOptions options;
+    options.instance = "1";
+    options.random = [] { return std::uint64_t{0}; };
+    return RaftCore(std::move(options), state, Instant{});
+}
+
+void answer(RaftCore &core, std::uint64_t term, RaftBody body, Instant now)
+{
+    RaftMessage message;
+    message.formation = formation;
+    message.from = replica(2);
+    message.to = replica(1);
+    message.term = term;
+    message.body = std::move(body);
+    core.receive(std::move(message), 0, now);
+    core.takeOutput();
+    core.persisted();
+}
+
+} // namespace
+
+// An entry of an earlier term is on a majority, but another replica with a later entry could
+// still be elected and replace it (the 2014 paper, figure 8). Were it told as committed, an
+// acknowledged command could vanish.
+TEST_CASE("an entry of an earlier term commits only beneath one of the leader's own", "[raft]")
+{
+    RaftCore core = withOldEntry();
+    const Instant now{Milliseconds(400)};
+    core.tick(now);
+    core.takeOutput();
+    core.persisted();
+    answer(core, 3, VoteReply{true, true, 4}, now);
+    answer(core, 4, VoteReply{false, true, 4}, now);
+    REQUIRE(core.role() == ReplicaRole::Leader);
+    REQUIRE(core.firstOfTerm() == 3);
+
+    AppendReply matched;
+    matched.accepted = true;
+    matched.matchIndex = 2;
+    answer(core, 4, matched, now);
+    CHECK(core.committed() == 0);
+    matched.matchIndex = 3;
+    answer(core, 4, matched, now);
+    CHECK(core.committed() == 3);
+}
+
+// A replica restarts in the middle of an election and is asked for its vote again. It must
+// remember whom it has voted for, or two could lead in one term.
+TEST_CASE("a replica votes once in a term also across a restart", "[raft]")
+{
+    RecoveredState state;
+    state.replica = replica(1);
+    state.hardState = {7, replica(2), formation};
+    state.entries.push_back({1, 1, EntryKind::Members, encode(threeMembers())});
+    RaftCoreOptions options;
+    options.random = [] { return std::uint64_t{0}; };
+    RaftCore core(std::move(options), state, Instant{});
+    const auto asks = [&](std::uint64_t from) {
+        RaftMessage message;
+        message.formation = formation;
+        message.from = replica(from);
+        message.to = replica(1);
+        message.term = 7;
+        message.body = VoteRequest{false, false, 7, 1, 1};
+        core.receive(std::move(message), 1, Instant{Milliseconds(5000)});
+        return std::get<VoteReply>(core.takeOutput().afterSync.at(0).message.body).granted;
+    };
+    CHECK_FALSE(asks(3));
+    CHECK(asks(2));
+}
+
+// A leader's own disk is slow: its entry counts for the quorum only once it is synced there.
+TEST_CASE("a leader's own copy counts only once it is synced", "[raft]")
+{
+    RaftCore core = withOldEntry();
+    const Instant now{Milliseconds(400)};
+    core.tick(now);
+    core.takeOutput();
+    core.persisted();
+    answer(core, 3, VoteReply{true, true, 4}, now);
+    answer(core, 4, VoteReply{false, true, 4}, now);
+    AppendReply matched;
+    matched.accepted = true;
+    matched.matchIndex = 3;
+    answer(core, 4, matched, now);
+    REQUIRE(core.committed() == 3);
+    REQUIRE(core.propose("new"));
+    core.takeOutput(); // sent, and not yet synced here
+    RaftMessage message;
+    message.formation = formation;
+    message.from = replica(2);
+    message.to = replica(1);
+    message.term = 4;
+    matched.matchIndex = 4;
+    message.body = matched;
+    core.receive(std::move(message), 0, now);
+    CHECK(core.committed() == 3);
+    core.persisted();
+    CHECK(core.committed() == 4);
+}
--- a/test/replicas/raftcoretest.cpp
+++ b/test/replicas/raftcoretest.cpp
@@ -221,6 +221,20 @@
     CHECK(members.isVoter(after));
     CHECK(members.voters() == 3);
     CHECK(simulation.state(lost) == simulation.state(leaderOf(simulation)));
+
+    // What was meant for the lost replica is not taken for this one's.
+    RaftCore &core = simulation.core(lost);
+    const std::uint64_t term = core.term();
+    RaftMessage request;
+    request.formation = core.formation();
+    request.to = before;
+    request.term = term + 1;
+    request.body = VoteRequest{false, true, term + 1, 1000, term + 1};
+    core.receive(request, 1, Instant{});
+    const auto output = core.takeOutput();
+    REQUIRE(output.afterSync.size() == 1);
+    CHECK(std::holds_alternative<IdentityReply>(output.afterSync[0].message.body));
+    CHECK(core.term() == term);
 }
 
 // An instance fails and is repaired; straight after, a second one is lost for good. The repaired
@@ -335,7 +349,7 @@
         return std::get<SnapshotReply>(output.afterSync[0].message.body).nextOffset;
     };
     CHECK(offsetAfter(0, "abc") == 3);
-    CHECK(offsetAfter(0, "abc") == 3); // a leader that begins again is told where to go on
+    CHECK(offsetAfter(0, "ab") == 3); // a leader that begins again is told where to go on
     CHECK(offsetAfter(5, "f") == 3);
     message.from = static_cast<ReplicaId>(2); // another leader with the same bytes
     message.term = 4;
