Replicas: a removed voter stands also when it has forgotten what is committed

The earlier mend asked whether the removal is committed, which a replica does not know straight after a restart: it then compared with an empty list and did not stand. It now looks at the list before the last one.

--- a/src/replicas/raftcore.cpp
+++ b/src/replicas/raftcore.cpp
@@ -75,9 +75,7 @@
     }
     if (this->now < this->electionAt)
         return;
-    // A voter whose removal is not committed yet may still be needed: if it has the longest log,
-    // nobody else can win (thesis, 4.2.2). It does not count its own vote then.
-    if (this->members().isVoter(this->own) || this->committedMembers().isVoter(this->own))
+    if (this->mayStand())
         this->startPreVote();
     else
         this->electionAt = this->afterElectionTimeout();
--- a/src/replicas/raftcore.h
+++ b/src/replicas/raftcore.h
@@ -113,6 +113,7 @@
     void fromLeader(const RaftMessage &message, std::uint64_t token);
 
     // raftelection.cpp
+    bool mayStand() const;
     void startPreVote();
     void startElection(bool transfer);
     void becomeLeader();
--- a/src/replicas/raftelection.cpp
+++ b/src/replicas/raftelection.cpp
@@ -16,6 +16,17 @@
 
 } // namespace
 
+/// A voter whose removal is not known to be committed may still be needed: if it has the longest
+/// log, nobody else can win (thesis, 4.2.2). It does not count its own vote then.
+bool RaftCore::mayStand() const
+{
+    if (this->members().isVoter(this->own))
+        return true;
+    const std::size_t lists = this->history.size();
+    return lists > 1 && this->history.back().index > this->commit
+        && this->history[lists - 2].list.isVoter(this->own);
+}
+
 /// Asks first whether an election could be won, without touching any term (thesis, 9.6).
 ///
 /// Guards against a replica that was cut off for long: its term would have grown with every
--- a/test/replicas/raftcommittest.cpp
+++ b/test/replicas/raftcommittest.cpp
@@ -37,11 +37,11 @@
     return RaftCore(std::move(options), state, Instant{});
 }
 
-void answer(RaftCore &core, std::uint64_t term, RaftBody body, Instant now)
+void answer(RaftCore &core, std::uint64_t term, RaftBody body, Instant now, std::uint64_t from = 2)
 {
     RaftMessage message;
     message.formation = formation;
-    message.from = replica(2);
+    message.from = replica(from);
     message.to = replica(1);
     message.term = term;
     message.body = std::move(body);
@@ -131,3 +131,31 @@
     core.persisted();
     CHECK(core.committed() == 4);
 }
+
+// A leader appends its own removal and is killed before the others have it; one of them is lost
+// as well. It has the longest log, so nobody else can win: it must stand once more, without
+// counting its own vote, or the group stands still for ever.
+TEST_CASE("a voter whose removal is not committed stands and does not count itself", "[raft]")
+{
+    RecoveredState state;
+    state.replica = replica(1);
+    state.hardState = {3, ReplicaId::None, formation};
+    MemberList without = threeMembers();
+    without.members.erase(without.members.begin());
+    state.entries.push_back({1, 1, EntryKind::Members, encode(threeMembers())});
+    state.entries.push_back({2, 2, EntryKind::Members, encode(without)});
+    RaftCoreOptions options;
+    options.random = [] { return std::uint64_t{0}; };
+    RaftCore core(std::move(options), state, Instant{});
+    const Instant now{Milliseconds(400)};
+    core.tick(now);
+    CHECK(core.takeOutput().afterSync.size() == 2);
+    answer(core, 3, VoteReply{true, true, 4}, now, 2);
+    CHECK(core.term() == 3);
+    answer(core, 3, VoteReply{true, true, 4}, now, 3);
+    CHECK(core.term() == 4);
+    answer(core, 4, VoteReply{false, true, 4}, now, 2);
+    CHECK(core.role() != ReplicaRole::Leader);
+    answer(core, 4, VoteReply{false, true, 4}, now, 3);
+    CHECK(core.role() == ReplicaRole::Leader);
+}
