--- a/src/replicas/raftdriver.cpp
+++ b/src/replicas/raftdriver.cpp
@@ -1,23 +1,19 @@
 #include "replicas/raftdriver.h"
 
 #include "core/codec.h"
-#include "journal/checksum.h"
 
-#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
 #include <utility>
 
+// Starting, stopping, and what other threads bring in.
+
 namespace guavavalve::internal {
 
 namespace {
 
 constexpr std::size_t maxQueuedTasks = 65536;
-constexpr std::size_t maxApplyBytes = 16U << 20U;
-constexpr std::size_t applyBatchBytes = 1U << 20U;
-/// Snapshots wait while one is being sent, but not until the log is this much too long.
-constexpr std::size_t snapshotPatience = 4;
 
 std::function<std::uint64_t()> secureRandom()
 {
@@ -51,26 +47,6 @@
     std::abort();
 }
 
-Method methodOf(const RaftMessage &message)
-{
-    if (const auto *vote = std::get_if<VoteRequest>(&message.body))
-        return vote->preVote ? Method::PreVote : Method::Vote;
-    if (std::holds_alternative<SnapshotRequest>(message.body))
-        return Method::InstallSnapshot;
-    if (std::holds_alternative<TimeoutNow>(message.body))
-        return Method::TimeoutNow;
-    return Method::AppendEntries;
-}
-
-Error leadershipLost()
-{
-    Error error = failure(ErrorCode::Unavailable,
-                          "leadership was lost while the command was under way; it may yet be "
-                          "committed");
-    error.ran = Ran::Unknown;
-    return error;
-}
-
 } // namespace
 
 RaftDriver::RaftDriver(RaftOptions settings, std::unique_ptr<Storage> store,
@@ -272,263 +248,6 @@
     }
 }
 
-void RaftDriver::pump()
-{
-    RaftOutput output = this->core->takeOutput();
-    while (!output.isEmpty() && !this->hasFailed) {
-        this->carryOut(std::move(output));
-        output = this->core->takeOutput();
-    }
-    if (this->hasFailed)
-        return;
-    this->answerLeftovers();
-    this->handOutCommitted();
-    this->watchLeadership();
-    this->considerSnapshot();
-    this->settleMembers();
-    this->replaceGoneVoter();
-    this->publish();
-}
-
-void RaftDriver::carryOut(RaftOutput output)
-{
-    if (output.fault) {
-        this->fail(*output.fault);
-        return;
-    }
-    // Before anything is sent that could let another lead: a vote, or a successor's call.
-    if (this->core->leaseUntil() == Instant{})
-        this->leaseUntil = 0;
-    this->send(output.beforeSync);
-    if (output.snapshot) {
-        const InstalledSnapshot &snapshot = *output.snapshot;
-        if (auto saved = this->storage->saveSnapshot(snapshot.meta, snapshot.state); !saved) {
-            this->fail(saved.error());
-            return;
-        }
-    }
-    if (!output.batch.isEmpty()) {
-        for (const LogEntry &entry : output.batch.entries)
-            this->bytesSinceSnapshot += entryBytes(entry);
-        if (auto written = this->storage->write(output.batch); !written) {
-            this->fail(written.error());
-            return;
-        }
-    }
-    if (output.snapshot) {
-        this->bytesSinceSnapshot = 0;
-        const LogIndex index = output.snapshot->meta.index;
-        this->applier.push(std::move(*output.snapshot));
-        if (auto released = this->storage->release(index); !released) {
-            this->fail(released.error());
-            return;
-        }
-    }
-    this->core->persisted();
-    this->send(output.afterSync);
-}
-
-void RaftDriver::send(std::vector<OutgoingMessage> &messages)
-{
-    for (OutgoingMessage &outgoing : messages) {
-        if (outgoing.replyTo == 0) {
-            this->sendRequest(std::move(outgoing));
-            continue;
-        }
-        const auto reply = this->replies.find(outgoing.replyTo);
-        if (reply == this->replies.end())
-            continue;
-        reply->second(encode(outgoing.message));
-        this->replies.erase(reply);
-    }
-}
-
-void RaftDriver::sendRequest(OutgoingMessage outgoing)
-{
-    const ReplicaId to = outgoing.message.to;
-    if (auto *piece = std::get_if<SnapshotRequest>(&outgoing.message.body)) {
-        auto bytes =
-            this->storage->readSnapshot(piece->meta.index, piece->offset, outgoing.pieceBytes);
-        if (!bytes) {
-            this->core->unreachable(to, this->options.clock());
-            return;
-        }
-        piece->piece = std::move(bytes).value();
-    }
-    const bool isFlowControlled = std::holds_alternative<AppendRequest>(outgoing.message.body)
-        || std::holds_alternative<SnapshotRequest>(outgoing.message.body);
-    const Instant deadline =
-        this->options.clock() + (isFlowControlled ? 4 : 1) * this->options.electionMax;
-    this->router.messenger().call(
-        outgoing.address, methodOf(outgoing.message), encode(outgoing.message), deadline,
-        [weak = this->weak_from_this(), to, isFlowControlled](Result<std::string> reply) {
-            if (const auto self = weak.lock())
-                self->onReply(to, isFlowControlled, std::move(reply));
-        });
-}
-
-void RaftDriver::onReply(ReplicaId to, bool isFlowControlled, Result<std::string> reply)
-{
-    if (!reply) {
-        if (isFlowControlled)
-            this->post([this, to] { this->core->unreachable(to, this->options.clock()); });
-        return;
-    }
-    auto message = decode<RaftMessage>(reply.value());
-    if (!message)
-        return;
-    this->post([this, message = std::move(message).value()]() mutable {
-        this->core->receive(std::move(message), 0, this->options.clock());
-    });
-}
-
-/// A request that the core dropped gets an answer too, so that the sender need not wait.
-void RaftDriver::answerLeftovers()
-{
-    for (auto &[token, reply] : this->replies)
-        reply(failure(ErrorCode::Unavailable, "the replica could not use the message"));
-    this->replies.clear();
-}
-
-void RaftDriver::handOutCommitted()
-{
-    while (this->applier.queuedBytes() < maxApplyBytes) {
-        Applier::Batch batch;
-        batch.entries = this->core->takeCommitted(applyBatchBytes);
-        if (batch.entries.empty())
-            return;
-        for (const LogEntry &entry : batch.entries) {
-            const auto waiter = this->waiting.find(entry.index);
-            if (waiter == this->waiting.end() || waiter->second.term != entry.term)
-                continue;
-            batch.waiting.emplace(entry.index, std::move(waiter->second.done));
-            this->waiting.erase(waiter);
-        }
-        this->applier.push(std::move(batch));
-    }
-}
-
-/// After handOutCommitted(): what was committed while this replica led is told as committed.
-void RaftDriver::watchLeadership()
-{
-    const bool leads = this->core->role() == ReplicaRole::Leader;
-    const std::uint64_t term = leads ? this->core->term() : 0;
-    if (term != this->ledTerm) {
-        if (this->ledTerm != 0) {
-            this->leaseUntil = 0;
-            this->failWaiting(leadershipLost());
-            for (const Done<Nothing> &done : std::exchange(this->transferring, {}))
-                done(Nothing{});
-        }
-        this->ledTerm = term;
-        if (this->announcedTerm != 0)
-            this->applier.push(Applier::Leadership{false, std::exchange(this->announcedTerm, 0)});
-    }
-    const bool isCurrent =
-        this->ledTerm != 0 && this->core->handedOut() >= this->core->firstOfTerm();
-    if (isCurrent && this->announcedTerm == 0) {
-        this->announcedTerm = this->ledTerm;
-        this->applier.push(Applier::Leadership{true, this->ledTerm});
-    }
-}
-
-void RaftDriver::publish()
-{
-    ReplicaStatus status;
-    status.role = this->core->role();
-    status.formed = this->core->isFormed();
-    status.term = this->core->term();
-    status.committed = this->core->committed();
-    status.applied = this->applier.applied();
-    for (const MemberRecord &record : this->core->members().members) {
-        ReplicaMember member{record.instance, record.address, record.voter, 0};
-        const auto peer = this->core->followers().find(record.replica);
-        if (peer != this->core->followers().end())
-            member.matchIndex = peer->second.match;
-        if (record.replica == this->core->self())
-            member.matchIndex = this->core->entries().lastIndex();
-        if (record.replica == this->core->leader()) {
-            status.leader = record.instance;
-            status.leaderAddress = record.address;
-        }
-        status.members.push_back(std::move(member));
-    }
-    // Reads under the lease are current only once this term's first entry has been applied.
-    const bool isCurrent =
-        this->ledTerm != 0 && this->applier.applied() >= this->core->firstOfTerm();
-    this->leaseUntil = isCurrent ? this->core->leaseUntil().time_since_epoch().count() : 0;
-    const std::lock_guard lock(this->mutex);
-    this->published = std::move(status);
-}
-
-ReplicaStatus RaftDriver::status() const
-{
-    const std::lock_guard lock(this->mutex);
-    ReplicaStatus status = this->published;
-    status.applied = std::max(status.applied, this->applier.applied());
-    return status;
-}
-
-/// Guards against a process that was frozen and wakes as a leader of the past: the clock is read
-/// after the freeze, and the lease was counted from before it.
-bool RaftDriver::holdsLeaderLease() const
-{
-    const std::int64_t until = this->leaseUntil.load();
-    return this->options.clock().time_since_epoch().count() < until;
-}
-
-void RaftDriver::considerSnapshot()
-{
-    const LogIndex base = this->core->entries().baseIndex();
-    const std::size_t entries = this->applier.applied() > base ? this->applier.applied() - base : 0;
-    const std::size_t limit = this->options.snapshotAfterEntries + this->options.keptEntries;
-    const bool isLong =
-        entries >= limit || this->bytesSinceSnapshot >= this->options.snapshotAfterBytes;
-    const bool isVeryLong = entries >= snapshotPatience * limit
-        || this->bytesSinceSnapshot >= snapshotPatience * this->options.snapshotAfterBytes;
-    if (this->takesSnapshot || !isLong || entries == 0)
-        return;
-    if (this->core->isSendingSnapshot() && !isVeryLong)
-        return;
-    this->takesSnapshot = true;
-    this->bytesSinceSnapshot = 0;
-    // The applier will have applied exactly what has been handed out by now.
-    SnapshotMeta meta;
-    meta.index = this->core->handedOut();
-    meta.term = this->core->entries().termAt(meta.index).value_or(0);
-    meta.members = encode(this->core->membersAt(meta.index));
-    this->applier.push(Applier::TakeSnapshot{
-        [this, meta](const std::string &state) { this->saveSnapshot(meta, state); }});
-}
-
-/// Runs on the applier's thread: writing a large snapshot must not hold up heartbeats.
-void RaftDriver::saveSnapshot(SnapshotMeta meta, const std::string &state)
-{
-    meta.size = state.size();
-    meta.checksum = checksumOf(state);
-    const auto saved = this->storage->saveSnapshot(meta, state);
-    this->post(
-        [this, meta, saved] {
-            this->takesSnapshot = false;
-            if (!saved) {
-                this->fail(saved.error());
-                return;
-            }
-            this->core->compact(meta);
-            if (auto released = this->storage->release(meta.index); !released)
-                this->fail(released.error());
-        },
-        Urgency::Kept);
-}
-
-void RaftDriver::failWaiting(const Error &error)
-{
-    for (auto &[index, waiter] : std::exchange(this->waiting, {}))
-        waiter.done(error);
-    for (Joining &joiner : std::exchange(this->joining, {}))
-        joiner.done(error);
-}
-
 /// Guards against answering for what is not on the disk: after a failed write or sync nothing
 /// more is sent or acknowledged, and the process is told to stop.
 void RaftDriver::fail(const Error &error)
--- a/src/replicas/raftdriver.h
+++ b/src/replicas/raftdriver.h
@@ -71,7 +71,7 @@
     void receive(const std::string &bytes, Done<std::string> reply);
     void onReply(ReplicaId to, bool isFlowControlled, Result<std::string> reply);
 
-    // The log's thread: raftdriver.cpp
+    // The log's thread: raftdriver.cpp, raftdriversend.cpp, raftdriverstate.cpp
     void run();
     void takeProposals(std::vector<Proposal> proposals);
     void pump();
@@ -84,6 +84,7 @@
     void publish();
     void considerSnapshot();
     void saveSnapshot(SnapshotMeta meta, const std::string &state);
+    static Error leadershipLost();
     void failWaiting(const Error &error);
     void fail(const Error &error);
 
