--- a/src/replicas/raftcore.cpp
+++ b/src/replicas/raftcore.cpp
@@ -75,9 +75,7 @@
     }
     if (this->now < this->electionAt)
         return;
-    // A voter whose removal is not committed yet may still be needed: if it has the longest log,
-    // nobody else can win (thesis, 4.2.2). It does not count its own vote then.
-    if (this->members().isVoter(this->own) || this->committedMembers().isVoter(this->own))
+    if (this->mayStand())
         this->startPreVote();
     else
         this->electionAt = this->afterElectionTimeout();
@@ -180,6 +178,8 @@
     const LogIndex keep = this->options.keptEntries;
     const LogIndex base = meta.index > keep ? meta.index - keep : 0;
     this->log.compactTo(base);
+    while (this->log.bytes() > this->options.keptBytes && this->log.baseIndex() < meta.index)
+        this->log.compactTo(this->log.baseIndex() + 1);
     while (this->history.size() > 1 && this->history[1].index <= this->log.baseIndex())
         this->history.pop_front();
 }
