Demo: ports below those that systems give to clients

Seen: one run of five failed with "Address already in use": a client's connection had taken the port between its choice and the listener's start.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,7 +40,7 @@
 }
 
 # Prints a port on which nobody listens, and which was not printed before.
-port=$((20000 + RANDOM % 20000))
+port=$((10000 + RANDOM % 20000)) # below those that systems give to clients
 free_port() {
     port=$((port + 1))
     while (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; do port=$((port + 1)); done
