--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -13,6 +13,8 @@
     echo "== $name"
     "$program" "${options[@]}" || failed=1
 done
+echo "== cell"
+bash scripts/benchcell.sh "$build" || failed=1
 echo "== path"
 bash scripts/benchpath.sh "$build" || failed=1
 exit "$failed"
