tool: a whole document is checked, previewed and applied

Cause: tried as a new user with examples/: one document holds every section, and the tool wanted a file for each.

--- a/src/tool/configurationcommands.cpp
+++ b/src/tool/configurationcommands.cpp
@@ -1,6 +1,6 @@
 #include "tool/commandgroups.h"
-#include "tool/files.h"
 #include "tool/inforce.h"
+#include "tool/sectionfiles.h"
 #include "tool/toolcontext.h"
 #include "tool/toolflags.h"
 
@@ -36,21 +36,13 @@
                         [&](const json &document) { printSections(context, document); });
 }
 
-/// Pairs of SECTION FILE, or one folder or document of sections.
-Result<json> readDrafts(const std::vector<std::string> &arguments)
-{
-    json drafts = json::array();
-    for (std::size_t i = 0; i + 1 < arguments.size(); i += 2) {
-        BOOST_OUTCOME_TRY(content, readFile(arguments[i + 1]));
-        drafts.push_back({{"name", arguments[i]}, {"content", content}});
-    }
-    return drafts;
-}
-
 Result<json> checkDrafts(const ToolContext &context, const std::vector<std::string> &arguments)
 {
     BOOST_OUTCOME_TRY(drafts, readDrafts(arguments));
-    return context.ask(jsonRequest("POST", std::string(base) + "/check", {{"drafts", drafts}}));
+    json list = json::array();
+    for (const SectionFile &draft : drafts)
+        list.push_back({{"name", draft.name}, {"content", draft.content}});
+    return context.ask(jsonRequest("POST", std::string(base) + "/check", {{"drafts", list}}));
 }
 
 void printCheck(const ToolContext &context, const json &check, bool withDifferences)
@@ -67,8 +59,8 @@
 ExitCode checkOrPreview(const ToolContext &context, const std::vector<std::string> &arguments,
                         bool withDifferences)
 {
-    if (arguments.size() % 2 != 0)
-        return context.usage("give pairs of SECTION FILE");
+    if (arguments.size() > 1 && arguments.size() % 2 != 0)
+        return context.usage("give one DOCUMENT, or pairs of SECTION FILE");
     const Result<json> check = checkDrafts(context, arguments);
     if (!check)
         return context.fail(check.error());
@@ -106,24 +98,69 @@
     return document.value()["sections"][0]["version"].get<std::int64_t>();
 }
 
-ExitCode set(const ToolContext &context, const std::vector<std::string> &arguments)
+/// Writes one section. \a identity is the request's.
+Result<json> writeSection(const ToolContext &context, const SectionFile &draft,
+                          const std::string &identity)
 {
-    const std::string &section = arguments[0];
-    const Result<std::string> content = readFile(arguments[1]);
-    if (!content)
-        return context.fail(content.error());
-    const Result<std::int64_t> replaced = baseVersion(context, section);
-    if (!replaced)
-        return context.fail(replaced.error());
+    BOOST_OUTCOME_TRY(replaced, baseVersion(context, draft.name));
     ToolRequest request;
     request.method = "PUT";
-    request.path = std::string(base) + "/sections/" + encodeForQuery(section) + "?baseVersion="
-        + std::to_string(replaced.value()) + "&requestId=" + encodeForQuery(requestId());
-    request.body = content.value();
-    return thenWait(context, context.show(request, [&](const json &written) {
+    request.path = std::string(base) + "/sections/" + encodeForQuery(draft.name)
+        + "?baseVersion=" + std::to_string(replaced) + "&requestId=" + encodeForQuery(identity);
+    request.body = draft.content;
+    return context.ask(request);
+}
+
+void printWritten(const ToolContext &context, const std::string &section, const json &written)
+{
+    if (context.forPrograms())
+        context.print(written.dump() + "\n");
+    else
         context.print(section + " is now version " + formatCell(written["version"])
                       + ", document version " + formatCell(written["documentVersion"]) + "\n");
-    }));
+}
+
+ExitCode set(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    const Result<std::vector<SectionFile>> drafts = readDrafts(arguments);
+    if (!drafts)
+        return context.fail(drafts.error());
+    const SectionFile &draft = drafts.value().front();
+    const Result<json> written = writeSection(context, draft, requestId());
+    if (!written)
+        return context.fail(written.error());
+    printWritten(context, draft.name, written.value());
+    return thenWait(context, ExitCode::Done);
+}
+
+/// Whether \a draft says what is in force already.
+Result<bool> isInForce(const ToolContext &context, const SectionFile &draft)
+{
+    const json question{{"drafts", {{{"name", draft.name}, {"content", draft.content}}}}};
+    BOOST_OUTCOME_TRY(check,
+                      context.ask(jsonRequest("POST", std::string(base) + "/check", question)));
+    return check["acceptable"].get<bool>() && check["differences"].empty();
+}
+
+ExitCode apply(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    const Result<std::vector<SectionFile>> drafts = readDrafts(arguments);
+    if (!drafts)
+        return context.fail(drafts.error());
+    for (const SectionFile &draft : drafts.value()) {
+        const Result<bool> same = isInForce(context, draft);
+        if (!same)
+            return context.fail(same.error());
+        if (same.value())
+            continue;
+        const Result<json> written = writeSection(context, draft, requestId() + "/" + draft.name);
+        if (!written) {
+            context.note("stopped at section " + draft.name + "; those before it are written");
+            return context.fail(written.error());
+        }
+        printWritten(context, draft.name, written.value());
+    }
+    return thenWait(context, ExitCode::Done);
 }
 
 ExitCode history(const ToolContext &context, const std::vector<std::string> &arguments)
@@ -154,15 +191,15 @@
     return {
         {"config show", "[SECTION]", 0, 1, "Shows the document, or one section of it.", {}, show},
         {"config check",
-         "SECTION FILE [SECTION FILE ...]",
-         2,
+         "DOCUMENT | SECTION FILE [...]",
+         1,
          many,
          "Checks drafts together with the rest of the document. Changes nothing.",
          {},
          check},
         {"config preview",
-         "SECTION FILE [SECTION FILE ...]",
-         2,
+         "DOCUMENT | SECTION FILE [...]",
+         1,
          many,
          "Shows each field that the drafts would change. Changes nothing.",
          {},
@@ -174,6 +211,13 @@
          "Replaces a section; refused if somebody changed it meanwhile.",
          {"base_version", "request_id", "wait"},
          set},
+        {"config apply",
+         "DOCUMENT",
+         1,
+         1,
+         "Writes each section of a document that differs, one after the other.",
+         {"request_id", "wait"},
+         apply},
         {"config history", "SECTION", 1, 1, "Lists the versions that are kept.", {}, history},
         {"config in-force",
          "",
--- a/test/tool/tooltest.cpp
+++ b/test/tool/tooltest.cpp
@@ -178,3 +178,25 @@
     CHECK(runAt(bench, bench.operatorToken, {"replicas", "status"}).code == 0);
     CHECK(runAt(bench, bench.operatorToken, {"config", "in-force"}).code == 0);
 }
+
+// A new user has one file with the whole document, as in examples/, and applies it twice: once,
+// and again after a lost connection. The second time there is nothing left to write.
+TEST_CASE("A whole document is applied section by section and applying it again changes nothing")
+{
+    OperatorBench bench;
+    bench.makeOperator();
+    const TemporaryFile document(
+        R"({"team.mill":{"share":300},"cell":{"totalShares":500},"team.tours":{"share":100}})");
+    CHECK(runAt(bench, bench.operatorToken, {"config", "check", document.path}).code == 0);
+    const Outcome first = runAt(bench, bench.operatorToken, {"config", "apply", document.path});
+    CHECK(first.code == 0);
+    CHECK(first.out.find("cell is now") < first.out.find("team.mill is now"));
+    const Outcome again = runAt(bench, bench.operatorToken, {"config", "apply", document.path});
+    CHECK(again.code == 0);
+    CHECK(again.out.empty());
+
+    const TemporaryFile doubled(R"({"team.mill":{"share":1,"share":2}})");
+    const Outcome refused = runAt(bench, bench.operatorToken, {"config", "apply", doubled.path});
+    CHECK(refused.code == 3);
+    CHECK(contains(refused.err, "share"));
+}
