decisions: shards, each under its own lock, with budgets of the teams' limits

The property test over three shards found a breach: while a limit is lowered below what runs, a shard whose task had ended used its part again although another shard still held more than its own. A team that holds more than its whole limit is now frozen in all shards until it does not.

--- a/bench/decisions/trial.h
+++ b/bench/decisions/trial.h
@@ -32,8 +32,8 @@
     std::uint64_t placed = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0; ///< attempts that ended on a failing target
-    double schedulerSeconds = 0.0; ///< real time in all calls of the scheduler
-    std::vector<double> decideMs; ///< real time of each decide() that had something to do
+    double schedulerSeconds = 0.0; ///< processor time in all calls of the scheduler
+    std::vector<double> decideMs; ///< processor time of each decide() that had something to do
     std::vector<double> promptWaitMs; ///< the scheduler's time from submission to placement
     double packing = 0.0; ///< mean part in real use of the busiest resource, while work waits
     double shareError = 0.0; ///< mean over teams and time of |share - due| / due, while work waits
--- a/src/decisions/admission.cpp
+++ b/src/decisions/admission.cpp
@@ -24,7 +24,7 @@
     Resources all;
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
         all.amounts[kind] = request.need.amounts[kind] * together;
-    if (!all.fitsInto(team.policy.limit)) {
+    if (!all.fitsInto(team.policy.limit) && !all.fitsInto(team.policy.wholeLimit)) {
         return failure(ErrorCode::LimitExceeded,
                        "the work alone is over its team's upper limit; ask for less at a time or "
                        "have the limit raised");
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -12,6 +12,7 @@
 #include "decisions/reason.h"
 #include "decisions/replaytrace.h"
 #include "decisions/scheduler.h"
+#include "decisions/shardedscheduler.h"
 #include "decisions/statistics.h"
 #include "decisions/targetinfo.h"
 #include "decisions/taskrequest.h"
--- a/src/decisions/ledger.h
+++ b/src/decisions/ledger.h
@@ -87,7 +87,8 @@
 
     bool withinLimit(const TeamRecord &team, const Resources &charge) const
     {
-        return team.configured && (team.placed + charge).fitsInto(team.policy.limit);
+        return team.configured && !team.policy.frozen
+            && (team.placed + charge).fitsInto(team.policy.limit);
     }
 
     /// A team's rank if \a extra were placed besides (or taken away, if negative).
