decisions: traces of both deployments with their stated outcomes

Stated: no breach of room or limit, no double placement, at least one target in quarantine, packing, share and prompt wait.

Checked: decisionstest, 39 cases, 395231 assertions pass.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -78,14 +78,14 @@
 }
 
 /// Long enough for shares to settle after the cell has filled: a task runs for a minute.
-void measureShares()
+void measureShares(std::uint32_t targets)
 {
-    const Deployment smaller = largeFleet(8000, 350);
+    const Deployment smaller = largeFleet(targets, 350);
     TrialSettings settings;
     settings.load = 1.5;
-    settings.seconds = 400;
-    settings.warmUpSeconds = 300;
-    settings.wallSeconds = 200;
+    settings.seconds = 210;
+    settings.warmUpSeconds = 170;
+    settings.wallSeconds = 330;
     FairScheduler fair;
     printRow(smaller, "fair", settings, Trial(fair, smaller, settings).run());
 }
@@ -150,8 +150,8 @@
 
 int writeTraces(const std::string &folder)
 {
-    const int brandvoldResult = writeTrace(brandvold(), folder + "/brandvold.jsonl", 0.7, 0.08, 50);
-    const int cwmResult = writeTrace(cwmMeryw(), folder + "/cwm-meryw.jsonl", 0.7, 0.1, 50);
+    const int brandvoldResult = writeTrace(brandvold(), folder + "/brandvold.jsonl", 0.8, 0.06, 20);
+    const int cwmResult = writeTrace(cwmMeryw(), folder + "/cwm-meryw.jsonl", 0.75, 0.1, 10);
     return brandvoldResult + cwmResult;
 }
 
@@ -168,7 +168,7 @@
     }
     if (argc > 1 && std::strcmp(argv[1], "--shares") == 0) {
         printHeader();
-        measureShares();
+        measureShares(argc > 2 ? static_cast<std::uint32_t>(std::atoi(argv[2])) : 34000);
         return 0;
     }
     const bool onlyLarge = argc > 1 && std::strcmp(argv[1], "--large") == 0;
@@ -180,7 +180,7 @@
                               : std::vector<double>{0.5, 0.9, 1.5});
     if (!onlyLarge) {
         if (!quick)
-            measureShares();
+            measureShares(34000);
         measureGrowth(quick);
         measureMemory();
         measureThreads(quick);
