--- a/src/tool/configurationcommands.cpp
+++ b/src/tool/configurationcommands.cpp
@@ -47,7 +47,9 @@
 
 void printCheck(const ToolContext &context, const json &check, bool withDifferences)
 {
-    if (withDifferences)
+    if (withDifferences && check["differences"].empty())
+        context.print("nothing would change\n");
+    else if (withDifferences)
         context.print(formatTable({{"FIELD", "/path"}, {"BEFORE", "/before"}, {"AFTER", "/after"}},
                                   check["differences"]));
     for (const json &problem : check["problems"])
@@ -147,6 +149,7 @@
     const Result<std::vector<SectionFile>> drafts = readDrafts(arguments);
     if (!drafts)
         return context.fail(drafts.error());
+    bool changed = false;
     for (const SectionFile &draft : drafts.value()) {
         const Result<bool> same = isInForce(context, draft);
         if (!same)
@@ -159,7 +162,10 @@
             return context.fail(written.error());
         }
         printWritten(context, draft.name, written.value());
+        changed = true;
     }
+    if (!changed)
+        context.note("nothing to change: the document is in force as it stands");
     return thenWait(context, ExitCode::Done);
 }
 
