--- a/src/decisions/headroom.h
+++ b/src/decisions/headroom.h
@@ -6,13 +6,15 @@
 #include "decisions/movingmean.h"
 
 #include <array>
+#include <cstddef>
+#include <vector>
 
 namespace guavavalve::internal {
 
 /// Keeps room on some targets for prompt work, as much as its arrivals call for. With an offered
-/// load of `a` tasks (arrivals a second by mean run time, Little's law) `a + 2 sqrt(a) + 1` of
+/// load of `a` tasks (arrivals a second by mean run time, Little's law) `a + 2.5 sqrt(a) + 1` of
 /// them fit: square-root staffing (Halfin and Whitt, 1981). Kept on part of the targets, not as
-/// crumbs on each, which would take room from large tasks everywhere; and only a quarter of each
+/// crumbs on each, which would take room from large tasks everywhere; and only an eighth of each
 /// of these unless that is not enough, so that other work can use what prompt work leaves (prompt
 /// tasks take many slots and few processors).
 class Headroom
@@ -32,14 +34,20 @@
     }
 
 private:
+    /// What is kept on one target.
+    struct Held
+    {
+        double tasks = 0.0;
+        std::size_t domain = 0;
+    };
+
     Resources meanCharge() const;
     double wantedTasks(Instant now) const;
     double capacityOf(const TargetRecord &target, const Resources &charge) const;
     Index pick(const Resources &charge);
     double tasksOn(const TargetRecord &target, const Resources &charge, double wantedEach) const;
-    double renew(const Resources &charge, double wantedEach);
-    double hold(Index target, const Resources &charge, double wantedEach);
-    std::size_t domainOf(Index target) const;
+    void renew(const Resources &charge, double wantedEach);
+    void hold(Index target, const Resources &charge, double wantedEach);
     void letGo(Index target);
 
     Ledger &ledger;
@@ -47,6 +55,9 @@
     std::array<MovingMean, resourceKindCount> charges;
     MovingMean runSeconds;
     std::array<std::uint32_t, 64> domains{}; ///< targets of the pool in each failure domain
+    std::vector<Held> held; ///< by target
+    double capacity = 0.0; ///< tasks that all that is kept would hold
+    std::size_t renewCursor = 0;
     Index cursor = 0;
 };
 
