controller: a refusal reaches its caller as what it is, with when to come back

Cause: a job given up while it waited was described as cancelled, so its caller read "the job was cancelled" and no time to come back. Deadlines to finish and a class's default deadline to start were kept and never used.

Ruled out: ending such tasks as Failed in the state (a failed attempt would have to be made up for them).

Change: RefuseJob carries the scheduler's time to come back; the job's description shows a refused task as not run with its reason; jobs past their deadline to finish are cancelled and stopped, also by a new controller; the team's or cell's default deadline to start applies; batch work and gangs leave the prompt headroom free.

--- a/src/callers/jobreplies.cpp
+++ b/src/callers/jobreplies.cpp
@@ -64,6 +64,11 @@
 
 std::optional<Error> failureOf(const TaskStatus &task)
 {
+    if (task.refused) {
+        Error refused = taskError(task.refusal, task, "the job was given up while it waited");
+        refused.retryAfter = Milliseconds(task.retryAfterMs);
+        return refused;
+    }
     switch (task.state) {
     case TaskState::Succeeded:
         return std::nullopt;
--- a/src/controller/cellcontroller.cpp
+++ b/src/controller/cellcontroller.cpp
@@ -222,14 +222,15 @@
         this->refusedTasks = this->feed.rebuild(*this->scheduler, cluster, now);
         this->policyVersion = cluster.configuration().version();
         this->nextTaskValue = idValue(cluster.nextTask());
-        this->expectLeasesAndEntries(cluster, now.now, entryDeadline);
+        this->expectLeasesAndEntries(cluster, now, entryDeadline);
     });
     this->retryRefusedTasks();
 }
 
-void CellController::expectLeasesAndEntries(const ClusterState &cluster, Instant now,
+void CellController::expectLeasesAndEntries(const ClusterState &cluster, const TimePair &time,
                                             Instant entryDeadline)
 {
+    const Instant now = time.now;
     // A new controller does not know what leases its predecessor gave, so every lease is counted
     // from this election, at the longest that the predecessor may have given.
     const Milliseconds lease(cluster.configuration().longestTargetLeaseMs());
@@ -242,6 +243,8 @@
             this->finishedJobs.emplace_back(now + this->options.finishedRetention, id);
             continue;
         }
+        if (job.finishBy != 0)
+            this->finishDeadlines.emplace(time.deadline(job.finishBy), id);
         for (std::size_t i = 0; i < job.tasks.size(); ++i) {
             const TaskRecord &task = job.tasks[i];
             if (task.state != TaskState::Placed)
@@ -266,6 +269,7 @@
     this->entryTable.clear();
     this->refusedTasks.clear();
     this->finishedJobs.clear();
+    this->finishDeadlines.clear();
     this->wakeup = Instant::max();
 
     const Error error = this->notLeader();
@@ -311,6 +315,7 @@
     for (auto &[job, waiter] : this->waiters.takeExpired(now))
         waiter.done(this->statusOf({}, job));
     this->answerSyncs(false);
+    this->cancelOverdueJobs(now);
     this->forgetOldJobs(now);
 }
 
--- a/src/controller/cellcontroller.h
+++ b/src/controller/cellcontroller.h
@@ -96,7 +96,8 @@
     void add(Command command, Done<CommandValue> done);
 
     void becomeLeader();
-    void expectLeasesAndEntries(const ClusterState &cluster, Instant now, Instant entryDeadline);
+    void expectLeasesAndEntries(const ClusterState &cluster, const TimePair &time,
+                                Instant entryDeadline);
     void loseLeadership();
     void roundEnded();
     void sweep(Instant now);
@@ -121,6 +122,7 @@
     void attemptOver(TaskId task, AttemptOutcome outcome);
     void jobChanged(JobId job);
     void cancel(const std::string &team, JobId job, const Done<JobStatus> &done);
+    void cancelOverdueJobs(Instant now);
     void stopPlacedTasks(JobId job);
 
     AnnouncementReply renewLease(const Announcement &announcement);
@@ -164,6 +166,7 @@
     std::map<PendingKey, PendingSubmit> submits;
     std::map<JobId, PendingKey> submitsByJob;
     std::set<TaskId> startedByReply; ///< whose Start went out with the answer to their submit
+    std::multimap<Instant, JobId> finishDeadlines;
     std::vector<HeldSync> syncs;
     std::vector<SchedulerFeed::Refused> refusedTasks;
     std::deque<std::pair<Instant, JobId>> finishedJobs;
--- a/src/controller/cellcontrollerplace.cpp
+++ b/src/controller/cellcontrollerplace.cpp
@@ -136,6 +136,7 @@
     command.code = decision.error;
     command.message =
         std::string("not run: ") + std::string(enumName(reasonNames, decision.reason));
+    command.retryAfterMs = decision.retryAfter.count();
     command.refusedAt = this->options.cellTime();
     if (const PendingSubmit *submit = this->pendingOf(decision.task))
         command.job = submit->job;
--- a/src/controller/cellcontrollersubmit.cpp
+++ b/src/controller/cellcontrollersubmit.cpp
@@ -6,6 +6,21 @@
 
 namespace guavavalve {
 
+namespace {
+
+/// What the team's section, or else the cell's, says of requests that name no deadline.
+std::int64_t defaultStartWithinMs(const ClusterState &cluster, const SubmitRequest &request)
+{
+    const TeamSection *team = cluster.configuration().team(request.team);
+    const std::int64_t ofTeam =
+        team == nullptr ? 0 : team->classPolicy(request.workClass).startWithinMs;
+    if (ofTeam != 0)
+        return ofTeam;
+    return cluster.configuration().cell().classPolicy(request.workClass).startWithinMs;
+}
+
+} // namespace
+
 void CellController::accept(SubmitRequest request, const Done<SubmitReply> &done)
 {
     const PendingKey key{request.team, request.idempotencyKey};
@@ -29,6 +44,8 @@
         if (record == nullptr)
             return;
         team = record->id;
+        if (request.startWithinMs == 0)
+            request.startWithinMs = defaultStartWithinMs(cluster, request);
         known = cluster.jobFor(team, request.idempotencyKey) != nullptr;
     });
     if (team == TeamId::None) {
@@ -133,6 +150,10 @@
             done(error);
         return;
     }
+    if (isNew && submit.request.finishWithinMs > 0) {
+        this->finishDeadlines.emplace(submit.time.now + Milliseconds(submit.request.finishWithinMs),
+                                      submit.job);
+    }
     const SubmitReply reply = this->replyTo(submit.request, *accepted);
     for (std::size_t i = 0; i < submit.waiting.size(); ++i) {
         SubmitReply own = reply;
@@ -196,6 +217,15 @@
     });
 }
 
+void CellController::cancelOverdueJobs(Instant now)
+{
+    while (!this->finishDeadlines.empty() && this->finishDeadlines.begin()->first <= now) {
+        const JobId job = this->finishDeadlines.begin()->second;
+        this->finishDeadlines.erase(this->finishDeadlines.begin());
+        this->cancel({}, job, [](const Result<JobStatus> &) {});
+    }
+}
+
 void CellController::stopPlacedTasks(JobId job)
 {
     const Instant now = this->options.clock();
--- a/src/controller/cellcontrollersync.cpp
+++ b/src/controller/cellcontrollersync.cpp
@@ -73,6 +73,7 @@
             command.job = waiting.job;
             command.code = waiting.error.code;
             command.message = waiting.error.message;
+            command.retryAfterMs = waiting.error.retryAfter.count();
             command.refusedAt = now.cellMs;
             this->add(std::move(command),
                       [this, job = waiting.job](const Result<CommandValue> &outcome) {
--- a/src/controller/jobdescription.cpp
+++ b/src/controller/jobdescription.cpp
@@ -25,6 +25,13 @@
         status.answerDigest = end->answerDigest;
         status.message = end->message;
     }
+    if (job.refused && task.state == TaskState::Cancelled) {
+        status.state = TaskState::Failed;
+        status.refused = true;
+        status.refusal = job.refusalCode;
+        status.message = job.refusal;
+        status.retryAfterMs = job.refusalRetryAfterMs;
+    }
     return status;
 }
 
--- a/src/controller/jobstatus.h
+++ b/src/controller/jobstatus.h
@@ -23,12 +23,16 @@
     std::string answerDigest;
     Ran ran = Ran::No;
     std::string message;
+    bool refused = false; ///< given up while it waited, for the reason in `refusal`
+    ErrorCode refusal = ErrorCode::DeadlineExceeded;
+    std::int64_t retryAfterMs = 0; ///< of a refusal; 0: no use in coming back
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
         archive(this->task, this->state, this->attempt, this->target, this->targetAddress,
-                this->answerLength, this->answerDigest, this->ran, this->message);
+                this->answerLength, this->answerDigest, this->ran, this->message, this->refused,
+                this->refusal, this->retryAfterMs);
     }
 };
 
--- a/src/controller/schedulerfeed.cpp
+++ b/src/controller/schedulerfeed.cpp
@@ -14,8 +14,9 @@
     // The state sets aside what was declared, so the scheduler must not set aside less.
     policy.correctSizes = false;
     policy.quarantine.maxFleetPart = static_cast<double>(cell.quarantinePercent) / 100.0;
-    ClassPolicy &prompt = policy.of(WorkClass::Prompt);
-    prompt.maxShare = 1.0;
+    const double besidePrompt = 1.0 - static_cast<double>(cell.promptHeadroomPercent) / 100.0;
+    policy.of(WorkClass::Batch).maxShare = besidePrompt;
+    policy.of(WorkClass::Gang).maxShare = besidePrompt;
     for (ClassPolicy &classPolicy : policy.classes)
         classPolicy.maxWaiting = static_cast<std::uint32_t>(cell.maxWaitingTasks);
     for (const auto &[id, team] : state.teams()) {
--- a/src/state/commands/refusejob.h
+++ b/src/state/commands/refusejob.h
@@ -16,12 +16,13 @@
     JobId job = JobId::None;
     ErrorCode code = ErrorCode::DeadlineExceeded;
     std::string message; ///< for the caller to read
+    std::int64_t retryAfterMs = 0; ///< when it is worth coming back; 0: no use
     std::int64_t refusedAt = 0; ///< cell time in ms, for retention only
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->job, this->code, this->message, this->refusedAt);
+        archive(this->job, this->code, this->message, this->retryAfterMs, this->refusedAt);
     }
 };
 
--- a/src/state/jobcommands.cpp
+++ b/src/state/jobcommands.cpp
@@ -173,6 +173,7 @@
     job.refused = true;
     job.refusalCode = command.code;
     job.refusal = command.message.substr(0, internal::longestMessage);
+    job.refusalRetryAfterMs = command.retryAfterMs;
     this->cancelWaiting(job, command.refusedAt);
     return CommandValue(Nothing());
 }
--- a/src/state/jobrecord.h
+++ b/src/state/jobrecord.h
@@ -25,6 +25,7 @@
     bool refused = false; ///< its waiting tasks were given up, for the reason below
     ErrorCode refusalCode = ErrorCode::DeadlineExceeded;
     std::string refusal; ///< for the caller to read
+    std::int64_t refusalRetryAfterMs = 0; ///< 0: no use in coming back
     std::uint32_t unfinished = 0; ///< tasks that are not in a final state
     Resources need; ///< of each task
     std::int64_t declaredRunTimeMs = 0; ///< 0: not declared
@@ -56,10 +57,11 @@
     void serialize(Archive &archive)
     {
         archive(this->id, this->team, this->workClass, this->repeatable, this->cancelled,
-                this->refused, this->refusalCode, this->refusal, this->unfinished, this->need,
-                this->declaredRunTimeMs, this->acceptedAt, this->startBy, this->finishBy,
-                this->firstPlacedAt, this->finishedAt, this->keyId, this->idempotencyKey,
-                this->digest, this->payload, this->entry, this->tasks, this->ends);
+                this->refused, this->refusalCode, this->refusal, this->refusalRetryAfterMs,
+                this->unfinished, this->need, this->declaredRunTimeMs, this->acceptedAt,
+                this->startBy, this->finishBy, this->firstPlacedAt, this->finishedAt, this->keyId,
+                this->idempotencyKey, this->digest, this->payload, this->entry, this->tasks,
+                this->ends);
     }
 };
 
--- a/test/controller/cellcontrollertest.cpp
+++ b/test/controller/cellcontrollertest.cpp
@@ -61,6 +61,8 @@
     const auto status = cell.awaitEnd(reply.value().job);
     REQUIRE(status);
     CHECK(status.value().finished);
+    CHECK(status.value().tasks.front().state == TaskState::Failed);
+    CHECK(status.value().tasks.front().refusal == ErrorCode::DeadlineExceeded);
     CHECK(status.value().tasks.front().ran == Ran::No);
 }
 
@@ -158,6 +160,21 @@
     }));
 }
 
+TEST_CASE("a job that has not finished by its deadline is stopped", "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    SubmitRequest request = ControllerFixture::request("a");
+    request.finishWithinMs = 50;
+    const auto reply = cell.submit(request);
+    REQUIRE(reply);
+    const DispatchOrder order = reply.value().dispatches.front();
+    CHECK(cell.waitForOrder("e1", [&](const DispatchOrder &sent) {
+        return sent.task == order.task && sent.action == DispatchAction::Stop;
+    }));
+}
+
 TEST_CASE("a cancelled job that waits ends at once and one that runs is stopped", "[controller]")
 {
     ControllerFixture cell;
