Metrics: every row of the table is filled by the daemon

Cause: eleven rows of the table had no source, so the page promised what /metrics did not show. Change: the controller's gauges (targets, packing, teams' shares, distance, waiting and placed) come from the scheduler's statistics while the replica holds its lease, and are zero elsewhere: a series once made stays, and a former leader's last figures would be lies.

--- /dev/null
+++ b/src/daemon/controllermetrics.cpp
@@ -0,0 +1,88 @@
+#include "daemon/controllermetrics.h"
+
+#include "daemon/replicapart.h"
+#include "platform/metrics.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <map>
+
+namespace guavavalve {
+
+namespace {
+
+constexpr std::array<const char *, 5> targetStates{"ready", "draining", "departing", "lost",
+                                                   "quarantined"};
+
+const char *stateOf(const TargetRecord &target)
+{
+    if (target.lapsed)
+        return "lost";
+    if (target.departing)
+        return "departing";
+    return target.draining ? "draining" : "ready";
+}
+
+void showTargets(ReplicaPart &replica, const Statistics &statistics, Metrics &into)
+{
+    std::map<std::string, std::uint32_t> counts;
+    for (const char *state : targetStates)
+        counts[state] = 0;
+    replica.state().read([&counts](const ClusterState &state) {
+        for (const auto &[id, target] : state.targets())
+            ++counts[stateOf(target)];
+    });
+    counts["quarantined"] = statistics.quarantined;
+    for (const auto &[state, targets] : counts)
+        into.set(Metric::Targets, targets, {state});
+}
+
+/// How far a team with waiting work is below what is due to it.
+double shareDistance(const TeamStatistics &team)
+{
+    return team.waiting > 0 ? std::max(0.0, team.due - team.share) : 0.0;
+}
+
+} // namespace
+
+void ControllerMetrics::refresh(ReplicaPart &replica, Metrics &into)
+{
+    // A former leader has stale figures until it hears of its successor; the lease tells sooner.
+    if (!replica.log().holdsLeaderLease()) {
+        this->showZeros(into);
+        return;
+    }
+    const Statistics statistics = replica.controller().statistics();
+    into.set(Metric::PackingRatio, statistics.packing);
+    showTargets(replica, statistics, into);
+    std::map<TeamId, std::string> names;
+    replica.state().read([&names](const ClusterState &state) {
+        for (const auto &[id, team] : state.teams())
+            names[id] = team.name;
+    });
+    for (const TeamStatistics &team : statistics.teams) {
+        const std::string &name = names[team.team];
+        if (name.empty())
+            continue;
+        this->teams.insert(name);
+        into.set(Metric::TeamShareRatio, team.share, {name});
+        into.set(Metric::ShareDistanceRatio, shareDistance(team), {name});
+        into.set(Metric::TasksPlaced, team.running, {name});
+        into.set(Metric::TasksWaiting, team.waiting, {name});
+    }
+}
+
+void ControllerMetrics::showZeros(Metrics &into) const
+{
+    into.set(Metric::PackingRatio, 0.0);
+    for (const char *state : targetStates)
+        into.set(Metric::Targets, 0.0, {state});
+    for (const std::string &name : this->teams) {
+        for (const Metric metric : {Metric::TeamShareRatio, Metric::ShareDistanceRatio,
+                                    Metric::TasksPlaced, Metric::TasksWaiting})
+            into.set(metric, 0.0, {name});
+    }
+}
+
+} // namespace guavavalve
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -4,6 +4,7 @@
 #include "controller/configurationfollower.h"
 #include "controller/controllerlink.h"
 #include "controller/remotecontroller.h"
+#include "daemon/controllermetrics.h"
 #include "daemon/replicapart.h"
 #include "operators/operatorroutes.h"
 #include "platform/httpserver.h"
@@ -17,6 +18,7 @@
 #include "targets/httptargetclient.h"
 
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace guavavalve {
@@ -43,13 +45,16 @@
 private:
     void serveDispatch();
     void addRoutes();
-    void refreshMetrics(Metrics &into) const;
+    void refreshMetrics(Metrics &into);
+    void refreshReplicaMetrics(Metrics &into);
     ReplicaPart::Hooks replicaHooks();
     OperatorRoutesOptions operatorRoutes();
 
     DaemonSettings settings;
     std::string clusterSecret;
     Metrics metrics;
+    std::mutex controllerMetricsMutex; ///< two scrapes may come at once
+    ControllerMetrics controllerMetrics;
     Readiness readiness;
     TimerQueue timers;
     HttpServer server;
--- a/src/daemon/replicapart.h
+++ b/src/daemon/replicapart.h
@@ -41,6 +41,7 @@
 
     ReplicatedLog &log() { return *this->node; }
     CellController &controller() { return *this->cell; }
+    const ClusterStateMachine &state() const { return this->machine; }
 
     /// Hands leadership over if this replica leads, waiting for it until \a deadline.
     void handOver(Instant deadline);
--- a/src/platform/metrictable.h
+++ b/src/platform/metrictable.h
@@ -13,7 +13,6 @@
 enum class Metric : std::uint8_t {
     WaitingSeconds,
     RequestsTotal,
-    AttemptsTotal,
     RequestsOpen,
     TasksWaiting,
     TasksPlaced,
@@ -30,14 +29,13 @@
     ReplicaCommittedIndex,
     ReplicaAppliedIndex,
     ConfigurationVersion,
-    ConfigurationLag,
     Ready,
     FramesRejectedTotal,
     LogLinesDroppedTotal,
     SeriesDroppedTotal,
 };
 
-inline constexpr std::size_t metricCount = 24;
+inline constexpr std::size_t metricCount = 22;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
