--- a/bench/decisions/measures.cpp
+++ b/bench/decisions/measures.cpp
@@ -187,6 +187,7 @@
         const auto until = std::chrono::steady_clock::now()
             + std::chrono::milliseconds(static_cast<int>(seconds * 1e3));
         std::vector<std::thread> pool;
+        pool.reserve(works.size());
         for (ThreadWork &mine : works)
             pool.emplace_back([&mine, until] { work(mine, until); });
         for (std::thread &thread : pool)
--- a/src/decisions/ledger.cpp
+++ b/src/decisions/ledger.cpp
@@ -66,6 +66,17 @@
     return &this->gangs.at(task.job);
 }
 
+bool Ledger::unlikeItsGang(const TaskRequest &request) const
+{
+    const auto gang = this->gangs.find(request.job);
+    if (request.workClass != WorkClass::Gang || gang == this->gangs.end())
+        return false;
+    const TaskRecord &member = this->tasks[gang->second.members.front()];
+    const QueueKey &key = this->queues[member.queue].key;
+    return key.need != request.need || key.gangSize != request.jobTasks
+        || this->teams[key.team].policy.team != request.team;
+}
+
 const Spread *Ledger::spreadOf(const TaskRecord &task) const
 {
     const auto entry = this->spreads.find(task.job);
--- a/src/decisions/ledger.h
+++ b/src/decisions/ledger.h
@@ -38,6 +38,10 @@
     Index findTask(TaskId task) const;
     GangRecord *gangOf(const TaskRecord &task);
 
+    /// True if \a request is unlike the tasks that its gang already has: a gang is planned by one
+    /// shape, so that an unlike task would be placed where it has no room.
+    bool unlikeItsGang(const TaskRequest &request) const;
+
     /// Takes a task into the books; it neither waits nor is placed yet.
     Index add(const TaskRequest &request, Instant now);
 
--- a/src/decisions/placer.cpp
+++ b/src/decisions/placer.cpp
@@ -103,7 +103,8 @@
             continue;
         const Index index = this->ledger.blocked[i];
         const WorkQueue &queue = this->ledger.queues[index];
-        if (queue.key.workClass != WorkClass::Gang && this->hintsFit(queue, now))
+        if (queue.key.workClass != WorkClass::Gang && !this->overClassShare(queue)
+            && this->hintsFit(queue, now))
             fitting.emplace_back(this->ledger.teams[queue.key.team].rank, index);
     }
     // The freed room is soon taken again: only those whose turn it is are woken, prompt work and
--- a/src/decisions/reservations.cpp
+++ b/src/decisions/reservations.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t targetsPerReservation = 24;
 /// Assumed of a task whose run time is neither declared nor learned.
 constexpr Microseconds unknownRunTime = std::chrono::minutes(5);
+constexpr Microseconds unknownServiceTime = std::chrono::hours(1);
+/// A queue for which no room was found to reserve lets others try for this long.
+constexpr Microseconds tryAgainAfter = std::chrono::seconds(1);
 /// A reservation that has not led to a start is planned anew this part of the patience after it
 /// should have.
 constexpr int replanAfterPart = 8;
@@ -48,8 +51,9 @@
 {
     const Milliseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
     const TeamRecord &team = this->ledger.teams[queue.key.team];
-    if (queue.reservation != noIndex || queue.key.workClass == WorkClass::Prompt
-        || patience.count() == 0 || !this->ledger.withinLimit(team, queue.charge))
+    if (queue.reservation != noIndex || now - queue.reservationTriedAt < tryAgainAfter
+        || queue.key.workClass == WorkClass::Prompt || patience.count() == 0
+        || !this->ledger.withinLimit(team, queue.charge))
         return 0.0;
     const Microseconds waited = now - queue.blockedSince;
     // Whoever has waited this long gets its turn, whatever its team's share: or a large job of a
@@ -107,8 +111,10 @@
 {
     const WorkQueue &queue = this->ledger.queues[task.queue];
     Microseconds runTime = queue.profile.expectedRunTime(task.declaredRunTime);
-    if (runTime.count() == 0)
-        runTime = unknownRunTime;
+    if (runTime.count() == 0) {
+        const bool service = queue.key.workClass == WorkClass::Service;
+        runTime = service ? unknownServiceTime : unknownRunTime;
+    }
     return std::max(now, task.placedAt + runTime);
 }
 
@@ -121,14 +127,13 @@
     candidate.freeAt = now;
     Resources room = target.sharedFree();
     if (!charge.fitsInto(room)) {
-        // Room kept for prompt work stays so, and a service runs until it is stopped.
+        // Room kept for prompt work stays so. A service may run for ever: targets without one
+        // come first, but where all have one, draining some is all that can be done.
         room = target.info.total - target.hold;
         for (const Index taskIndex : target.tasks) {
             const TaskRecord &task = this->ledger.tasks[taskIndex];
             const WorkClass workClass = this->ledger.queues[task.queue].key.workClass;
-            if (workClass == WorkClass::Service)
-                room -= task.charge;
-            else if (workClass != WorkClass::Prompt)
+            if (workClass != WorkClass::Prompt)
                 candidate.freeAt = std::max(candidate.freeAt, this->expectedEnd(task, now));
         }
     }
@@ -142,6 +147,7 @@
 bool Reservations::reserve(Index queueIndex, Index slot, Instant now)
 {
     WorkQueue &queue = this->ledger.queues[queueIndex];
+    queue.reservationTriedAt = now;
     const Index limit = this->ledger.fleet.limit();
     std::vector<Candidate> candidates;
     const Index seen = std::min(
--- a/src/decisions/roommaker.cpp
+++ b/src/decisions/roommaker.cpp
@@ -137,6 +137,10 @@
     const Microseconds patience = this->ledger.policy.of(queue.key.workClass).patience;
     if (patience.count() == 0 || now - queue.roomAskedAt < std::max(patience, askAgainAfter))
         return false;
+    // A class that holds its part of the cell may not end the others' work for more: under a
+    // steady overload of prompt work a gang would be ended each time soon after it has started.
+    if (queue.reason == Reason::ShareTurn)
+        return false;
     // Prompt work waits too long when its head does, even where others of its queue were placed.
     const bool prompt = queue.key.workClass == WorkClass::Prompt;
     const Instant since = prompt ? this->ledger.tasks[queue.head].submittedAt : queue.blockedSince;
--- a/src/decisions/workqueue.h
+++ b/src/decisions/workqueue.h
@@ -54,6 +54,7 @@
     Instant decidedAt{};
     Instant blockedSince{};
     Instant roomAskedAt{};
+    Instant reservationTriedAt{};
     Index reservation = noIndex;
 };
 
--- a/test/decisions/gangtest.cpp
+++ b/test/decisions/gangtest.cpp
@@ -61,6 +61,20 @@
     CHECK(cell.checked.broken.empty());
 }
 
+TEST_CASE("a task that is unlike its gang is refused", "[gang]")
+{
+    SmallCell cell(4, 2);
+    TaskRequest member = cell.task(1, WorkClass::Gang, 1000);
+    member.jobTasks = 2;
+    cell.submit(member);
+    TaskRequest other = member;
+    other.id = cell.task(1, WorkClass::Gang, 1000).id;
+    other.need[ResourceKind::MilliCores] = 8000;
+    CHECK(cell.scheduler.submit(other, cell.now).error().code == ErrorCode::InvalidArgument);
+    other.need = member.need;
+    CHECK_FALSE(cell.scheduler.submit(other, cell.now).has_error());
+}
+
 // A commit fails after a change of controller. None of the gang may stay placed.
 TEST_CASE("a rejected gang is undone as a whole and placed again", "[gang]")
 {
