--- a/src/replicas/raftdriver.h
+++ b/src/replicas/raftdriver.h
@@ -71,7 +71,7 @@
     void receive(const std::string &bytes, Done<std::string> reply);
     void onReply(ReplicaId to, bool isFlowControlled, Result<std::string> reply);
 
-    // The log's thread: raftdriver.cpp
+    // The log's thread: raftdriver.cpp, raftdriversend.cpp, raftdriverstate.cpp
     void run();
     void takeProposals(std::vector<Proposal> proposals);
     void pump();
@@ -84,6 +84,7 @@
     void publish();
     void considerSnapshot();
     void saveSnapshot(SnapshotMeta meta, const std::string &state);
+    static Error leadershipLost();
     void failWaiting(const Error &error);
     void fail(const Error &error);
 
@@ -95,8 +96,10 @@
     void onFormingMember(const std::shared_ptr<Forming> &forming, std::size_t position,
                          const Result<IdentityReply> &found);
     void formWhenIdentified(const std::shared_ptr<Forming> &forming);
-    void join(const ReplicaMember &member, const IdentityReply &found, Done<Nothing> done);
+    void join(const ReplicaMember &member, const IdentityReply &found, ReplicaId replaces,
+              Done<Nothing> done);
     void settleMembers();
+    void replaceGoneVoter();
 
     RaftOptions options;
     std::unique_ptr<Storage> storage;
@@ -125,6 +128,8 @@
     std::vector<Done<Nothing>> transferring;
     std::uint64_t ledTerm = 0; ///< the term in which this replica leads; zero: it does not
     std::uint64_t announcedTerm = 0; ///< the term that onLeadership was told; zero: none
+    std::size_t sparesTried = 0;
+    Instant nextReplacement{};
     std::uint64_t reservedFor = 0;
     Instant reservedUntil{};
     bool takesSnapshot = false;
--- a/src/replicas/raftoptions.h
+++ b/src/replicas/raftoptions.h
@@ -4,11 +4,13 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "journal/replicaidentity.h"
+#include "replicas/replicatedlog.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace guavavalve {
 
@@ -38,6 +40,12 @@
     std::size_t snapshotAfterBytes = 16U << 20U;
     /// Entries kept in memory behind a snapshot, so that a follower a little behind needs none.
     std::size_t keptEntries = 2000;
+    std::size_t keptBytes = 8U << 20U; ///< the same, in bytes
+
+    /// A voter silent for this long is gone for good: a spare takes its place. Zero: never.
+    Milliseconds goneAfter{0};
+    /// Instances with an empty data folder that may take a gone voter's place, best first.
+    std::function<std::vector<ReplicaMember>()> spares;
 
     Clock clock = monotonicNow;
     std::function<std::uint64_t()> random; ///< empty: std::random_device
--- a/src/tool/httpsession.h
+++ b/src/tool/httpsession.h
@@ -30,10 +30,11 @@
 {
     std::vector<std::string> servers; ///< "ip:port" or URLs of entries, tried in turn
     std::string key; ///< bearer token; empty: none is shown
-    Milliseconds timeout{30000}; ///< of one try at one entry
+    Milliseconds timeout{30000}; ///< of one try at one entry, and of coming back
 };
 
-/// Talks to the first entry that answers.
+/// Talks to the first entry that answers. While all of them say that they cannot at the moment,
+/// and when to come back, it comes back, until the time is up.
 ///
 /// A request that may have been carried out is sent again only to a further entry, and only
 /// because each change carries its own identity: a second arrival gives the first one's outcome.
@@ -47,6 +48,7 @@
     Result<ToolAnswer> send(const ToolRequest &request) const;
 
 private:
+    Result<ToolAnswer> tryEach(const ToolRequest &request) const;
     Result<ToolAnswer> sendTo(const std::string &server, const ToolRequest &request) const;
 
     SessionOptions options;
--- a/src/tool/keycommands.cpp
+++ b/src/tool/keycommands.cpp
@@ -1,4 +1,5 @@
 #include "tool/commandgroups.h"
+#include "tool/inforce.h"
 #include "tool/toolcontext.h"
 #include "tool/toolflags.h"
 
@@ -18,9 +19,10 @@
                     {"role", absl::GetFlag(FLAGS_role)},
                     {"label", absl::GetFlag(FLAGS_label)},
                     {"requestId", requestId()}};
-    return context.show(jsonRequest("POST", keysPath, body), [&](const json &granted) {
-        context.print(granted["token"].get<std::string>() + "\n");
-    });
+    return thenWait(context,
+                    context.show(jsonRequest("POST", keysPath, body), [&](const json &granted) {
+                        context.print(granted["token"].get<std::string>() + "\n");
+                    }));
 }
 
 ExitCode list(const ToolContext &context, const std::vector<std::string> &)
@@ -38,12 +40,10 @@
     // A whole token is taken too: people copy what they were given. Its secret is not sent.
     const std::string keyId = arguments[0].substr(0, arguments[0].find(':'));
     const json body{{"keyId", keyId}, {"requestId", requestId()}};
-    return context.show(jsonRequest("POST", std::string(keysPath) + "/withdraw", body),
-                        [&](const json &) {
-                            context.print(keyId
-                                          + " is withdrawn; \"guavavalve config in-force\" shows "
-                                            "when no instance takes it any longer\n");
-                        });
+    const ToolRequest request = jsonRequest("POST", std::string(keysPath) + "/withdraw", body);
+    return thenWait(context, context.show(request, [&](const json &) {
+        context.print(keyId + " is withdrawn\n");
+    }));
 }
 
 } // namespace
@@ -56,7 +56,7 @@
          0,
          0,
          "Grants a key and prints its token, which is kept nowhere.",
-         {"team", "role", "label", "request_id"},
+         {"team", "role", "label", "request_id", "wait"},
          grant},
         {"keys list", "", 0, 0, "Lists the keys, without their secrets.", {}, list},
         {"keys withdraw",
@@ -64,7 +64,7 @@
          1,
          1,
          "Withdraws a key for good; every entry refuses it within seconds.",
-         {"request_id"},
+         {"request_id", "wait"},
          withdraw},
     };
 }
