--- a/bench/replicas/main.cpp
+++ b/bench/replicas/main.cpp
@@ -179,6 +179,7 @@
 
 int main(int argc, char **argv)
 {
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     const bool isQuick = argc > 1 && std::strcmp(argv[1], "--quick") == 0;
     benchCommits(Milliseconds(isQuick ? 500 : 3000));
     benchRecovery(isQuick ? std::vector<LogIndex>{2000, 20000}
--- a/test/replicas/testgroup.h
+++ b/test/replicas/testgroup.h
@@ -78,6 +78,11 @@
         , wrap(std::move(storageWrap))
     {}
 
+    /// The replicas end before their folders go.
+    ~TestGroup() { this->instances.clear(); }
+    TestGroup(const TestGroup &) = delete;
+    TestGroup &operator=(const TestGroup &) = delete;
+
     /// Starts, or starts anew with a fresh state machine, the instance \a name.
     Result<void> start(const std::string &name)
     {
