--- a/src/decisions/admission.cpp
+++ b/src/decisions/admission.cpp
@@ -24,7 +24,7 @@
     Resources all;
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
         all.amounts[kind] = request.need.amounts[kind] * together;
-    if (!all.fitsInto(team.policy.limit)) {
+    if (!all.fitsInto(team.policy.limit) && !all.fitsInto(team.policy.wholeLimit)) {
         return failure(ErrorCode::LimitExceeded,
                        "the work alone is over its team's upper limit; ask for less at a time or "
                        "have the limit raised");
@@ -87,6 +87,8 @@
         return failure(ErrorCode::NotFound, "the team is not configured; ask an operator");
     if (!request.need.isNonNegative())
         return failure(ErrorCode::InvalidArgument, "a task cannot need less than nothing");
+    if (request.jobTasks == 0 || ledger.unlikeItsGang(request))
+        return failure(ErrorCode::InvalidArgument, "all tasks of a gang must be alike");
     if (ledger.findTask(request.id) != noIndex)
         return failure(ErrorCode::Conflict, "a task with this identity is known already");
     const TeamRecord &team = ledger.teams[teamIndex];
--- a/src/decisions/ledger.h
+++ b/src/decisions/ledger.h
@@ -38,6 +38,10 @@
     Index findTask(TaskId task) const;
     GangRecord *gangOf(const TaskRecord &task);
 
+    /// True if \a request is unlike the tasks that its gang already has: a gang is planned by one
+    /// shape, so that an unlike task would be placed where it has no room.
+    bool unlikeItsGang(const TaskRequest &request) const;
+
     /// Takes a task into the books; it neither waits nor is placed yet.
     Index add(const TaskRequest &request, Instant now);
 
@@ -87,7 +91,8 @@
 
     bool withinLimit(const TeamRecord &team, const Resources &charge) const
     {
-        return team.configured && (team.placed + charge).fitsInto(team.policy.limit);
+        return team.configured && !team.policy.frozen
+            && (team.placed + charge).fitsInto(team.policy.limit);
     }
 
     /// A team's rank if \a extra were placed besides (or taken away, if negative).
--- a/src/decisions/tracecodec.cpp
+++ b/src/decisions/tracecodec.cpp
@@ -69,7 +69,7 @@
     return Instant(Microseconds(json.get<std::int64_t>()));
 }
 
-AttemptOutcome taskEndFrom(const Json &json)
+AttemptOutcome outcomeFrom(const Json &json)
 {
     return enumFrom(attemptOutcomeNames, json);
 }
