A job's waiting time is observed once

Seen: ten batch jobs of twenty tasks gave a count of 21 in guavavalve_waiting_seconds: ends of one job that are committed in one round, or reported again, each came to jobChanged() with the job finished. Ruled out: counting by task, since the status has the job's first start only. Change: jobs told as finished are remembered until they are forgotten. The table says what is observed, and when.

--- a/src/controller/cellcontroller.cpp
+++ b/src/controller/cellcontroller.cpp
@@ -240,6 +240,7 @@
     for (const auto &[id, job] : cluster.jobs()) {
         if (job.finished()) {
             this->finishedJobs.emplace_back(now + this->options.finishedRetention, id);
+            this->toldFinished.insert(id);
             continue;
         }
         for (std::size_t i = 0; i < job.tasks.size(); ++i) {
@@ -266,6 +267,7 @@
     this->entryTable.clear();
     this->refusedTasks.clear();
     this->finishedJobs.clear();
+    this->toldFinished.clear();
     this->wakeup = Instant::max();
 
     const Error error = this->notLeader();
@@ -344,6 +346,10 @@
         return;
     for (const JobWaiters::Waiter &waiter : this->waiters.take(job))
         waiter.done(status.value());
+    // An end is reported again until its reporter hears that it is committed, and the tasks of a
+    // job may end in one round: each of them comes here. The job's waiting time counts once.
+    if (!this->toldFinished.insert(job).second)
+        return;
     this->finishedJobs.emplace_back(this->options.clock() + this->options.finishedRetention, job);
     if (this->options.observeWait) {
         this->options.observeWait(status.value().team,
@@ -359,6 +365,7 @@
     while (!this->finishedJobs.empty() && this->finishedJobs.front().first <= now
            && command.jobs.size() < maxForgotten) {
         command.jobs.push_back(this->finishedJobs.front().second);
+        this->toldFinished.erase(this->finishedJobs.front().second);
         this->finishedJobs.pop_front();
     }
     if (!command.jobs.empty())
--- a/src/controller/cellcontroller.h
+++ b/src/controller/cellcontroller.h
@@ -167,6 +167,7 @@
     std::vector<HeldSync> syncs;
     std::vector<SchedulerFeed::Refused> refusedTasks;
     std::deque<std::pair<Instant, JobId>> finishedJobs;
+    std::set<JobId> toldFinished; ///< those in finishedJobs whose waiting has been observed
 };
 
 } // namespace guavavalve
--- a/src/platform/metrictable.cpp
+++ b/src/platform/metrictable.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::array<MetricDescription, metricCount> table{{
     {Metric::WaitingSeconds, "guavavalve_waiting_seconds", MetricType::Histogram, "seconds",
-     "team,class", "Time from acceptance of a task to its start on a target."},
+     "team,class",
+     "Time from acceptance of a job to its first start, observed once when the job has ended."},
     {Metric::RequestsTotal, "guavavalve_requests_total", MetricType::Counter, "requests", "outcome",
      "Callers' requests at this entry by outcome: accepted or joined when taken; answered, refused "
      "(not run), failed (ran) or unknown when replied to."},
--- a/test/controller/cellcontrollertest.cpp
+++ b/test/controller/cellcontrollertest.cpp
@@ -23,6 +23,23 @@
     CHECK(status.value().tasks.front().state == TaskState::Succeeded);
 }
 
+// An entry reports an attempt's end again when the answer to its first report is lost. The job was
+// over with the first; counting it again would make the histogram of waiting times wrong.
+TEST_CASE("a job's waiting time is observed once however often its end is reported", "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    const auto reply = cell.submit(ControllerFixture::request("a"));
+    REQUIRE(reply);
+    REQUIRE(reply.value().dispatches.size() == 1);
+    const DispatchOrder &order = reply.value().dispatches.front();
+    REQUIRE(cell.end(order, AttemptOutcome::Succeeded));
+    REQUIRE(cell.end(order, AttemptOutcome::Succeeded));
+    REQUIRE(cell.awaitEnd(reply.value().job));
+    CHECK(cell.observedWaits == 1);
+}
+
 TEST_CASE("a resent request joins the first job and one with another body is refused",
           "[controller]")
 {
--- a/test/controller/controllerfixture.cpp
+++ b/test/controller/controllerfixture.cpp
@@ -23,6 +23,9 @@
             options.makeScheduler = [] { return std::make_unique<FirstFitScheduler>(); };
             options.entryTimeout = Milliseconds(300);
             options.orderRetry = Milliseconds(50);
+            options.observeWait = [this](const std::string &, std::uint8_t, double) {
+                ++this->observedWaits;
+            };
             options.sendOrders = [this](const std::string &address,
                                         const std::vector<DispatchOrder> &orders,
                                         const Done<Nothing> &done) {
--- a/test/controller/controllerfixture.h
+++ b/test/controller/controllerfixture.h
@@ -4,6 +4,7 @@
 #include "controller/clusterstatemachine.h"
 #include "replicas/inmemorylog.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -50,6 +51,7 @@
 
     ClusterStateMachine state;
     InMemoryLog log{state};
+    std::atomic<int> observedWaits{0};
     CellController controller;
 
 private:
