--- a/test/scenarios/cell.h
+++ b/test/scenarios/cell.h
@@ -37,6 +37,8 @@
     /// The number of the entry whose replica leads.
     int controller();
     std::string entryUrl(int number) const;
+    /// True if entry \a number answers \a path with 200.
+    bool isUp(int number, const std::string &path) const;
     std::string targetUrl(int number) const; ///< past the forwarder
     int entryCount() const { return static_cast<int>(this->entries.size()); }
     int targetCount() const { return static_cast<int>(this->targets.size()); }
@@ -67,7 +69,6 @@
     std::string servers() const;
     std::string logPath(const std::string &name) const;
     std::string entryName(std::size_t index) const;
-    bool isUp(int number, const std::string &path) const;
 
     std::string build;
     std::string folder;
--- a/test/scenarios/childprocess.cpp
+++ b/test/scenarios/childprocess.cpp
@@ -15,6 +15,7 @@
 ChildProcess::ChildProcess(std::vector<std::string> arguments, const std::string &logPath)
 {
     std::vector<char *> argv;
+    argv.reserve(arguments.size() + 1);
     for (std::string &argument : arguments)
         argv.push_back(argument.data());
     argv.push_back(nullptr);
--- a/test/scenarios/stories/frozenentry.story
+++ b/test/scenarios/stories/frozenentry.story
@@ -1,5 +1,6 @@
 # An entry is frozen with its requests open, for longer than any lease. Its work is followed by
-# others. When it wakes, nothing may run a second time.
+# others. When it wakes, nothing may run a second time: it refuses truly until it has heard from
+# the controller again, and serves from then on.
 start 3 entries
 start 3 targets
 post order times=9 entry=1 repeatable=false : runMs=1500
@@ -7,6 +8,9 @@
 freeze entry 1
 wait until finished order*
 thaw entry 1
+submit waking entry=1 repeatable=false : runMs=20
+expect waking honest
+wait until ready 1
 submit later entry=1 : runMs=20
 expect later answer
 expect order* starts once
