--- a/test/decisions/queuetest.cpp
+++ b/test/decisions/queuetest.cpp
@@ -43,6 +43,7 @@
     const TaskId huge = cell.submit(1, WorkClass::Batch, 20000);
     cell.checked.targetLost(large.id, cell.now);
     std::vector<TaskId> others;
+    others.reserve(10);
     for (int i = 0; i < 10; ++i)
         others.push_back(cell.submit(1, WorkClass::Batch, 1000));
     cell.run(std::chrono::seconds(1));
@@ -56,6 +57,7 @@
 {
     SmallCell cell(4, 1);
     std::vector<TaskId> tasks;
+    tasks.reserve(100000);
     for (int i = 0; i < 100000; ++i)
         tasks.push_back(cell.submit(1, WorkClass::Batch, 1000));
     cell.decide();
