--- a/bench/path/loadgenerator.cpp
+++ b/bench/path/loadgenerator.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -95,7 +96,7 @@
     if (this->latenciesMs.empty())
         return 0.0;
     const auto last = static_cast<double>(this->latenciesMs.size() - 1);
-    return this->latenciesMs[static_cast<std::size_t>(part * last + 0.5)];
+    return this->latenciesMs[static_cast<std::size_t>(std::lround(part * last))];
 }
 
 LoadResult runOpenLoop(const RequestSender &send, double rate, Milliseconds length)
--- a/src/controller/cellcontroller.h
+++ b/src/controller/cellcontroller.h
@@ -118,7 +118,7 @@
     void refuse(const Decision &decision);
     void orderMakingRoom(const Decision &decision, DispatchAction action);
 
-    void recordEnd(AttemptEnd end, const Done<Nothing> &done);
+    void recordEnd(const AttemptEnd &end, const Done<Nothing> &done);
     void attemptOver(TaskId task, AttemptOutcome outcome);
     void jobChanged(JobId job);
     void cancel(const std::string &team, JobId job, const Done<JobStatus> &done);
--- a/src/controller/cellcontrollerplace.cpp
+++ b/src/controller/cellcontrollerplace.cpp
@@ -165,7 +165,7 @@
     });
 }
 
-void CellController::recordEnd(AttemptEnd end, const Done<Nothing> &done)
+void CellController::recordEnd(const AttemptEnd &end, const Done<Nothing> &done)
 {
     EndAttempt command;
     command.task = end.task;
--- a/src/controller/remotecontroller.cpp
+++ b/src/controller/remotecontroller.cpp
@@ -93,7 +93,8 @@
     callController(*this->link, Method::Operate, request, deadline, std::move(done));
 }
 
-void RemoteController::synchronise(SyncRequest request, Instant deadline, Done<SyncReply> done)
+void RemoteController::synchronise(const SyncRequest &request, Instant deadline,
+                                   Done<SyncReply> done)
 {
     callController(*this->link, Method::SyncConfiguration, request, deadline, std::move(done));
 }
--- a/src/controller/remotecontroller.h
+++ b/src/controller/remotecontroller.h
@@ -25,7 +25,7 @@
                   Done<std::vector<AnnouncementReply>> done) override;
     void operate(OperatorRequest request, Instant deadline, Done<OperatorReply> done) override;
 
-    void synchronise(SyncRequest request, Instant deadline, Done<SyncReply> done);
+    void synchronise(const SyncRequest &request, Instant deadline, Done<SyncReply> done);
 
 private:
     std::shared_ptr<ControllerLink> link;
--- a/src/platform/httpserver.cpp
+++ b/src/platform/httpserver.cpp
@@ -280,7 +280,8 @@
             return true;
         };
         const pplx::task<void> sending = this->request.reply(message);
-        sending.then(settled);
+        // Named, since the analyzer else follows a token whose count it takes to be spent.
+        sending.then(settled, pplx::cancellation_token::none());
     }
 
     std::shared_ptr<Private> server;
--- a/src/replicas/raftdriver.h
+++ b/src/replicas/raftdriver.h
@@ -89,12 +89,13 @@
     void fail(const Error &error);
 
     // The log's thread: raftdrivermembers.cpp
-    void identify(const std::string &address, std::uint64_t reserveFor,
+    void identify(const std::string &address, const IdentifyRequest &request,
                   const std::function<void(Result<IdentityReply>)> &done);
     void onIdentifyRequest(const RaftMessage &message, const IdentifyRequest &request,
                            const Done<std::string> &reply);
     void onFormingMember(const std::shared_ptr<Forming> &forming, std::size_t position,
                          const Result<IdentityReply> &found);
+    void releaseMembers(const std::shared_ptr<Forming> &forming);
     void formWhenIdentified(const std::shared_ptr<Forming> &forming);
     void join(const ReplicaMember &member, const IdentityReply &found, ReplicaId replaces,
               Done<Nothing> done);
--- a/src/replicas/raftdrivermembers.cpp
+++ b/src/replicas/raftdrivermembers.cpp
@@ -26,14 +26,14 @@
     Done<Nothing> done;
 };
 
-void RaftDriver::identify(const std::string &address, std::uint64_t reserveFor,
+void RaftDriver::identify(const std::string &address, const IdentifyRequest &request,
                           const std::function<void(Result<IdentityReply>)> &done)
 {
     RaftMessage message;
     message.group = this->options.group;
     message.formation = this->core->formation();
     message.from = this->core->self();
-    message.body = IdentifyRequest{reserveFor};
+    message.body = request;
     const Instant deadline = this->options.clock() + identifyLimit;
     auto answered = [weak = this->weak_from_this(), done](Result<std::string> reply) {
         const auto self = weak.lock();
@@ -56,6 +56,8 @@
                                    const Done<std::string> &reply)
 {
     const Instant now = this->options.clock();
+    if (request.release != 0 && request.release == this->reservedFor)
+        this->reservedFor = 0;
     const bool isFree = this->reservedFor == 0 || now >= this->reservedUntil;
     if (request.reserveFor != 0 && !this->core->isFormed() && isFree) {
         this->reservedFor = request.reserveFor;
@@ -81,11 +83,16 @@
             forming->done(failure(ErrorCode::Conflict, "the group has been formed already"));
             return;
         }
+        const Instant now = this->options.clock();
+        if (this->reservedFor != 0 && now < this->reservedUntil) {
+            forming->done(failure(ErrorCode::Conflict, "another formation is under way here"));
+            return;
+        }
         do {
             forming->list.formation = this->options.random();
         } while (forming->list.formation == 0);
         this->reservedFor = forming->list.formation;
-        this->reservedUntil = this->options.clock() + reservationTime;
+        this->reservedUntil = now + reservationTime;
         std::vector<std::pair<std::size_t, std::string>> others;
         for (const ReplicaMember &member : members) {
             const bool isSelf = member.instance == this->options.instance;
@@ -96,7 +103,7 @@
         }
         forming->awaited = others.size();
         for (const auto &[position, address] : others) {
-            this->identify(address, forming->list.formation,
+            this->identify(address, IdentifyRequest{forming->list.formation, 0},
                            [this, forming, at = position](const Result<IdentityReply> &found) {
                                this->onFormingMember(forming, at, found);
                            });
@@ -139,7 +146,7 @@
 {
     if (!forming->outcome) {
         this->reservedFor = 0;
-        forming->done(forming->outcome.error());
+        this->releaseMembers(forming);
         return;
     }
     auto index = this->core->form(forming->list, this->options.clock());
@@ -156,6 +163,28 @@
                                   }});
 }
 
+/// Guards against members that go on keeping themselves for a formation that has failed, which
+/// shows as every retry being refused. Whoever asked is answered once they are free; a member
+/// that does not hear of it is free when its reservation runs out.
+void RaftDriver::releaseMembers(const std::shared_ptr<Forming> &forming)
+{
+    std::vector<std::string> reserved;
+    for (const MemberRecord &member : forming->list.members) {
+        if (member.instance != this->options.instance && member.replica != ReplicaId::None)
+            reserved.push_back(member.address);
+    }
+    forming->awaited = reserved.size();
+    if (reserved.empty())
+        forming->done(forming->outcome.error());
+    for (const std::string &address : reserved) {
+        this->identify(address, IdentifyRequest{0, forming->list.formation},
+                       [forming](const Result<IdentityReply> &) {
+                           if (--forming->awaited == 0)
+                               forming->done(forming->outcome.error());
+                       });
+    }
+}
+
 void RaftDriver::addMember(ReplicaMember member, const Done<Nothing> &done)
 {
     const bool isPosted = this->post([this, member = std::move(member), done] {
@@ -163,12 +192,13 @@
             done(failure(ErrorCode::NotLeader, "this replica does not lead its group"));
             return;
         }
-        this->identify(member.address, 0, [this, member, done](Result<IdentityReply> found) {
-            if (found)
-                this->join(member, found.value(), ReplicaId::None, done);
-            else
-                done(found.error());
-        });
+        this->identify(member.address, IdentifyRequest(),
+                       [this, member, done](Result<IdentityReply> found) {
+                           if (found)
+                               this->join(member, found.value(), ReplicaId::None, done);
+                           else
+                               done(found.error());
+                       });
     });
     if (!isPosted)
         done(failure(ErrorCode::Unavailable, "this replica is not running"));
@@ -277,7 +307,7 @@
     if (candidates.empty())
         return;
     const ReplicaMember spare = candidates[this->sparesTried++ % candidates.size()];
-    this->identify(spare.address, 0,
+    this->identify(spare.address, IdentifyRequest(),
                    [this, spare, replaces = gone->replica](const Result<IdentityReply> &found) {
                        if (found)
                            this->join(spare, found.value(), replaces,
--- a/test/operators/operatorbench.h
+++ b/test/operators/operatorbench.h
@@ -34,7 +34,7 @@
         OperatorRoutesOptions options;
         options.client = &this->service;
         options.identify = [this](const std::string &token) { return this->identify(token); };
-        options.form = [this](FormGroupRequest, Instant, Done<ReplicaStatus> done) {
+        options.form = [this](const FormGroupRequest &, Instant, const Done<ReplicaStatus> &done) {
             ++this->formed;
             done(this->log.status());
         };
@@ -140,7 +140,7 @@
         result.readState = [this](const OperatorHooks::StateReader &reader) {
             this->machine.read([&reader](const ClusterState &state) { reader(state); });
         };
-        result.propose = [this](Command command, Done<CommandValue> done) {
+        result.propose = [this](Command command, const Done<CommandValue> &done) {
             this->propose(std::move(command), done);
         };
         result.instances = [this] { return this->instances; };
--- a/test/replicas/raftnodefailuretest.cpp
+++ b/test/replicas/raftnodefailuretest.cpp
@@ -330,6 +330,26 @@
     CHECK(group.at("a").machine.commands().empty());
 }
 
+// An operator forms the group while one of its instances is still starting, and is told so. A
+// moment later it is up, and the operator asks again, by way of another instance. The members that
+// had kept themselves for the first formation refused every other one for 10 s, and each retry
+// made them do so again: the group was never formed.
+TEST_CASE("a formation that failed keeps no member from the next one", "[raftnode]")
+{
+    TestGroup group;
+    for (const char *name : {"a", "b", "c"})
+        REQUIRE(group.start(name));
+    group.stop("c");
+    const auto failed = group.form("a", {"a", "b", "c"});
+    REQUIRE(failed.has_error());
+    CHECK(failed.error().code == ErrorCode::Unavailable);
+
+    REQUIRE(group.start("c"));
+    const auto formed = group.form("c", {"a", "b", "c"});
+    INFO((formed ? "" : formed.error().message));
+    CHECK(formed);
+}
+
 // Two operators form groups out of the same instances at the same time, from two places. At most
 // one may succeed: two groups would decide about the same targets.
 TEST_CASE("two formations at once do not both succeed", "[raftnode]")
--- a/test/tool/tooltest.cpp
+++ b/test/tool/tooltest.cpp
@@ -21,7 +21,7 @@
     std::string err;
 };
 
-Outcome run(std::vector<std::string> arguments)
+Outcome run(const std::vector<std::string> &arguments)
 {
     // Flags are the process's; what one run sets ends with it. Not in the tool itself: the
     // restoring writes lines to the standard error.
@@ -38,7 +38,7 @@
 {
     arguments.push_back("--server=" + bench.address());
     arguments.push_back("--key=" + key);
-    return run(std::move(arguments));
+    return run(arguments);
 }
 
 bool contains(const std::string &text, const std::string &part)
