--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "platform/logging.h"
 #include "platform/platformroutes.h"
 
+#include <thread>
 #include <utility>
 
 namespace guavavalve {
@@ -128,13 +129,15 @@
 {
     logChange(LogLevel::Information, "shutdown begins", {{"instance", this->settings.instance}});
     this->readiness.beginShutdown();
+    // Until the balancer has seen that this instance is not ready it goes on sending requests;
+    // refusing them would turn callers away for nothing.
+    std::this_thread::sleep_for(Milliseconds(this->settings.shutdownNoticeMs));
+    this->server.stopAccepting();
     const Instant deadline = monotonicNow() + Milliseconds(this->settings.shutdownGraceMs);
     if (!this->server.waitUntilIdle(deadline)) {
         logChange(LogLevel::Warning, "requests outlast the grace of the shutdown",
                   {{"open", std::to_string(this->server.inFlight())}});
     }
-    this->server.stopAccepting();
-    this->server.waitUntilIdle(deadline);
     this->follower->stop();
     if (this->replica)
         this->replica->handOver(monotonicNow() + handOverTimeout);
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -36,6 +36,7 @@
     std::int64_t configurationLeaseMs = 4000;
     std::int64_t announcementBatchMs = 5;
     std::int64_t callTimeoutMs = 5000;
+    std::int64_t shutdownNoticeMs = 500;
     std::int64_t shutdownGraceMs = 30000;
 
     std::int64_t workerThreads = 4;
--- a/src/settings/daemonsettingstable.cpp
+++ b/src/settings/daemonsettingstable.cpp
@@ -69,6 +69,8 @@
                   {1, 1000}, "How long the first announcement of a batch waits for others.");
     table.integer("timeouts.callMs", &Settings::callTimeoutMs, Unit::Ms, {10, 60000},
                   "How long a call to another instance may take.");
+    table.integer("timeouts.shutdownNoticeMs", &Settings::shutdownNoticeMs, Unit::Ms, {0, 600000},
+                  "How long a shutdown still serves while not ready, for the balancer to notice.");
     table.integer("timeouts.shutdownGraceMs", &Settings::shutdownGraceMs, Unit::Ms, {0, 3600000},
                   "How long a shutdown waits for open requests to finish.");
 }
