controller: a target's lease outlasts a change of controller; a silent target gets nothing new

The controller was frozen; until another led and was found by the entries, no announcement was answered for longer than the 3 s lease, so the target stopped its work, as it must.

Ruled out: a fault of the story (its request had been placed and had not started; "unknown" was the honest word, but needless); a quicker election (elections without need on a busy machine).

The new test passes; it was not run with the guard removed.

--- a/src/controller/cellcontroller.cpp
+++ b/src/controller/cellcontroller.cpp
@@ -235,8 +235,10 @@
     // from this election, at the longest that the predecessor may have given.
     const Milliseconds lease(cluster.configuration().longestTargetLeaseMs());
     for (const auto &[id, target] : cluster.targets()) {
-        if (!target.lapsed)
-            this->leases.renew(id, now + lease);
+        if (target.lapsed)
+            continue;
+        this->leases.renew(id, now + lease);
+        this->hearing.renew(id, now + this->options.targetQuietAfter);
     }
     for (const auto &[id, job] : cluster.jobs()) {
         if (job.finished()) {
@@ -266,6 +268,8 @@
     *this->term = false;
     this->scheduler.reset();
     this->leases.clear();
+    this->hearing.clear();
+    this->quietTargets.clear();
     this->outbox.clear();
     this->entryTable.clear();
     this->refusedTasks.clear();
@@ -311,6 +315,7 @@
 
 void CellController::sweep(Instant now)
 {
+    this->quietenTargets(now);
     this->lapseTargets(now);
     for (const InstanceId &entry : this->entryTable.takeDead(now))
         this->loseEntry(entry);
--- a/src/controller/cellcontroller.h
+++ b/src/controller/cellcontroller.h
@@ -132,6 +132,8 @@
                              const Done<std::vector<AnnouncementReply>> &done);
     void targetRegistered(const std::string &name, const std::vector<TaskId> &before);
     void lapseTargets(Instant now);
+    void quietenTargets(Instant now);
+    void targetHeard(TargetId target, Instant now);
     void releaseTasks(const std::vector<TaskId> &tasks);
     void loseEntry(const InstanceId &entry);
 
@@ -161,6 +163,8 @@
     std::uint64_t nextTaskValue = 0;
     std::uint64_t policyVersion = 0;
     TargetLeases leases;
+    TargetLeases hearing; ///< when a target that is not heard again becomes quiet
+    std::set<TargetId> quietTargets;
     JobWaiters waiters;
     OrderOutbox outbox;
     std::map<PendingKey, PendingSubmit> submits;
--- a/src/controller/cellcontrollertargets.cpp
+++ b/src/controller/cellcontrollertargets.cpp
@@ -120,10 +120,44 @@
     if (reply.leaseMs > 0) {
         const Instant now = this->options.clock();
         this->leases.renew(reply.target, now + Milliseconds(reply.leaseMs) + margin);
+        this->targetHeard(reply.target, now);
     }
     return reply;
 }
 
+void CellController::targetHeard(TargetId target, Instant now)
+{
+    this->hearing.renew(target, now + this->options.targetQuietAfter);
+    if (this->quietTargets.erase(target) == 0)
+        return;
+    const TargetInfo info = this->state.read([&](const ClusterState &cluster) {
+        return this->feed.targetInfo(*cluster.target(target));
+    });
+    this->scheduler->targetChanged(info, now);
+}
+
+/// Guards against new work for a target that has fallen silent. Its lease has to outlast a change
+/// of controller, or every such change would end all work of the fleet; that is too long to go on
+/// sending prompt requests to it.
+void CellController::quietenTargets(Instant now)
+{
+    for (const TargetId id : this->hearing.takeLapsed(now)) {
+        TargetInfo info;
+        const bool mayBeQuiet = this->state.read([&](const ClusterState &cluster) {
+            const TargetRecord *target = cluster.target(id);
+            if (target == nullptr || target->lapsed)
+                return false;
+            info = this->feed.targetInfo(*target);
+            return true;
+        });
+        if (!mayBeQuiet)
+            continue;
+        info.departing = true;
+        this->quietTargets.insert(id);
+        this->scheduler->targetChanged(info, now);
+    }
+}
+
 void CellController::lapseTargets(Instant now)
 {
     for (const TargetId id : this->leases.takeLapsed(now)) {
@@ -140,6 +174,7 @@
         });
         if (!known)
             continue;
+        this->quietTargets.erase(id);
         this->scheduler->targetLost(id, now);
         this->add(command, [this, tasks](const Result<CommandValue> &outcome) {
             if (outcome && this->leading)
--- a/src/controller/controlleroptions.h
+++ b/src/controller/controlleroptions.h
@@ -34,6 +34,7 @@
 
     Milliseconds entryTimeout{2000}; ///< an entry not heard for so long is taken for dead
     Milliseconds configurationLease{2000}; ///< what an entry may serve by without a new answer
+    Milliseconds targetQuietAfter{3000}; ///< a target not heard for so long gets nothing new
     Milliseconds orderRetry{1000}; ///< between sendings of an unacknowledged order
     Milliseconds finishedRetention{600000}; ///< how long a finished job is remembered
     std::size_t maxFinishedJobs = 100000; ///< remembered at once; the oldest are forgotten
--- a/src/state/cellsection.h
+++ b/src/state/cellsection.h
@@ -29,7 +29,7 @@
     std::int64_t maxWaitingTasks = 100000; ///< a team
     std::int64_t maxTasksPerJob = 10000;
     std::int64_t maxPayloadBytes = 1048576;
-    std::int64_t targetLeaseMs = 3000;
+    std::int64_t targetLeaseMs = 10000;
     std::int64_t driftMarginMs = 300; ///< added to a lease by whoever waits for its end
     std::int64_t quarantinePercent = 10; ///< the most of the fleet that may be in quarantine
 
--- a/test/controller/cellcontrollertest.cpp
+++ b/test/controller/cellcontrollertest.cpp
@@ -116,6 +116,32 @@
     }));
 }
 
+// A target hangs. It keeps its lease for a while, so its work must stay where it is, but every
+// prompt request that is still sent to it waits until its caller has gone.
+TEST_CASE("a target that has fallen silent gets nothing new until it is heard again",
+          "[controller]")
+{
+    ControllerFixture cell(600000, Milliseconds(50));
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    JobId waiting = JobId::None;
+    int sequence = 0;
+    CHECK(ControllerFixture::waitUntil([&] {
+        SubmitRequest request = ControllerFixture::request("r" + std::to_string(++sequence));
+        request.need = Resources{{1, 1, 0, 0, 0}};
+        const auto reply = cell.submit(request);
+        if (reply && reply.value().dispatches.empty())
+            waiting = reply.value().job;
+        return waiting != JobId::None;
+    }));
+    CHECK(ControllerFixture::waitUntil([&] {
+        static_cast<void>(cell.announce(ControllerFixture::target("t1")));
+        return cell.state.read([&](const ClusterState &cluster) {
+            return cluster.job(waiting)->tasks.front().state == TaskState::Placed;
+        });
+    }));
+}
+
 // The entry that follows a running attempt dies. The task must not be lost: another entry is
 // told to follow it, and is never told to start it.
 TEST_CASE("a dead entry's attempts are followed by another entry", "[controller]")
