controller: a job of too many tasks is refused before any is queued

Ruled out: leaving it to the state, which refuses such a job only when it is applied.

Change: accept() in three parts; the bound is checked first.

--- a/src/controller/cellcontroller.h
+++ b/src/controller/cellcontroller.h
@@ -78,6 +78,13 @@
         std::vector<Done<SubmitReply>> waiting;
         JobId job = JobId::None;
     };
+    /// What the state knows about the sender of a request.
+    struct Submitter
+    {
+        TeamId team = TeamId::None;
+        bool isResend = false; ///< the idempotency key stands for a job already
+        std::int64_t startWithinMs = 0; ///< asked for, or the configured default
+    };
     struct HeldSync
     {
         SyncRequest request;
@@ -103,6 +110,9 @@
     void sweep(Instant now);
     Instant nextWakeup() const;
 
+    bool joinPending(const PendingKey &key, const SubmitRequest &request,
+                     const Done<SubmitReply> &done);
+    Result<Submitter> submitterOf(const SubmitRequest &request) const;
     void accept(SubmitRequest request, const Done<SubmitReply> &done);
     Result<void> enqueueTasks(const PendingSubmit &pending, TeamId team);
     void proposeAcceptance(const PendingKey &key, TeamId team);
--- a/src/controller/cellcontrollersubmit.cpp
+++ b/src/controller/cellcontrollersubmit.cpp
@@ -4,6 +4,8 @@
 #include "controller/jobdescription.h"
 #include "replicas/replicatedlog.h"
 
+#include <string>
+
 namespace guavavalve {
 
 namespace {
@@ -21,45 +23,64 @@
 
 } // namespace
 
-void CellController::accept(SubmitRequest request, const Done<SubmitReply> &done)
+bool CellController::joinPending(const PendingKey &key, const SubmitRequest &request,
+                                 const Done<SubmitReply> &done)
 {
-    const PendingKey key{request.team, request.idempotencyKey};
     const auto pending = this->submits.find(key);
-    if (pending != this->submits.end()) {
-        if (pending->second.request.digest == request.digest)
-            pending->second.waiting.push_back(done);
-        else
-            done(failure(ErrorCode::Conflict, "the idempotency key stands for another request"));
-        return;
-    }
-    if (request.tasks == 0) {
-        done(failure(ErrorCode::InvalidArgument, "a job has one task at the least"));
-        return;
-    }
+    if (pending == this->submits.end())
+        return false;
+    if (pending->second.request.digest == request.digest)
+        pending->second.waiting.push_back(done);
+    else
+        done(failure(ErrorCode::Conflict, "the idempotency key stands for another request"));
+    return true;
+}
 
-    TeamId team = TeamId::None;
-    bool known = false;
-    this->state.read([&](const ClusterState &cluster) {
-        const TeamRecord *record = cluster.teamNamed(request.team);
-        if (record == nullptr)
-            return;
-        team = record->id;
-        if (request.startWithinMs == 0)
-            request.startWithinMs = defaultStartWithinMs(cluster, request);
-        known = cluster.jobFor(team, request.idempotencyKey) != nullptr;
+/// Guards against a job of so many tasks that queueing them holds up everyone else: the state
+/// would refuse it too, but only after every one had been queued here.
+Result<CellController::Submitter> CellController::submitterOf(const SubmitRequest &request) const
+{
+    return this->state.read([&](const ClusterState &cluster) -> Result<Submitter> {
+        const TeamRecord *team = cluster.teamNamed(request.team);
+        if (team == nullptr) {
+            return failure(ErrorCode::PermissionDenied,
+                           "team " + request.team + " has no section in the configuration");
+        }
+        const std::int64_t most = cluster.configuration().cell().maxTasksPerJob;
+        if (request.tasks == 0 || request.tasks > most) {
+            return failure(ErrorCode::InvalidArgument,
+                           "a job has 1 to " + std::to_string(most) + " tasks, not "
+                               + std::to_string(request.tasks));
+        }
+        Submitter submitter;
+        submitter.team = team->id;
+        submitter.isResend = cluster.jobFor(team->id, request.idempotencyKey) != nullptr;
+        submitter.startWithinMs = request.startWithinMs != 0
+            ? request.startWithinMs
+            : defaultStartWithinMs(cluster, request);
+        return submitter;
     });
-    if (team == TeamId::None) {
-        done(failure(ErrorCode::PermissionDenied,
-                     "team " + request.team + " has no section in the configuration"));
+}
+
+void CellController::accept(SubmitRequest request, const Done<SubmitReply> &done)
+{
+    const PendingKey key{request.team, request.idempotencyKey};
+    if (this->joinPending(key, request, done))
+        return;
+    const Result<Submitter> submitter = this->submitterOf(request);
+    if (!submitter) {
+        done(submitter.error());
         return;
     }
+    const TeamId team = submitter.value().team;
+    request.startWithinMs = submitter.value().startWithinMs;
 
     PendingSubmit submit;
     submit.time = this->time();
     submit.job = static_cast<JobId>(this->nextTaskValue);
     submit.request = std::move(request);
     submit.waiting.push_back(done);
-    if (!known) {
+    if (!submitter.value().isResend) {
         const Result<void> taken = this->enqueueTasks(submit, team);
         if (!taken) {
             done(taken.error());
--- a/test/controller/cellcontrollertest.cpp
+++ b/test/controller/cellcontrollertest.cpp
@@ -250,6 +250,23 @@
     CHECK(status.value().tasks.front().state == TaskState::Cancelled);
 }
 
+TEST_CASE("a job of more tasks than the cell allows is refused before any is queued",
+          "[controller]")
+{
+    ControllerFixture cell;
+    REQUIRE(cell.synchronise("e1"));
+    REQUIRE(cell.announce(ControllerFixture::target("t1")));
+    for (const std::uint32_t tasks : {std::uint32_t{0}, std::uint32_t{4000000000}}) {
+        SubmitRequest request = ControllerFixture::request("tasks" + std::to_string(tasks));
+        request.tasks = tasks;
+        const auto refused = cell.submit(request);
+        REQUIRE(refused.has_error());
+        CHECK(refused.error().code == ErrorCode::InvalidArgument);
+        CHECK(refused.error().ran == Ran::No);
+    }
+    CHECK(cell.submit(ControllerFixture::request("a")));
+}
+
 TEST_CASE("a gang is placed whole or not at all", "[controller]")
 {
     ControllerFixture cell;
