tool: asks the daemon's default address; clearer words for bad settings

Cause: tried as a new user: the tool asked port 8080 by default and the daemon listens on 7080; bad settings were told as 'the settings has 5 problem(s)'.

Ruled out: changing the daemon's default, which the examples name.

Change: the tool's default is 127.0.0.1:7080; 'the settings: 5 problem(s)'.

--- a/src/schema/problem.cpp
+++ b/src/schema/problem.cpp
@@ -22,7 +22,7 @@
 std::string problemsText(const std::string &document, const std::vector<Problem> &problems)
 {
     std::string text =
-        document + " has " + std::to_string(problems.size()) + " problem(s), nothing was applied";
+        document + ": " + std::to_string(problems.size()) + " problem(s), nothing was applied";
     std::size_t shown = 0;
     for (const Problem &problem : problems) {
         if (++shown > internal::mostShownProblems)
--- a/src/tool/toolflags.cpp
+++ b/src/tool/toolflags.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <random>
 
-ABSL_FLAG(std::vector<std::string>, server, {"127.0.0.1:8080"},
+ABSL_FLAG(std::vector<std::string>, server, {"127.0.0.1:7080"},
           "entries to ask, as ip:port separated by commas; tried in turn");
 ABSL_FLAG(std::string, key, "", "your key, KEYID:SECRET; otherwise GUAVAVALVE_KEY is used");
 ABSL_FLAG(std::string, output, "table", "table (for people) or json (for programs)");
