scenarios: ports below those that systems give to clients

Cause: in three repetitions of the 14 stories, scenario-entrykilledbeforesend failed once at its start: "cannot listen for HTTP on 127.0.0.1:45923". The runner had taken a free port of the range that outgoing connections use, and another connection took it before the listener started.

Ruled out: a fault of the daemon or the target (no step of the story had run).

Change: ports are drawn at random from 10,000 to 32,000 and tried.

--- a/test/scenarios/cell.cpp
+++ b/test/scenarios/cell.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <stdexcept>
 #include <thread>
 
@@ -19,12 +20,24 @@
 constexpr std::chrono::seconds patience{60};
 constexpr std::chrono::milliseconds pollPause{50};
 
+/// A port on which nobody listens, below those that systems give to clients: one that was free a
+/// moment ago could else be taken by any connection before its listener has started.
 std::uint16_t freePort()
 {
+    constexpr std::uint16_t lowest = 10000;
+    constexpr std::uint16_t highest = 32000;
+    static std::mt19937 random(std::random_device{}());
+    std::uniform_int_distribution<std::uint16_t> ports(lowest, highest);
     boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor probe(context,
-                                               {boost::asio::ip::address_v4::loopback(), 0});
-    return probe.local_endpoint().port();
+    for (;;) {
+        const std::uint16_t port = ports(random);
+        boost::asio::ip::tcp::acceptor probe(context);
+        boost::system::error_code taken;
+        probe.open(boost::asio::ip::tcp::v4());
+        probe.bind({boost::asio::ip::address_v4::loopback(), port}, taken);
+        if (!taken)
+            return port;
+    }
 }
 
 std::string local(std::uint16_t port)
