controller: what nobody calls is gone

Cause: read once more as a whole: EventLoop::waiting() and TargetLeases::nextLapse() had no caller, and answerSyncs() took a flag that was false at every call.

Change: the two functions and the flag are removed. Behaviour is the same.

--- a/src/controller/cellcontroller.cpp
+++ b/src/controller/cellcontroller.cpp
@@ -321,7 +321,7 @@
         this->loseEntry(entry);
     for (auto &[job, waiter] : this->waiters.takeExpired(now))
         waiter.done(this->statusOf({}, job));
-    this->answerSyncs(false);
+    this->answerSyncs();
     this->cancelOverdueJobs(now);
     this->forgetOldJobs(now);
 }
--- a/src/controller/cellcontroller.h
+++ b/src/controller/cellcontroller.h
@@ -148,7 +148,7 @@
     void loseEntry(const InstanceId &entry);
 
     void hold(HeldSync sync);
-    void answerSyncs(bool all);
+    void answerSyncs();
     SyncReply syncReply(const SyncRequest &request) const;
     void refreshPolicy();
     void retryRefusedTasks();
--- a/src/controller/cellcontrollersync.cpp
+++ b/src/controller/cellcontrollersync.cpp
@@ -19,10 +19,10 @@
     entry.deadAt = now + this->options.entryTimeout + Milliseconds(sync.request.waitMs);
     this->entryTable.heard(entry);
     this->syncs.push_back(std::move(sync));
-    this->answerSyncs(false);
+    this->answerSyncs();
 }
 
-void CellController::answerSyncs(bool all)
+void CellController::answerSyncs()
 {
     const Instant now = this->options.clock();
     const std::uint64_t version = this->state.read(
@@ -30,7 +30,7 @@
     std::vector<HeldSync> staying;
     std::vector<HeldSync> answered;
     for (HeldSync &sync : this->syncs) {
-        const bool due = all || sync.deadline <= now || sync.request.heldVersion != version;
+        const bool due = sync.deadline <= now || sync.request.heldVersion != version;
         (due ? answered : staying).push_back(std::move(sync));
     }
     this->syncs = std::move(staying);
@@ -65,7 +65,7 @@
         [this](const ClusterState &cluster) { return this->feed.policy(cluster); });
     this->scheduler->applyPolicy(policy, this->options.clock());
     this->retryRefusedTasks();
-    this->answerSyncs(false);
+    this->answerSyncs();
 }
 
 void CellController::retryRefusedTasks()
--- a/src/controller/eventloop.cpp
+++ b/src/controller/eventloop.cpp
@@ -53,12 +53,6 @@
     return true;
 }
 
-std::size_t EventLoop::waiting() const
-{
-    const std::lock_guard lock(this->mutex);
-    return this->queue.size();
-}
-
 void EventLoop::run()
 {
     std::vector<Event> round;
--- a/src/controller/eventloop.h
+++ b/src/controller/eventloop.h
@@ -41,7 +41,6 @@
     /// False, and \a event is not taken, when the queue is full.
     bool tryPost(Event event);
 
-    std::size_t waiting() const;
     bool isCurrentThread() const { return std::this_thread::get_id() == this->thread.get_id(); }
 
 private:
--- a/src/controller/targetleases.cpp
+++ b/src/controller/targetleases.cpp
@@ -40,9 +40,4 @@
     return lapsed;
 }
 
-Instant TargetLeases::nextLapse() const
-{
-    return this->byLapse.empty() ? Instant::max() : this->byLapse.begin()->first;
-}
-
 } // namespace guavavalve
--- a/src/controller/targetleases.h
+++ b/src/controller/targetleases.h
@@ -28,9 +28,6 @@
     /// Takes out the targets whose lease is over at \a now.
     std::vector<TargetId> takeLapsed(Instant now);
 
-    /// When the next lease is over; Instant::max() if there is none.
-    Instant nextLapse() const;
-
 private:
     std::map<TargetId, Instant> lapseOf;
     std::set<std::pair<Instant, TargetId>> byLapse;
