--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -289,6 +289,10 @@
 {
     if (!this->d->acceptor)
         return;
+    if (this->d->loop->isStopped()) { // nothing runs there any more, and nothing would answer
+        this->d->closeAll();
+        return;
+    }
     auto over = std::make_shared<std::promise<void>>();
     auto done = over->get_future();
     this->d->loop->post([d = this->d, over] {
--- a/src/runtime/ioloop.cpp
+++ b/src/runtime/ioloop.cpp
@@ -64,6 +64,11 @@
     return std::this_thread::get_id() == this->d->thread.get_id();
 }
 
+bool IoLoop::isStopped() const
+{
+    return this->d->context.stopped();
+}
+
 boost::asio::io_context &IoLoop::context()
 {
     return this->d->context;
--- a/src/runtime/ioloop.h
+++ b/src/runtime/ioloop.h
@@ -36,6 +36,7 @@
     void runAfter(Microseconds delay, Action action);
 
     bool isCurrentThread() const;
+    bool isStopped() const;
     boost::asio::io_context &context();
 
 private:
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -22,6 +22,7 @@
 /// A target that has been silent for this long with nothing on it is forgotten.
 constexpr Milliseconds forgetSilence{15000};
 constexpr Milliseconds forgetInterval{2000};
+constexpr Milliseconds planLogInterval{1000};
 
 } // namespace
 
@@ -58,6 +59,7 @@
     this->lives.clear();
     this->admissions.clear();
     this->orphansSince.clear();
+    this->openQuestions = 0;
     for (Pending &waiting : std::exchange(this->pending, {})) {
         if (waiting.done)
             waiting.done(this->notLeading());
@@ -245,6 +247,13 @@
     }
     for (const AdmissionQuestion &question : made.questions)
         this->ask(question);
+    const Instant now = this->options.clock();
+    if (now < this->nextPlanLog)
+        return;
+    this->nextPlanLog = now + planLogInterval;
+    const std::size_t live =
+        this->machine.read([](const Book &book) { return book.live().size(); });
+    logPlan(made.summary, this->openQuestions, live);
 }
 
 /// Sends the starts of a placement that has been stored.
@@ -332,6 +341,7 @@
         }
     });
     this->admissions[question.step].isAsked = true;
+    ++this->openQuestions;
     this->admissionPort.ask(question.step, names,
                             Milliseconds(static_cast<std::int64_t>(expectedMs)),
                             this->options.clock() + adviceLimit,
@@ -345,6 +355,7 @@
 void Controller::answered(const AdmissionQuestion &question,
                           const Result<AdmissionPort::Admitted> &answer)
 {
+    --this->openQuestions;
     const auto found = this->admissions.find(question.step);
     if (found == this->admissions.end())
         return;
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -128,6 +128,8 @@
     Policy inForce;
     std::int64_t policyVersion = -1;
     Instant nextForget{};
+    Instant nextPlanLog{};
+    std::size_t openQuestions = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -38,6 +38,22 @@
                {"lives", places}});
 }
 
+void logPlan(const PlanSummary &summary, std::size_t questions, std::size_t live)
+{
+    std::string waiting;
+    for (const auto &[priority, tasks] : summary.waitingTasks) {
+        waiting +=
+            (waiting.empty() ? "" : ",") + std::to_string(priority) + ":" + std::to_string(tasks);
+    }
+    logChange(LogLevel::Information, "plan",
+              {{"waiting", waiting},
+               {"openTargets", std::to_string(summary.openTargets)},
+               {"freeMilliCores", std::to_string(summary.free[ResourceKind::MilliCores])},
+               {"freeMemoryMb", std::to_string(summary.free[ResourceKind::MemoryMb])},
+               {"questions", std::to_string(questions)},
+               {"live", std::to_string(live)}});
+}
+
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome)
 {
     logChange(LogLevel::Warning, "placement-dropped",
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "workflows/command.h"
 #include "workflows/commandoutcome.h"
+#include "workflows/planner.h"
 #include "workflows/policy.h"
 
 #include <cstddef>
@@ -18,6 +19,8 @@
 std::string workflowName(WorkflowId id);
 
 void logPlaced(const PlaceRuns &command);
+/// What binds at the moment: written at most once a second.
+void logPlan(const PlanSummary &summary, std::size_t questions, std::size_t live);
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome);
 void logRunsOver(LifeNumber life, const std::vector<RunEnd> &ends);
 void logAdvised(const StepAddress &step, std::size_t asked, std::size_t admitted);
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -76,6 +76,9 @@
         });
         for (const ReadyStep &step : steps)
             this->place(step);
+        this->plan.summary.openTargets = this->input.targets.size();
+        for (const OpenTarget &target : this->input.targets)
+            this->plan.summary.free += target.free;
         return std::move(this->plan);
     }
 
@@ -113,7 +116,7 @@
         const bool isPlaced = step.spec().gang ? this->placeGang(step) : this->placeSingles(step);
         if (isPlaced)
             return;
-        this->plan.waitingTasks +=
+        this->plan.summary.waitingTasks[step.queue->priority] +=
             step.progress().tasks.size() - step.progress().placed - step.progress().succeeded;
         if (step.queue->needsAdvice && !this->isOverLimit(step, 1))
             this->ask(step);
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -26,11 +27,19 @@
     std::vector<LifeNumber> targets; ///< the likeliest first
 };
 
+/// What a plan left waiting, for the log.
+struct PlanSummary
+{
+    std::map<std::uint32_t, std::size_t> waitingTasks; ///< ready tasks without a place, by priority
+    std::size_t openTargets = 0;
+    Resources free; ///< on open targets, after the plan's placements
+};
+
 struct Plan
 {
     std::vector<PlaceRuns> placements;
     std::vector<AdmissionQuestion> questions;
-    std::size_t waitingTasks = 0; ///< ready tasks that found no place
+    PlanSummary summary;
 };
 
 /// Everything that a plan depends on.
