--- a/src/workflows/book.cpp
+++ b/src/workflows/book.cpp
@@ -253,6 +253,15 @@
     return CommandOutcome::Applied;
 }
 
+CommandOutcome Book::on(const DrainLife &command)
+{
+    const auto found = this->lifeTable.find(command.life);
+    if (found == this->lifeTable.end() || found->second.isDraining == command.isDraining)
+        return CommandOutcome::Unchanged;
+    found->second.isDraining = command.isDraining;
+    return CommandOutcome::Applied;
+}
+
 CommandOutcome Book::on(const StoreDocument &command)
 {
     if (command.version <= this->version)
--- a/src/workflows/book.h
+++ b/src/workflows/book.h
@@ -46,6 +46,7 @@
     CommandOutcome on(const EndRuns &command);
     CommandOutcome on(const BeginLife &command);
     CommandOutcome on(const ForgetLife &command);
+    CommandOutcome on(const DrainLife &command);
     CommandOutcome on(const StoreDocument &command);
     CommandOutcome on(const ForgetWorkflows &command);
 
--- a/src/workflows/command.h
+++ b/src/workflows/command.h
@@ -3,6 +3,7 @@
 #include "workflows/commands/acceptworkflow.h"
 #include "workflows/commands/beginlife.h"
 #include "workflows/commands/cancelworkflow.h"
+#include "workflows/commands/drainlife.h"
 #include "workflows/commands/endruns.h"
 #include "workflows/commands/forgetlife.h"
 #include "workflows/commands/forgetworkflows.h"
@@ -19,7 +20,7 @@
 
 /// One change of the book.
 using Command = std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns, BeginLife,
-                             ForgetLife, StoreDocument, ForgetWorkflows>;
+                             ForgetLife, StoreDocument, ForgetWorkflows, DrainLife>;
 
 /// Commands that go into the log as one entry. An empty batch is a read barrier.
 using CommandBatch = std::vector<Command>;
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -19,6 +19,9 @@
 /// Members of a gang that has lost others are broken off by their targets; those that are not
 /// within this time are stopped.
 constexpr Milliseconds orphanPatience{1000};
+/// Room is kept for a step no longer than this: a stop takes up to 0.9 s, a question about a few
+/// targets up to 0.6 s.
+constexpr Milliseconds claimLimit{1500};
 /// A target that has been silent for this long with nothing on it is forgotten.
 constexpr Milliseconds forgetSilence{15000};
 constexpr Milliseconds forgetInterval{2000};
@@ -58,6 +61,8 @@
         state.session->end();
     this->lives.clear();
     this->admissions.clear();
+    this->claims.clear();
+    this->stopping.clear();
     this->orphansSince.clear();
     this->openQuestions = 0;
     for (Pending &waiting : std::exchange(this->pending, {})) {
@@ -236,8 +241,9 @@
 void Controller::plan(std::vector<Pending> &batch)
 {
     const Plan made = this->machine.read([&](const Book &book) {
-        return makePlan({book, this->inForce, this->admissions, this->openTargets(book),
-                         this->options.clock(), this->options.calendarMs()});
+        return makePlan({book, this->inForce, this->admissions, this->claims, this->stopping,
+                         this->openTargets(book), this->options.clock(),
+                         this->options.calendarMs()});
     });
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
@@ -247,6 +253,8 @@
     }
     for (const AdmissionQuestion &question : made.questions)
         this->ask(question);
+    for (const Preemption &preemption : made.preemptions)
+        this->preempt(preemption);
     const Instant now = this->options.clock();
     if (now < this->nextPlanLog)
         return;
@@ -307,6 +315,27 @@
     }
 }
 
+/// Stops the victims; the room that they leave is kept for the step that needs it.
+void Controller::preempt(const Preemption &preemption)
+{
+    logPreempted(preemption);
+    this->claims[preemption.step] = {preemption.claim, this->options.clock() + claimLimit};
+    for (const TaskAddress &victim : preemption.victims) {
+        LifeNumber where = LifeNumber::None;
+        this->machine.read([&](const Book &book) {
+            const Workflow *workflow = book.find(victim.step.workflow);
+            const TaskProgress *task = workflow == nullptr ? nullptr : workflow->task(victim);
+            if (task != nullptr)
+                where = task->life;
+        });
+        const auto life = this->lives.find(where);
+        if (life == this->lives.end())
+            continue;
+        this->stopping.insert(victim);
+        life->second.session->stop(victim);
+    }
+}
+
 /// A placement that was under way when its target's life was found to be over: no order for it
 /// has been sent, and none will be.
 void Controller::neverStarted(LifeNumber life, const TaskAddress &task, RunNumber run)
@@ -341,6 +370,8 @@
         }
     });
     this->admissions[question.step].isAsked = true;
+    if (!question.claim.empty())
+        this->claims[question.step] = {question.claim, this->options.clock() + claimLimit};
     ++this->openQuestions;
     this->admissionPort.ask(question.step, names,
                             Milliseconds(static_cast<std::int64_t>(expectedMs)),
@@ -417,6 +448,7 @@
         }
     });
     this->lives[life].session = session;
+    session->heard(!record.isDraining);
     session->begin();
     for (const TaskAddress &task : record.placed) {
         const bool isOver = this->machine.read([&](const Book &book) {
@@ -445,18 +477,24 @@
     });
     logRunsOver(life, ends);
     std::vector<WorkflowId> touched;
-    for (const RunEnd &end : ends)
+    std::vector<TaskAddress> ended;
+    for (const RunEnd &end : ends) {
         touched.push_back(end.task.step.workflow);
+        ended.push_back(end.task);
+    }
     EndRuns command{std::move(ends), this->options.calendarMs()};
     this->needsPlan = true;
     this->add(
         std::move(command),
-        [this, life, touched = std::move(touched)](const Result<CommandOutcome> &outcome) {
+        [this, life, touched = std::move(touched),
+         ended = std::move(ended)](const Result<CommandOutcome> &outcome) {
             const auto found = this->lives.find(life);
             if (!outcome || found == this->lives.end())
                 return; // leadership is lost: the next controller learns of the ends by itself
             const std::shared_ptr<TargetSession> session = found->second.session;
             session->committed();
+            for (const TaskAddress &task : ended)
+                this->stopping.erase(task);
             for (const WorkflowId id : touched) {
                 const bool hasFailed = this->machine.read([&](const Book &book) {
                     const Workflow *workflow = book.find(id);
@@ -567,6 +605,8 @@
         if (report.sequence >= known->second.sequence) {
             known->second.sequence = report.sequence;
             known->second.session->heard(report.isReady);
+            this->setDraining(newest, !report.isReady, std::move(done));
+            return;
         }
         done(Nothing{});
         return;
@@ -593,11 +633,33 @@
                       this->openSession(life, record);
                       this->lives[life].sequence = report.sequence;
                       this->lives[life].session->heard(report.isReady);
+                      this->setDraining(life, !report.isReady, done);
+                      return;
                   }
                   done(Nothing{});
               });
 }
 
+/// Acknowledged once it is stored: a controller that takes over a moment later must not start
+/// anything there either.
+void Controller::setDraining(LifeNumber life, bool isDraining, Done<Nothing> done)
+{
+    const bool isKnown = this->machine.read([&](const Book &book) {
+        const LifeRecord *record = book.find(life);
+        return record == nullptr || record->isDraining == isDraining;
+    });
+    if (isKnown) {
+        done(Nothing{});
+        return;
+    }
+    this->add(DrainLife{life, isDraining}, [done](const Result<CommandOutcome> &outcome) {
+        if (outcome)
+            done(Nothing{});
+        else
+            done(outcome.error());
+    });
+}
+
 void Controller::targetLeft(const std::string &name, std::int64_t bornAtMs, Done<Nothing> done)
 {
     if (!this->leads) {
@@ -648,6 +710,8 @@
             const bool isLive = book.live().count(step->first.workflow) != 0;
             step = isLive || step->second.isAsked ? std::next(step) : this->admissions.erase(step);
         }
+        for (auto claim = this->claims.begin(); claim != this->claims.end();)
+            claim = claim->second.until < now ? this->claims.erase(claim) : std::next(claim);
     });
     if (!command.ids.empty())
         this->add(std::move(command), [](const Result<CommandOutcome> &) {});
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -94,6 +95,8 @@
     void plan(std::vector<Pending> &batch);
     std::vector<OpenTarget> openTargets(const Book &book) const;
     void placed(const PlaceRuns &command, CommandOutcome outcome);
+    void preempt(const Preemption &preemption);
+    void setDraining(LifeNumber life, bool isDraining, Done<Nothing> done);
     void ask(const AdmissionQuestion &question);
     void answered(const AdmissionQuestion &question, const Result<AdmissionPort::Admitted> &answer);
 
@@ -124,6 +127,8 @@
     std::vector<Done<Nothing>> waitingBarriers;
     std::map<LifeNumber, LifeState> lives;
     AdmissionTable admissions;
+    ClaimTable claims;
+    std::set<TaskAddress> stopping; ///< placed, and told to stop
     std::map<StepAddress, Instant> orphansSince; ///< gangs that have lost members
     Policy inForce;
     std::int64_t policyVersion = -1;
--- /dev/null
+++ b/src/workflows/internal/planroom.cpp
@@ -0,0 +1,116 @@
+#include "workflows/internal/planroom.h"
+
+#include <algorithm>
+
+namespace guavavalve::workflows::internal {
+
+namespace {
+
+/// A ticket must outlast the commit of the placement and the way to the target: about 50 ms on
+/// disks of 6 ms, several times that on a slow one.
+constexpr Milliseconds ticketReserve{200};
+
+void addTimes(Resources &to, const Resources &amount, std::int64_t times)
+{
+    for (std::size_t i = 0; i < resourceKindCount; ++i)
+        to.amounts[i] += times * amount.amounts[i];
+}
+
+} // namespace
+
+PlanRoom::PlanRoom(const PlanInput &input)
+    : input(input)
+    , open(input.targets)
+    , accounts(input.book.placedByAccount())
+{
+    std::sort(this->open.begin(), this->open.end(),
+              [](const OpenTarget &a, const OpenTarget &b) { return a.life < b.life; });
+    for (const auto &[address, claim] : input.claims) {
+        const Workflow *workflow = input.book.find(address.workflow);
+        if (workflow != nullptr && !workflow->isOver())
+            this->addClaim({address, workflow, nullptr, 0}, -1);
+    }
+}
+
+OpenTarget *PlanRoom::find(LifeNumber life)
+{
+    const auto found =
+        std::lower_bound(this->open.begin(), this->open.end(), life,
+                         [](const OpenTarget &target, LifeNumber l) { return target.life < l; });
+    return found == this->open.end() || found->life != life ? nullptr : &*found;
+}
+
+void PlanRoom::addClaim(const ReadyStep &step, std::int64_t sign)
+{
+    const auto claim = this->input.claims.find(step.address);
+    if (claim == this->input.claims.end() || claim->second.until <= this->input.now)
+        return;
+    for (const auto &[life, tasks] : claim->second.tasks) {
+        if (OpenTarget *target = this->find(life))
+            addTimes(target->free, step.spec().reserved(), sign * tasks);
+    }
+}
+
+void PlanRoom::openClaim(const ReadyStep &step)
+{
+    this->addClaim(step, 1);
+}
+
+void PlanRoom::closeClaim(const ReadyStep &step)
+{
+    this->addClaim(step, -1);
+}
+
+void PlanRoom::keep(const ReadyStep &step, const std::map<LifeNumber, std::uint16_t> &claim)
+{
+    for (const auto &[life, tasks] : claim) {
+        if (OpenTarget *target = this->find(life))
+            addTimes(target->free, step.spec().reserved(), -static_cast<std::int64_t>(tasks));
+    }
+}
+
+void PlanRoom::take(const ReadyStep &step, OpenTarget &target)
+{
+    target.free -= step.spec().reserved();
+    this->accounts[step.workflow->spec.account] += step.spec().need;
+}
+
+void PlanRoom::giveBack(const ReadyStep &step, OpenTarget &target)
+{
+    target.free += step.spec().reserved();
+    this->accounts[step.workflow->spec.account] -= step.spec().need;
+}
+
+bool PlanRoom::isOverLimit(const ReadyStep &step, std::size_t more) const
+{
+    const std::string &name = step.workflow->spec.account;
+    const auto account = this->input.policy.accounts.find(name);
+    if (account == this->input.policy.accounts.end())
+        return false; // it was taken out after its work had been accepted
+    const auto held = this->accounts.find(name);
+    Resources after = held == this->accounts.end() ? Resources{} : held->second;
+    addTimes(after, step.spec().need, static_cast<std::int64_t>(more));
+    return !after.fitsInto(account->second.limit);
+}
+
+bool PlanRoom::mayRun(const ReadyStep &step, const OpenTarget &target)
+{
+    return target.identity->service == step.queue->service
+        && target.identity->hasLabel(step.spec().label);
+}
+
+const StepAdmissions *PlanRoom::admissions(const ReadyStep &step) const
+{
+    const auto known = this->input.admissions.find(step.address);
+    return known == this->input.admissions.end() ? nullptr : &known->second;
+}
+
+bool PlanRoom::isAdmitted(const ReadyStep &step, LifeNumber life) const
+{
+    if (!step.queue->needsAdvice)
+        return true;
+    const StepAdmissions *known = this->admissions(step);
+    return known != nullptr && known->valid(life, this->input.now + ticketReserve) != nullptr;
+}
+
+} // namespace guavavalve::workflows::internal
--- /dev/null
+++ b/src/workflows/internal/planroom.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "workflows/internal/readystep.h"
+#include "workflows/planner.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace guavavalve::workflows::internal {
+
+/// The room that a plan may still give away: on each open target, and below each client account's
+/// limit. Claimed room belongs to the step that claims it.
+class PlanRoom
+{
+public:
+    explicit PlanRoom(const PlanInput &input);
+
+    std::vector<OpenTarget> &targets() { return this->open; }
+    const std::vector<OpenTarget> &targets() const { return this->open; }
+    OpenTarget *find(LifeNumber life);
+
+    /// Hands a step the room that it claims, and takes it back.
+    void openClaim(const ReadyStep &step);
+    void closeClaim(const ReadyStep &step);
+    /// Keeps room for a step from the steps that come after it in this plan.
+    void keep(const ReadyStep &step, const std::map<LifeNumber, std::uint16_t> &claim);
+
+    void take(const ReadyStep &step, OpenTarget &target);
+    void giveBack(const ReadyStep &step, OpenTarget &target);
+
+    /// True if \a more tasks of the step would bring its account over its limit.
+    bool isOverLimit(const ReadyStep &step, std::size_t more) const;
+    /// Service and label allow it.
+    static bool mayRun(const ReadyStep &step, const OpenTarget &target);
+    /// The step has an admission there that is still good, or needs none.
+    bool isAdmitted(const ReadyStep &step, LifeNumber life) const;
+    const StepAdmissions *admissions(const ReadyStep &step) const;
+
+private:
+    void addClaim(const ReadyStep &step, std::int64_t sign);
+
+    const PlanInput &input;
+    std::vector<OpenTarget> open; ///< by life
+    std::map<std::string, Resources> accounts;
+};
+
+} // namespace guavavalve::workflows::internal
--- /dev/null
+++ b/src/workflows/internal/questionmaker.cpp
@@ -0,0 +1,136 @@
+#include "workflows/internal/questionmaker.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace guavavalve::workflows::internal {
+
+namespace {
+
+/// Targets named in one question. The objectives of workflows count one question about 30.
+constexpr std::size_t maxNamedTargets = 30;
+
+} // namespace
+
+std::uint16_t slotsOn(const ReadyStep &step, const OpenTarget &target)
+{
+    const Resources need = step.spec().reserved();
+    std::int64_t slots = step.spec().tasks;
+    for (std::size_t i = 0; i < resourceKindCount; ++i) {
+        if (need.amounts[i] > 0)
+            slots = std::min(slots,
+                             std::max<std::int64_t>(0, target.free.amounts[i]) / need.amounts[i]);
+    }
+    if (step.spec().maxPerTarget != 0)
+        slots = std::min<std::int64_t>(slots, step.spec().maxPerTarget);
+    return static_cast<std::uint16_t>(slots);
+}
+
+QuestionMaker::QuestionMaker(const PlanInput &input, PlanRoom &room)
+    : input(input)
+    , room(room)
+{}
+
+std::optional<AdmissionQuestion> QuestionMaker::make(const ReadyStep &step) const
+{
+    const StepAdmissions *known = this->room.admissions(step);
+    if (known != nullptr && (known->isAsked || this->input.now < known->nextQuestionAt))
+        return std::nullopt;
+    if (known != nullptr) {
+        auto renewal =
+            step.spec().gang ? this->renewGang(step, *known) : this->renewSingles(step, *known);
+        if (renewal)
+            return renewal;
+    }
+    return this->explore(step);
+}
+
+/// A gang's tickets are renewed only when the targets known to be admitted have room for all of
+/// it, for just as many of them as it takes; and that room is kept until the answer is there.
+///
+/// Guards against questions that cannot help: one costs half a second and more, and gangs that
+/// asked whenever their tickets ran out kept two thirds of the service's time for themselves.
+std::optional<AdmissionQuestion> QuestionMaker::renewGang(const ReadyStep &step,
+                                                          const StepAdmissions &known) const
+{
+    std::vector<std::pair<std::uint16_t, LifeNumber>> withRoom;
+    for (const OpenTarget &target : this->room.targets()) {
+        const std::uint16_t slots = slotsOn(step, target);
+        if (slots > 0 && known.admitted.count(target.life) != 0 && PlanRoom::mayRun(step, target))
+            withRoom.emplace_back(slots, target.life);
+    }
+    std::sort(withRoom.rbegin(), withRoom.rend());
+    AdmissionQuestion question;
+    question.step = step.address;
+    std::size_t found = 0;
+    const std::size_t wanted = step.progress().tasks.size();
+    for (const auto &[slots, life] : withRoom) {
+        if (found >= wanted)
+            break;
+        const auto taken = static_cast<std::uint16_t>(std::min<std::size_t>(slots, wanted - found));
+        question.targets.push_back(life);
+        question.claim[life] = taken;
+        found += taken;
+    }
+    return found >= wanted ? std::optional(std::move(question)) : std::nullopt;
+}
+
+/// For single tasks each ticket on a target with room helps, or on one where room can be made.
+std::optional<AdmissionQuestion> QuestionMaker::renewSingles(const ReadyStep &step,
+                                                             const StepAdmissions &known) const
+{
+    std::vector<std::tuple<bool, std::int64_t, LifeNumber>> expired;
+    for (const OpenTarget &target : this->room.targets()) {
+        if (known.admitted.count(target.life) == 0 || !PlanRoom::mayRun(step, target)
+            || this->room.isAdmitted(step, target.life))
+            continue;
+        const bool isFull = slotsOn(step, target) == 0;
+        if (isFull && step.queue->priority > 0)
+            continue;
+        expired.emplace_back(isFull, -target.free[ResourceKind::MilliCores], target.life);
+    }
+    if (expired.empty())
+        return std::nullopt;
+    std::sort(expired.begin(), expired.end());
+    AdmissionQuestion question;
+    question.step = step.address;
+    for (const auto &[isFull, free, life] : expired) {
+        if (question.targets.size() < maxNamedTargets)
+            question.targets.push_back(life);
+    }
+    return question;
+}
+
+/// Asks about targets that nothing is known of: those with the most room first. What is learned
+/// stays true, so full ones are named too while nothing at all is known.
+std::optional<AdmissionQuestion> QuestionMaker::explore(const ReadyStep &step) const
+{
+    const StepAdmissions *known = this->room.admissions(step);
+    std::vector<std::pair<std::int64_t, LifeNumber>> unknown;
+    for (const OpenTarget &target : this->room.targets()) {
+        const bool isKnown = known != nullptr
+            && (known->admitted.count(target.life) != 0 || known->refused.count(target.life) != 0);
+        if (isKnown || !PlanRoom::mayRun(step, target))
+            continue;
+        if (!step.spec().reserved().fitsInto(target.identity->capacity))
+            continue;
+        if (known != nullptr && !step.spec().gang && slotsOn(step, target) == 0)
+            continue;
+        unknown.emplace_back(-target.free[ResourceKind::MilliCores], target.life);
+    }
+    if (unknown.empty())
+        return std::nullopt;
+    std::sort(unknown.begin(), unknown.end());
+    AdmissionQuestion question;
+    question.step = step.address;
+    for (const auto &[free, life] : unknown) {
+        if (question.targets.size() < maxNamedTargets)
+            question.targets.push_back(life);
+    }
+    return question;
+}
+
+} // namespace guavavalve::workflows::internal
--- /dev/null
+++ b/src/workflows/internal/questionmaker.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "workflows/internal/planroom.h"
+
+#include <optional>
+
+namespace guavavalve::workflows::internal {
+
+/// Decides what the admission service is asked about a step that found no place.
+class QuestionMaker
+{
+public:
+    QuestionMaker(const PlanInput &input, PlanRoom &room);
+
+    /// Nothing: an answer is awaited, or a question would not help now.
+    std::optional<AdmissionQuestion> make(const ReadyStep &step) const;
+
+private:
+    std::optional<AdmissionQuestion> renewGang(const ReadyStep &step,
+                                               const StepAdmissions &known) const;
+    std::optional<AdmissionQuestion> renewSingles(const ReadyStep &step,
+                                                  const StepAdmissions &known) const;
+    std::optional<AdmissionQuestion> explore(const ReadyStep &step) const;
+
+    const PlanInput &input;
+    PlanRoom &room;
+};
+
+/// How many more tasks of the step the target has room for.
+std::uint16_t slotsOn(const ReadyStep &step, const OpenTarget &target);
+
+} // namespace guavavalve::workflows::internal
--- /dev/null
+++ b/src/workflows/internal/readystep.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "workflows/policy.h"
+#include "workflows/workflow.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace guavavalve::workflows::internal {
+
+/// A step that has tasks to be placed.
+struct ReadyStep
+{
+    StepAddress address;
+    const Workflow *workflow = nullptr;
+    const QueuePolicy *queue = nullptr;
+    std::int64_t objectiveMs = 0; ///< calendar time by which the workflow should be done
+
+    const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
+    const StepProgress &progress() const { return this->workflow->step(this->address); }
+    std::size_t waiting() const
+    {
+        const StepProgress &step = this->progress();
+        return step.tasks.size() - step.placed - step.succeeded;
+    }
+};
+
+} // namespace guavavalve::workflows::internal
--- a/src/workflows/lifetable.h
+++ b/src/workflows/lifetable.h
@@ -13,11 +13,12 @@
     TargetIdentity identity;
     Resources used; ///< by what is placed, whether it runs, is on its way or is being stopped
     std::set<TaskAddress> placed;
+    bool isDraining = false; ///< takes nothing new
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->identity, this->used, this->placed);
+        archive(this->identity, this->used, this->placed, this->isDraining);
     }
 };
 
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -1,33 +1,24 @@
 #include "workflows/planner.h"
 
+#include "workflows/internal/planroom.h"
+#include "workflows/internal/questionmaker.h"
+#include "workflows/internal/readystep.h"
+#include "workflows/internal/roommaker.h"
+
 #include <algorithm>
-#include <limits>
 #include <map>
-#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
 
 namespace guavavalve::workflows {
 
-namespace {
-
-/// Targets named in one question. The objectives of workflows count one question about 30.
-constexpr std::size_t maxNamedTargets = 30;
-/// A ticket must outlast the commit of the placement and the way to the target: about 50 ms on
-/// disks of 6 ms, several times that on a slow one.
-constexpr Milliseconds ticketReserve{200};
+using internal::PlanRoom;
+using internal::QuestionMaker;
+using internal::ReadyStep;
+using internal::RoomMaker;
 
-struct ReadyStep
-{
-    StepAddress address;
-    const Workflow *workflow = nullptr;
-    const QueuePolicy *queue = nullptr;
-    std::int64_t objectiveMs = 0; ///< calendar time by which the workflow should be done
-
-    const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
-    const StepProgress &progress() const { return this->workflow->step(this->address); }
-};
+namespace {
 
 /// The longest chain of work, by the callers' estimates.
 std::int64_t longestChainMs(const WorkflowSpec &spec)
@@ -62,9 +53,11 @@
 class Planner
 {
 public:
-    explicit Planner(PlanInput &planInput)
+    explicit Planner(const PlanInput &planInput)
         : input(planInput)
-        , accounts(planInput.book.placedByAccount())
+        , room(planInput)
+        , questions(planInput, this->room)
+        , roomMaker(planInput, this->room)
     {}
 
     Plan run()
@@ -76,8 +69,8 @@
         });
         for (const ReadyStep &step : steps)
             this->place(step);
-        this->plan.summary.openTargets = this->input.targets.size();
-        for (const OpenTarget &target : this->input.targets)
+        this->plan.summary.openTargets = this->room.targets().size();
+        for (const OpenTarget &target : this->room.targets())
             this->plan.summary.free += target.free;
         return std::move(this->plan);
     }
@@ -113,13 +106,36 @@
 
     void place(const ReadyStep &step)
     {
+        this->room.openClaim(step);
         const bool isPlaced = step.spec().gang ? this->placeGang(step) : this->placeSingles(step);
         if (isPlaced)
+            return; // its claim is spent
+        const std::size_t placedNow = std::exchange(this->placedOfStep, 0);
+        this->plan.summary.waitingTasks[step.queue->priority] += step.waiting() - placedNow;
+        if (this->room.isOverLimit(step, step.spec().gang ? step.progress().tasks.size() : 1)) {
+            this->room.closeClaim(step);
             return;
-        this->plan.summary.waitingTasks[step.queue->priority] +=
-            step.progress().tasks.size() - step.progress().placed - step.progress().succeeded;
-        if (step.queue->needsAdvice && !this->isOverLimit(step, 1))
+        }
+        if (step.queue->needsAdvice)
             this->ask(step);
+        if (placedNow == 0)
+            this->makeRoom(step);
+        this->room.closeClaim(step);
+    }
+
+    void ask(const ReadyStep &step)
+    {
+        auto question = this->questions.make(step);
+        if (!question)
+            return;
+        this->room.keep(step, question->claim);
+        this->plan.questions.push_back(std::move(*question));
+    }
+
+    void makeRoom(const ReadyStep &step)
+    {
+        if (auto preemption = this->roomMaker.make(step))
+            this->plan.preemptions.push_back(std::move(*preemption));
     }
 
     /// Places what finds room; true if nothing is left waiting.
@@ -127,21 +143,24 @@
     {
         std::map<RunNumber, PlaceRuns> commands; // by run number: each task counts its own starts
         const StepProgress &progress = step.progress();
-        std::map<LifeNumber, std::uint16_t> onTarget = this->placedOfStep(step);
+        std::map<LifeNumber, std::uint16_t> onTarget = placedByTarget(step);
         bool isWhole = true;
-        for (std::size_t i = 0; i < progress.tasks.size() && isWhole; ++i) {
+        this->placedOfStep = 0;
+        for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
             if (progress.tasks[i].phase != TaskPhase::Waiting)
                 continue;
-            OpenTarget *target =
-                this->isOverLimit(step, 1) ? nullptr : this->bestTarget(step, onTarget, nullptr);
+            OpenTarget *target = this->room.isOverLimit(step, 1)
+                ? nullptr
+                : this->bestTarget(step, onTarget, nullptr);
             isWhole = target != nullptr;
             if (!isWhole)
                 break;
-            this->take(step, *target, onTarget);
-            const RunNumber run = progress.tasks[i].run + 1;
-            PlaceRuns &command = commands[run];
+            this->room.take(step, *target);
+            ++onTarget[target->life];
+            ++this->placedOfStep;
+            PlaceRuns &command = commands[progress.tasks[i].run + 1];
             command.step = step.address;
-            command.run = run;
+            command.run = progress.tasks[i].run + 1;
             command.placements.push_back({static_cast<std::uint16_t>(i), target->life});
         }
         for (auto &[run, command] : commands)
@@ -153,7 +172,7 @@
     /// room, else anywhere.
     bool placeGang(const ReadyStep &step)
     {
-        if (this->isOverLimit(step, step.progress().tasks.size()))
+        if (this->room.isOverLimit(step, step.progress().tasks.size()))
             return false;
         if (step.spec().sameRack) {
             for (const std::string &rack : this->racks()) {
@@ -166,18 +185,21 @@
 
     bool tryGang(const ReadyStep &step, const std::string *rack)
     {
-        const std::vector<OpenTarget> before = this->input.targets;
         std::map<LifeNumber, std::uint16_t> onTarget;
+        std::vector<OpenTarget *> taken;
         PlaceRuns command;
         command.step = step.address;
         const StepProgress &progress = step.progress();
         for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
             OpenTarget *target = this->bestTarget(step, onTarget, rack);
             if (target == nullptr) {
-                this->undo(step, before, i);
+                for (OpenTarget *one : taken)
+                    this->room.giveBack(step, *one);
                 return false;
             }
-            this->take(step, *target, onTarget);
+            this->room.take(step, *target);
+            taken.push_back(target);
+            ++onTarget[target->life];
             command.run = std::max(command.run, progress.tasks[i].run + 1);
             command.placements.push_back({static_cast<std::uint16_t>(i), target->life});
         }
@@ -185,36 +207,7 @@
         return true;
     }
 
-    void undo(const ReadyStep &step, const std::vector<OpenTarget> &before, std::size_t taken)
-    {
-        this->input.targets = before;
-        for (std::size_t i = 0; i < taken; ++i)
-            this->accounts[step.workflow->spec.account] -= step.spec().need;
-    }
-
-    void take(const ReadyStep &step, OpenTarget &target,
-              std::map<LifeNumber, std::uint16_t> &onTarget)
-    {
-        target.free -= step.spec().reserved();
-        this->accounts[step.workflow->spec.account] += step.spec().need;
-        ++onTarget[target.life];
-    }
-
-    /// True if \a more tasks of the step would bring its account over its limit.
-    bool isOverLimit(const ReadyStep &step, std::size_t more) const
-    {
-        const std::string &name = step.workflow->spec.account;
-        const auto account = this->input.policy.accounts.find(name);
-        if (account == this->input.policy.accounts.end())
-            return false; // it was taken out after its work had been accepted
-        const auto held = this->accounts.find(name);
-        Resources after = held == this->accounts.end() ? Resources{} : held->second;
-        for (std::size_t i = 0; i < more; ++i)
-            after += step.spec().need;
-        return !after.fitsInto(account->second.limit);
-    }
-
-    std::map<LifeNumber, std::uint16_t> placedOfStep(const ReadyStep &step) const
+    static std::map<LifeNumber, std::uint16_t> placedByTarget(const ReadyStep &step)
     {
         std::map<LifeNumber, std::uint16_t> found;
         if (step.spec().maxPerTarget == 0)
@@ -226,48 +219,34 @@
         return found;
     }
 
+    /// Those with the most room first.
     std::vector<std::string> racks() const
     {
-        std::map<std::string, std::int64_t> room;
-        for (const OpenTarget &target : this->input.targets)
-            room[target.identity->rack] += target.free[ResourceKind::MilliCores];
+        std::map<std::string, std::int64_t> free;
+        for (const OpenTarget &target : this->room.targets())
+            free[target.identity->rack] += target.free[ResourceKind::MilliCores];
         std::vector<std::pair<std::int64_t, std::string>> byRoom;
-        for (const auto &[rack, free] : room)
-            byRoom.emplace_back(-free, rack);
+        for (const auto &[rack, milliCores] : free)
+            byRoom.emplace_back(-milliCores, rack);
         std::sort(byRoom.begin(), byRoom.end());
         std::vector<std::string> names;
-        for (auto &[free, rack] : byRoom)
+        for (auto &[milliCores, rack] : byRoom)
             names.push_back(std::move(rack));
         return names;
     }
 
-    bool mayRun(const ReadyStep &step, const OpenTarget &target) const
-    {
-        return target.identity->service == step.queue->service
-            && target.identity->hasLabel(step.spec().label);
-    }
-
-    bool isAdmitted(const ReadyStep &step, LifeNumber life) const
-    {
-        if (!step.queue->needsAdvice)
-            return true;
-        const auto known = this->input.admissions.find(step.address);
-        return known != this->input.admissions.end()
-            && known->second.valid(life, this->input.now + ticketReserve) != nullptr;
-    }
-
     /// Where the next task of the step fits best; null: nowhere.
     OpenTarget *bestTarget(const ReadyStep &step,
                            const std::map<LifeNumber, std::uint16_t> &onTarget,
                            const std::string *rack)
     {
-        const Resources room = step.spec().reserved();
+        const Resources need = step.spec().reserved();
         OpenTarget *best = nullptr;
         std::pair<bool, std::int64_t> bestScore;
-        for (OpenTarget &target : this->input.targets) {
-            if (!room.fitsInto(target.free) || !this->mayRun(step, target)
+        for (OpenTarget &target : this->room.targets()) {
+            if (!need.fitsInto(target.free) || !PlanRoom::mayRun(step, target)
                 || (rack != nullptr && target.identity->rack != *rack)
-                || !this->isAdmitted(step, target.life))
+                || !this->room.isAdmitted(step, target.life))
                 continue;
             const auto here = onTarget.find(target.life);
             const std::uint16_t count = here == onTarget.end() ? 0 : here->second;
@@ -284,47 +263,17 @@
         return best;
     }
 
-    /// Asks about targets that have room: those known to be admitted first, then unknown ones.
-    void ask(const ReadyStep &step)
-    {
-        const auto known = this->input.admissions.find(step.address);
-        const StepAdmissions *admissions =
-            known == this->input.admissions.end() ? nullptr : &known->second;
-        if (admissions != nullptr
-            && (admissions->isAsked || this->input.now < admissions->nextQuestionAt))
-            return;
-        const Resources room = step.spec().reserved();
-        std::vector<std::tuple<bool, std::int64_t, LifeNumber>> candidates;
-        for (const OpenTarget &target : this->input.targets) {
-            if (!room.fitsInto(target.free) || !this->mayRun(step, target)
-                || this->isAdmitted(step, target.life))
-                continue;
-            if (admissions != nullptr && admissions->refused.count(target.life) != 0)
-                continue;
-            const bool isUnknown =
-                admissions == nullptr || admissions->admitted.count(target.life) == 0;
-            candidates.emplace_back(isUnknown, -target.free[ResourceKind::MilliCores], target.life);
-        }
-        if (candidates.empty())
-            return;
-        std::sort(candidates.begin(), candidates.end());
-        AdmissionQuestion question;
-        question.step = step.address;
-        for (const auto &[isUnknown, free, life] : candidates) {
-            if (question.targets.size() < maxNamedTargets)
-                question.targets.push_back(life);
-        }
-        this->plan.questions.push_back(std::move(question));
-    }
-
-    PlanInput &input;
-    std::map<std::string, Resources> accounts; ///< placed, with what this plan places
+    const PlanInput &input;
+    PlanRoom room;
+    QuestionMaker questions;
+    RoomMaker roomMaker;
+    std::size_t placedOfStep = 0; ///< by the last placeSingles()
     Plan plan;
 };
 
 } // namespace
 
-Plan makePlan(PlanInput input)
+Plan makePlan(const PlanInput &input)
 {
     return Planner(input).run();
 }
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -3,11 +3,13 @@
 #include "core/clock.h"
 #include "workflows/admissions.h"
 #include "workflows/book.h"
+#include "workflows/claims.h"
 #include "workflows/policy.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -25,6 +27,15 @@
 {
     StepAddress step;
     std::vector<LifeNumber> targets; ///< the likeliest first
+    std::map<LifeNumber, std::uint16_t> claim; ///< room to be kept until the answer
+};
+
+/// Tasks to be stopped, with their progress saved, so that a more urgent step finds room.
+struct Preemption
+{
+    StepAddress step; ///< that the room is for
+    std::map<LifeNumber, std::uint16_t> claim; ///< how many of its tasks will fit where
+    std::vector<TaskAddress> victims;
 };
 
 /// What a plan left waiting, for the log.
@@ -39,6 +50,7 @@
 {
     std::vector<PlaceRuns> placements;
     std::vector<AdmissionQuestion> questions;
+    std::vector<Preemption> preemptions;
     PlanSummary summary;
 };
 
@@ -48,6 +60,8 @@
     const Book &book;
     const Policy &policy;
     const AdmissionTable &admissions;
+    const ClaimTable &claims;
+    const std::set<TaskAddress> &stopping; ///< placed, and told to stop
     std::vector<OpenTarget> targets;
     Instant now;
     std::int64_t calendarMs = 0;
@@ -57,7 +71,8 @@
 ///
 /// Steps are taken by their queue's priority and then by when their workflow's objective ends. A
 /// gang is placed whole or not at all. A task goes to the target with the least processor room
-/// left, so that wide gaps stay for wide tasks. Client accounts are kept below their limits.
-Plan makePlan(PlanInput input);
+/// left, so that wide gaps stay for wide tasks. Client accounts are kept below their limits. Where
+/// a step finds no room, less urgent tasks that save their progress give way.
+Plan makePlan(const PlanInput &input);
 
 } // namespace guavavalve::workflows
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Heartbeats come every 1.5 s: two may be lost before a target counts as silent.
-constexpr Milliseconds heartbeatSilence{4500};
 /// Questions in a row without an answer after which no lease is renewed: with a path that is cut
 /// one way they would go on renewing it for ever.
 constexpr unsigned blindQuestions = 2;
@@ -112,7 +110,7 @@
 {
     const Instant now = this->clock();
     return !this->hasEnded && this->hasLists && !this->isFenced && this->saysReady
-        && this->failures == 0 && this->foreign.empty() && now < this->heardAt + heartbeatSilence
+        && this->failures == 0 && this->foreign.empty()
         && now < this->answeredAt + this->limits.holdWait + this->limits.orderLimit;
 }
 
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -70,17 +70,15 @@
     /// The ends that were reported are stored up to here: the target may forget them.
     void committed();
 
-    /// A heartbeat of this life.
+    /// A heartbeat of this life, or what is stored of an earlier one.
     void heard(bool isReady);
     /// The target's life is over: everything on it is.
     void declareOver();
     /// To be called often: lets leases lapse.
     void tick();
 
-    /// New work may go there: it is ready, was heard lately in this term, and what runs there is
-    /// known.
+    /// New work may go there: it does not drain, answers, and what runs there is known.
     bool isUsable() const;
-    bool isDraining() const { return !this->saysReady && this->heardAt != Instant{}; }
     /// Nothing has been heard of it for long and nothing is placed on it.
     bool isForgettable(Milliseconds silence) const;
     bool isOver() const { return this->hasEnded; }
