--- a/src/workflows/internal/roommaker.cpp
+++ b/src/workflows/internal/roommaker.cpp
@@ -110,9 +110,13 @@
         this->evict(step, *best, least, preemption);
     }
     const bool isWhole = step.spec().gang ? found == step.waiting() : found > 0;
-    if (isWhole && !preemption.victims.empty())
-        return preemption;
+    const bool isWorth = isWhole && !preemption.victims.empty();
+    // Nothing is free before the victims have ended: what they leave beyond the claim included.
     this->room.targets() = before;
+    if (isWorth) {
+        this->room.keep(step, preemption.claim);
+        return preemption;
+    }
     this->taken = takenBefore;
     return std::nullopt;
 }
