workflows: leases are granted only by a controller that is current; random runs on simulated targets

Cause, by reading: a controller cut off from its followers goes on renewing leases for up to a second after the next one has begun to count them, so a run could go on there while it is started elsewhere.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -410,6 +410,7 @@
     };
     hooks.lifeOver = [this, life] { this->lifeOver(life); };
     hooks.runAfter = this->options.runAfter;
+    hooks.isCurrent = [this] { return this->isCurrent(); };
     auto session =
         std::make_shared<TargetSession>(life, record.identity, this->term, this->options.session,
                                         this->targets, std::move(hooks), this->options.clock);
@@ -464,7 +465,7 @@
                 return; // leadership is lost: the next controller learns of the ends by itself
             const std::shared_ptr<TargetSession> session = found->second.session;
             session->committed();
-                for (const WorkflowId id : touched) {
+            for (const WorkflowId id : touched) {
                 const bool hasFailed = this->machine.read([&](const Book &book) {
                     const Workflow *workflow = book.find(id);
                     return workflow != nullptr && workflow->isOver() && workflow->placed > 0;
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -140,10 +140,13 @@
 /// A lease for the target's own clock, and the time by which it is over for certain.
 ///
 /// Guards against a run that is started elsewhere while it still goes on here: the target counts
-/// on a clock that may be slow, and from a reading that was taken before the answer arrived.
+/// on a clock that may be slow, and from a reading that was taken before the answer arrived. A
+/// controller that has lost its followers, but not its targets, grants nothing more: the next one
+/// counts the leases of this one from its own election.
 std::int64_t TargetSession::grantLease()
 {
-    if (this->answeredAt == Instant{} || this->failures >= blindQuestions)
+    if (this->answeredAt == Instant{} || this->failures >= blindQuestions
+        || !this->hooks.isCurrent())
         return 0;
     const Instant now = this->clock();
     const auto since = std::chrono::duration_cast<Milliseconds>(now - this->answeredAt);
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -48,6 +48,8 @@
         /// Another life answers at its address.
         std::function<void()> lifeOver;
         std::function<void(Microseconds delay, std::function<void()>)> runAfter;
+        /// No later controller can have decided yet: leases may be granted.
+        std::function<bool()> isCurrent;
     };
 
     TargetSession(LifeNumber life, TargetIdentity identity, std::uint64_t term,
--- /dev/null
+++ b/test/workflows/simulatedfleet.cpp
@@ -0,0 +1,363 @@
+#include "workflows/simulatedfleet.h"
+
+#include "workflows/decisionlog.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace guavavalve::workflows {
+
+namespace {
+
+constexpr std::int64_t longestLeaseMs = 6000;
+constexpr int shortestRunMs = 200;
+constexpr int longestRunMs = 3000;
+/// The targets' clocks run 2% slow: the worst that the contract allows.
+constexpr std::int64_t clockPerThousand = 980;
+
+} // namespace
+
+SimulatedFleet::SimulatedFleet(VirtualLoop &loop, std::uint64_t seed)
+    : loop(loop)
+    , random(seed)
+{}
+
+bool SimulatedFleet::chance(double probability)
+{
+    return std::uniform_real_distribution<>(0.0, 1.0)(this->random) < probability;
+}
+
+Milliseconds SimulatedFleet::between(int from, int to)
+{
+    return Milliseconds(std::uniform_int_distribution<>(from, to)(this->random));
+}
+
+TargetIdentity SimulatedFleet::add(const std::string &name, std::int64_t milliCores)
+{
+    Target target;
+    target.identity.name = name;
+    target.identity.bornAtMs = this->loop.nowMs();
+    target.identity.service = "s";
+    target.identity.rack = "r0-0";
+    target.identity.capacity[ResourceKind::MilliCores] = milliCores;
+    target.bornAt = this->loop.now();
+    this->targets[name] = target;
+    return target.identity;
+}
+
+std::vector<std::string> SimulatedFleet::names() const
+{
+    std::vector<std::string> found;
+    for (const auto &[name, target] : this->targets)
+        found.push_back(name);
+    return found;
+}
+
+void SimulatedFleet::crash(const std::string &name)
+{
+    Target &target = this->targets.at(name);
+    target.isUp = false;
+    const auto running = std::move(target.running);
+    target.running.clear();
+    for (const auto &[task, run] : running)
+        this->breakGang(task, run.run);
+}
+
+void SimulatedFleet::cut(const std::string &name, bool isOneWay)
+{
+    (isOneWay ? this->targets.at(name).isCutOneWay : this->targets.at(name).isCut) = true;
+}
+
+void SimulatedFleet::heal(const std::string &name)
+{
+    this->targets.at(name).isCut = false;
+    this->targets.at(name).isCutOneWay = false;
+}
+
+void SimulatedFleet::announce(const WorkflowSpec &spec)
+{
+    this->specs[spec.id] = spec;
+}
+
+const StepSpec &SimulatedFleet::specOf(const TaskAddress &task) const
+{
+    return this->specs.at(task.step.workflow).steps[task.step.step];
+}
+
+void SimulatedFleet::report(const std::string &what)
+{
+    if (this->breach.empty())
+        this->breach = what + " at " + std::to_string(this->loop.nowMs()) + " ms";
+}
+
+std::int64_t SimulatedFleet::clockOf(const Target &target) const
+{
+    const auto age =
+        std::chrono::duration_cast<Milliseconds>(this->loop.now() - target.bornAt).count();
+    return 1 + age * clockPerThousand / 1000;
+}
+
+/// Delivers a request and its answer, each after a while, or loses one or both.
+template<typename Answer>
+void SimulatedFleet::carry(const std::string &name, bool mayBeLate, Instant deadline,
+                           Done<Answer> done, std::function<Answer(Target &)> act)
+{
+    auto answered = std::make_shared<bool>(false);
+    const auto remaining = deadline - this->loop.now();
+    this->loop.runAfter(remaining, [answered, done] {
+        if (!std::exchange(*answered, true)) {
+            Error error = failure(ErrorCode::DeadlineExceeded, "no answer");
+            error.ran = Ran::Unknown;
+            done(error);
+        }
+    });
+    const bool isLate = mayBeLate && this->chance(this->faults.lateOrder);
+    if (!isLate && this->chance(this->faults.lostRequest))
+        return;
+    const Milliseconds delay = isLate ? this->between(2000, 12000) : this->between(1, 4);
+    this->loop.runAfter(delay, [this, name, isLate, answered, done, act] {
+        Target &target = this->targets.at(name);
+        if (!target.isUp || (target.isCut && !isLate))
+            return;
+        this->expireLease(target);
+        const Answer answer = act(target);
+        if (isLate || target.isCutOneWay || this->chance(this->faults.lostAnswer))
+            return;
+        this->loop.runAfter(this->between(1, 4), [answered, done, answer] {
+            if (!std::exchange(*answered, true))
+                done(answer);
+        });
+    });
+}
+
+void SimulatedFleet::renew(Target &target, std::int64_t leaseUntilMs)
+{
+    const std::int64_t longest = this->clockOf(target) + longestLeaseMs;
+    target.leaseUntilMs = std::max(target.leaseUntilMs, std::min(leaseUntilMs, longest));
+    const std::string name = target.identity.name;
+    const std::int64_t left = target.leaseUntilMs - this->clockOf(target);
+    this->loop.runAfter(Milliseconds(left * 1000 / clockPerThousand + 5), [this, name] {
+        if (this->targets.at(name).isUp)
+            this->expireLease(this->targets.at(name));
+    });
+}
+
+void SimulatedFleet::expireLease(Target &target)
+{
+    if (this->clockOf(target) <= target.leaseUntilMs)
+        return;
+    target.lapsedEnds = target.lastEnd;
+    while (!target.running.empty())
+        this->endRun(target, target.running.begin()->first, RunOutcome::Lapsed);
+}
+
+void SimulatedFleet::endRun(Target &target, const TaskAddress &task, RunOutcome outcome)
+{
+    const auto found = target.running.find(task);
+    if (found == target.running.end())
+        return;
+    const RunNumber run = found->second.run;
+    target.ends.push_back({++target.lastEnd, task, run, outcome, found->second.checkpoint});
+    target.settled[task] = std::max(target.settled[task], run);
+    target.running.erase(found);
+    if (outcome == RunOutcome::Succeeded)
+        this->ended.insert(task);
+    else
+        this->breakGang(task, run);
+}
+
+void SimulatedFleet::breakGang(const TaskAddress &task, RunNumber run)
+{
+    if (!this->specOf(task).gang)
+        return;
+    for (auto &[name, target] : this->targets) {
+        std::vector<TaskAddress> members;
+        for (const auto &[other, running] : target.running) {
+            if (other.step == task.step && running.run == run)
+                members.push_back(other);
+        }
+        for (const TaskAddress &member : members)
+            this->endRun(target, member, RunOutcome::Broken);
+    }
+}
+
+std::int64_t SimulatedFleet::usedOf(const Target &target) const
+{
+    std::int64_t used = 0;
+    for (const auto &[task, running] : target.running)
+        used += this->specOf(task).need[ResourceKind::MilliCores];
+    return used;
+}
+
+void SimulatedFleet::checkStart(const Target &target, const StartOrder &order)
+{
+    const std::string name = workflowName(order.task.step.workflow) + "."
+        + std::to_string(order.task.step.step) + "." + std::to_string(order.task.index);
+    for (const auto &[other, one] : this->targets) {
+        if (one.isUp && one.running.count(order.task) != 0)
+            this->report("two runs of " + name + " at once, on " + other + " and "
+                         + target.identity.name);
+    }
+    if (this->noted.count(order.task) != 0)
+        this->report(name + " is started after its success was taken note of");
+    const std::int64_t used =
+        this->usedOf(target) + this->specOf(order.task).need[ResourceKind::MilliCores];
+    if (used > target.identity.capacity[ResourceKind::MilliCores])
+        this->report(name + " is over the room of " + target.identity.name);
+    for (const std::uint16_t earlier : this->specOf(order.task).after) {
+        TaskAddress before{{order.task.step.workflow, order.task.step.occurrence, earlier}, 0};
+        for (; before.index < this->specOf(before).tasks; ++before.index) {
+            if (this->ended.count(before) == 0)
+                this->report(name + " is started before an earlier step has succeeded");
+        }
+    }
+}
+
+OrderAnswer SimulatedFleet::begin(Target &target, const StartOrder &order)
+{
+    OrderAnswer answer;
+    answer.clockMs = this->clockOf(target);
+    answer.reply = OrderReply::Fenced;
+    if (order.term < target.fence)
+        return answer;
+    target.fence = order.term;
+    answer.reply = OrderReply::Done;
+    const auto there = target.running.find(order.task);
+    if (there != target.running.end() && there->second.run == order.run)
+        return answer;
+    answer.reply = OrderReply::Settled;
+    const bool isOld = there != target.running.end() || order.run <= target.settled[order.task];
+    if (order.leaseUntilMs > answer.clockMs)
+        this->renew(target, order.leaseUntilMs);
+    if (isOld)
+        return answer;
+    answer.reply = OrderReply::Late;
+    if (order.leaseUntilMs <= answer.clockMs)
+        return answer;
+    answer.reply = OrderReply::Done;
+    this->checkStart(target, order);
+    ++this->starts;
+    const std::uint64_t serial = ++this->serials;
+    target.running[order.task] = {order.run, serial, order.checkpoint};
+    if (this->specOf(order.task).gang) {
+        this->finishGang(order.task, order.run);
+        return answer;
+    }
+    this->loop.runAfter(this->between(shortestRunMs, longestRunMs),
+                        [this, name = target.identity.name, task = order.task, serial] {
+                            this->finish(name, task, serial);
+                        });
+    return answer;
+}
+
+void SimulatedFleet::finish(const std::string &name, const TaskAddress &task, std::uint64_t serial)
+{
+    Target &target = this->targets.at(name);
+    const auto found = target.running.find(task);
+    if (!target.isUp || found == target.running.end() || found->second.serial != serial)
+        return;
+    found->second.checkpoint = "saved";
+    this->endRun(target, task,
+                 this->chance(this->faults.failedTask) ? RunOutcome::Failed
+                                                       : RunOutcome::Succeeded);
+}
+
+/// Once all members of a run are there, they end together.
+void SimulatedFleet::finishGang(const TaskAddress &member, RunNumber run)
+{
+    std::vector<std::tuple<std::string, TaskAddress, std::uint64_t>> members;
+    for (const auto &[name, target] : this->targets) {
+        for (const auto &[task, running] : target.running) {
+            if (task.step == member.step && running.run == run)
+                members.emplace_back(name, task, running.serial);
+        }
+    }
+    if (members.size() < this->specOf(member).tasks)
+        return;
+    this->loop.runAfter(this->between(shortestRunMs, longestRunMs), [this, members] {
+        for (const auto &[name, task, serial] : members) {
+            const auto &running = this->targets.at(name).running;
+            const auto found = running.find(task);
+            if (found == running.end() || found->second.serial != serial)
+                return; // it was broken
+        }
+        for (const auto &[name, task, serial] : members)
+            this->endRun(this->targets.at(name), task, RunOutcome::Succeeded);
+    });
+}
+
+void SimulatedFleet::start(const TargetIdentity &target, const StartOrder &order, Instant deadline,
+                           Done<OrderAnswer> done)
+{
+    this->carry<OrderAnswer>(target.name, true, deadline, std::move(done),
+                             [this, order, born = target.bornAtMs](Target &at) {
+                                 if (at.identity.bornAtMs != born)
+                                     return OrderAnswer{OrderReply::OtherLife, 0};
+                                 return this->begin(at, order);
+                             });
+}
+
+void SimulatedFleet::stop(const TargetIdentity &target, const StopOrder &order, Instant deadline,
+                          Done<OrderAnswer> done)
+{
+    this->carry<OrderAnswer>(
+        target.name, true, deadline, std::move(done),
+        [this, order, born = target.bornAtMs](Target &at) {
+            if (at.identity.bornAtMs != born)
+                return OrderAnswer{OrderReply::OtherLife, 0};
+            if (order.term < at.fence)
+                return OrderAnswer{OrderReply::Fenced, this->clockOf(at)};
+            at.fence = order.term;
+            at.settled[order.task] = std::max(at.settled[order.task], order.run);
+            const auto found = at.running.find(order.task);
+            if (found != at.running.end() && found->second.run <= order.run) {
+                this->loop.runAfter(this->between(0, 200),
+                                    [this, name = at.identity.name, task = order.task,
+                                     serial = found->second.serial] {
+                                        Target &later = this->targets.at(name);
+                                        const auto there = later.running.find(task);
+                                        if (there != later.running.end()
+                                            && there->second.serial == serial)
+                                            this->endRun(later, task, RunOutcome::Stopped);
+                                    });
+            }
+            return OrderAnswer{OrderReply::Done, this->clockOf(at)};
+        });
+}
+
+void SimulatedFleet::hold(const TargetIdentity &target, const HoldOrder &order, Instant deadline,
+                          Done<HoldAnswer> done)
+{
+    this->carry<HoldAnswer>(
+        target.name, false, deadline, std::move(done),
+        [this, order, born = target.bornAtMs](Target &at) {
+            HoldAnswer answer;
+            answer.reply = OrderReply::OtherLife;
+            if (at.identity.bornAtMs != born)
+                return answer;
+            answer.clockMs = this->clockOf(at);
+            answer.reply = OrderReply::Fenced;
+            if (order.term < at.fence)
+                return answer;
+            at.fence = order.term;
+            answer.reply = OrderReply::Done;
+            if (order.leaseUntilMs != 0)
+                this->renew(at, order.leaseUntilMs);
+            const auto forgotten =
+                std::stable_partition(at.ends.begin(), at.ends.end(), [&](const ListedEnd &end) {
+                    return end.number > order.lastSeen;
+                });
+            for (auto end = forgotten; end != at.ends.end(); ++end) {
+                if (end->outcome == RunOutcome::Succeeded && end->number > at.lapsedEnds)
+                    this->noted.insert(end->task);
+            }
+            at.ends.erase(forgotten, at.ends.end());
+            answer.ends = at.ends;
+            for (const auto &[task, running] : at.running)
+                answer.running.push_back({task, running.run, running.checkpoint});
+            return answer;
+        });
+}
+
+} // namespace guavavalve::workflows
--- /dev/null
+++ b/test/workflows/simulation.cpp
@@ -0,0 +1,123 @@
+#include "workflows/simulation.h"
+
+#include <utility>
+
+namespace guavavalve::workflows {
+
+namespace {
+
+constexpr Milliseconds beatInterval{1500};
+
+Result<Policy> simplePolicy(const std::string &)
+{
+    Policy policy;
+    QueuePolicy queue;
+    queue.service = "s";
+    queue.maxFailures = 50; // failures are not what these runs are about
+    policy.queues["q"] = queue;
+    return policy;
+}
+
+} // namespace
+
+Simulation::Simulation(std::uint64_t seed, unsigned targets, std::int64_t milliCoresOfEach)
+    : fleet(this->loop, seed)
+    , milliCores(milliCoresOfEach)
+    , admissions(this->loop)
+{
+    this->changeController(Milliseconds(0));
+    this->controller().storeDocument(1, "policy", [](const Result<CommandOutcome> &) {});
+    for (unsigned i = 1; i <= targets; ++i)
+        this->restart("t" + std::to_string(i));
+    this->runFor(Milliseconds(500));
+}
+
+Simulation::~Simulation() = default;
+
+void Simulation::changeController(Milliseconds stale)
+{
+    if (!this->reigns.empty()) {
+        Reign *before = this->reigns.back().get();
+        before->log.setLeads(false);
+        this->loop.runAfter(stale, [before] { before->controller->leadershipChanged(false, 0); });
+    }
+    auto reign = std::make_unique<Reign>(this->machine);
+    ControllerOptions options;
+    options.readPolicy = simplePolicy;
+    options.post = [this](std::function<void()> action) { this->loop.post(std::move(action)); };
+    options.runAfter = [this](Microseconds delay, std::function<void()> action) {
+        this->loop.runAfter(delay, std::move(action));
+    };
+    options.calendarMs = [this] { return this->loop.nowMs(); };
+    options.clock = [this] { return this->loop.now(); };
+    reign->controller = std::make_unique<Controller>(options, reign->log, this->machine,
+                                                     this->fleet, this->admissions);
+    reign->controller->leadershipChanged(true, ++this->term);
+    this->reigns.push_back(std::move(reign));
+}
+
+void Simulation::beat(const std::string &name)
+{
+    TargetReport report;
+    report.identity = this->identities.at(name);
+    report.isReady = this->draining.count(name) == 0;
+    report.sequence = ++this->sequence;
+    this->controller().targetHeard(report, [](const Result<Nothing> &) {});
+}
+
+void Simulation::drain(const std::string &name)
+{
+    this->draining.insert(name);
+    this->beat(name);
+}
+
+void Simulation::restart(const std::string &name)
+{
+    this->draining.erase(name);
+    this->identities[name] = this->fleet.add(name, this->milliCores);
+    this->beat(name);
+}
+
+void Simulation::leave(const std::string &name)
+{
+    this->fleet.crash(name);
+    this->controller().targetLeft(name, this->identities.at(name).bornAtMs,
+                                  [](const Result<Nothing> &) {});
+}
+
+void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps)
+{
+    WorkflowSpec spec;
+    spec.id = id;
+    spec.queue = "q";
+    spec.account = "a";
+    spec.payload = "work";
+    spec.steps = std::move(steps);
+    this->fleet.announce(spec);
+    this->controller().submit(spec, [](const Result<CommandOutcome> &) {});
+}
+
+void Simulation::runFor(Milliseconds span)
+{
+    while (span > Milliseconds(0)) {
+        const Milliseconds part = std::min(span, beatInterval);
+        for (const auto &[name, identity] : this->identities) {
+            if (this->fleet.isUp(name))
+                this->beat(name);
+        }
+        this->loop.runFor(part);
+        span -= part;
+    }
+}
+
+WorkflowState Simulation::stateOf(WorkflowId id) const
+{
+    return this->machine.read([id](const Book &book) { return book.find(id)->state(); });
+}
+
+bool Simulation::isAllOver() const
+{
+    return this->machine.read([](const Book &book) { return book.live().empty(); });
+}
+
+} // namespace guavavalve::workflows
--- /dev/null
+++ b/test/workflows/virtualloop.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace guavavalve::workflows {
+
+/// A loop on a clock of its own: time passes only from action to action.
+class VirtualLoop
+{
+public:
+    Instant now() const { return this->present; }
+    std::int64_t nowMs() const
+    {
+        return std::chrono::duration_cast<Milliseconds>(this->present.time_since_epoch()).count();
+    }
+
+    void post(std::function<void()> action)
+    {
+        this->actions.emplace(this->present, std::move(action));
+    }
+
+    void runAfter(Microseconds delay, std::function<void()> action)
+    {
+        this->actions.emplace(this->present + delay, std::move(action));
+    }
+
+    void runFor(Milliseconds span)
+    {
+        const Instant end = this->present + span;
+        while (!this->actions.empty() && this->actions.begin()->first <= end) {
+            const auto first = this->actions.begin();
+            this->present = first->first;
+            const std::function<void()> action = std::move(first->second);
+            this->actions.erase(first);
+            action();
+        }
+        this->present = end;
+    }
+
+private:
+    Instant present{std::chrono::seconds(1000)};
+    std::multimap<Instant, std::function<void()>> actions;
+};
+
+} // namespace guavavalve::workflows
