--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -108,7 +108,6 @@
 void Controller::submit(WorkflowSpec spec, Done<CommandOutcome> done)
 {
     spec.acceptedAtMs = this->options.calendarMs();
-    this->needsPlan = true;
     this->add(AcceptWorkflow{std::move(spec)}, std::move(done));
 }
 
@@ -218,6 +217,12 @@
     }
     if (!isOurTerm)
         return;
+    // What has just been stored is what the next plan is made of: accepted steps, and the room
+    // and the steps that ends have freed. Without this they would wait for the next tick.
+    for (std::size_t i = 0; outcomes && i < batch.size(); ++i) {
+        this->needsPlan |= outcomes.value()[i] == CommandOutcome::Applied
+            && !std::holds_alternative<PlaceRuns>(batch[i].command);
+    }
     if (!this->pending.empty() || !this->waitingBarriers.empty() || this->needsPlan)
         this->flush();
 }
@@ -319,7 +324,6 @@
     end.task = task;
     end.run = run;
     end.outcome = RunOutcome::NeverStarted;
-    this->needsPlan = true;
     this->add(EndRuns{{end}, this->options.calendarMs()}, nullptr);
     this->add(ForgetLife{life}, [this, life](const Result<CommandOutcome> &outcome) {
         if (outcome && outcome.value() != CommandOutcome::Rejected)
@@ -456,7 +460,6 @@
     for (const RunEnd &end : ends)
         touched.push_back(end.task.step.workflow);
     EndRuns command{std::move(ends), this->options.calendarMs()};
-    this->needsPlan = true;
     this->add(
         std::move(command),
         [this, life, touched = std::move(touched)](const Result<CommandOutcome> &outcome) {
--- /dev/null
+++ b/test/platform/heartbeattest.cpp
@@ -0,0 +1,55 @@
+#include <catch2/catch.hpp>
+
+#include "platform/heartbeat.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace guavavalve;
+using namespace guavavalve::platform;
+
+namespace {
+
+nlohmann::json beat()
+{
+    return nlohmann::json::parse(R"({"Service": "s", "Address": "127.0.0.9:80", "Zone": "z",
+        "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
+        "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpus": 0}, "Labels": ["a", "r1-3"],
+        "ClockMs": 482113, "Sequence": 4, "born": 1700})");
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat is decoded", "[heartbeat]")
+{
+    const auto report = decodeHeartbeat("i-1", beat().dump());
+    REQUIRE(report);
+    CHECK(report.value().identity.name == "i-1");
+    CHECK(report.value().identity.bornAtMs == 1700);
+    CHECK(report.value().identity.rack == "r1-3");
+    CHECK(report.value().identity.hasLabel("a"));
+    CHECK(report.value().identity.capacity[ResourceKind::MilliCores] == 16000);
+    CHECK(report.value().isReady);
+    CHECK(report.value().sequence == 4);
+    nlohmann::json draining = beat();
+    draining["State"] = "draining";
+    CHECK_FALSE(decodeHeartbeat("i-1", draining.dump()).value().isReady);
+}
+
+TEST_CASE("a report of another writer names no target", "[heartbeat]")
+{
+    // Something else writes to the same address: fields are missing or of another type, the state
+    // is unknown, or the bytes are no text. A target made of it would be given work and lose it.
+    CHECK(!decodeHeartbeat("i-1", std::string("\x00\xff{", 3)));
+    CHECK(!decodeHeartbeat("i-1", "[]"));
+    for (const char *field : {"Service", "Address", "Zone", "Sequence", "State"}) {
+        nlohmann::json missing = beat();
+        missing.erase(field);
+        CHECK(!decodeHeartbeat("i-1", missing.dump()));
+        nlohmann::json other = beat();
+        other[field] = nlohmann::json::array();
+        CHECK(!decodeHeartbeat("i-1", other.dump()));
+    }
+    nlohmann::json unknown = beat();
+    unknown["State"] = "sleeping";
+    CHECK(!decodeHeartbeat("i-1", unknown.dump()));
+}
--- /dev/null
+++ b/test/platform/nodesettingstest.cpp
@@ -0,0 +1,62 @@
+#include <catch2/catch.hpp>
+
+#include "platform/nodesettings.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace guavavalve;
+using namespace guavavalve::platform;
+
+namespace {
+
+nlohmann::json settings()
+{
+    return nlohmann::json::parse(R"({"NodeName": "core-a-1", "Serves": ["control"],
+        "Ip": "127.0.1.20", "Zone": "a", "BindAddrs": {"ControlPlane": "127.0.1.20:8180"},
+        "InternalPorts": [7420, 7435], "SeedNodes": ["127.0.1.20:8180", "127.0.2.18:8180"],
+        "Bootstrap": true, "DataDir": "/data", "HeartbeatMs": 1500, "Advice": "127.0.9.9:80",
+        "FaultTolerance": {"Machines": 2}, "Bounds": {"MaxHoldMs": 6000, "GraceS": 6},
+        "NewField": [1]})");
+}
+
+} // namespace
+
+TEST_CASE("the platform's settings are decoded", "[settings]")
+{
+    const auto decoded = decodeNodeSettings(settings().dump());
+    REQUIRE(decoded);
+    const NodeSettings &node = decoded.value();
+    CHECK(node.instance == "core-a-1");
+    CHECK(node.servesControl);
+    CHECK_FALSE(node.servesCallers);
+    CHECK(node.messengerAddress() == "127.0.1.20:7420");
+    CHECK(node.seedMessengers() == std::vector<std::string>{"127.0.1.20:7420", "127.0.2.18:7420"});
+    CHECK(node.controlAt("127.0.2.18:7420") == "127.0.2.18:8180");
+    CHECK(node.isFirstStart);
+    CHECK(node.mayLose == 2);
+    CHECK(node.longestLease == Milliseconds(6000));
+    CHECK(node.grace == Milliseconds(6000));
+}
+
+TEST_CASE("settings that are missing or wrong are named", "[settings]")
+{
+    for (const char *field : {"NodeName", "Ip", "Zone", "InternalPorts", "BindAddrs"}) {
+        nlohmann::json missing = settings();
+        missing.erase(field);
+        const auto decoded = decodeNodeSettings(missing.dump());
+        REQUIRE(!decoded);
+        INFO(decoded.error().message);
+        CHECK(decoded.error().message.find(field) != std::string::npos);
+    }
+    nlohmann::json wrong = settings();
+    wrong["Bootstrap"] = "yes";
+    CHECK(!decodeNodeSettings(wrong.dump()));
+    CHECK(!decodeNodeSettings("{"));
+}
+
+TEST_CASE("a machine without a disk has no data folder", "[settings]")
+{
+    nlohmann::json noDisk = settings();
+    noDisk["DataDir"] = nullptr;
+    CHECK(decodeNodeSettings(noDisk.dump()).value().dataFolder.empty());
+}
--- /dev/null
+++ b/test/workflows/plannertest.cpp
@@ -0,0 +1,240 @@
+#include <catch2/catch.hpp>
+
+#include "workflows/bookfixture.h"
+#include "workflows/planner.h"
+
+using namespace guavavalve;
+using namespace guavavalve::workflows;
+
+namespace {
+
+/// A book with one workflow of queue "q", and all targets of the book open.
+class PlanFixture : public BookFixture
+{
+public:
+    PlanFixture()
+    {
+        QueuePolicy queue;
+        queue.service = "s";
+        this->policy.queues["q"] = queue;
+    }
+
+    Plan plan()
+    {
+        std::vector<OpenTarget> open;
+        for (const auto &[life, record] : this->book.lives()) {
+            if (this->closed.count(life) == 0)
+                open.push_back({life, &record.identity, record.identity.capacity - record.used});
+        }
+        return makePlan(
+            {this->book, this->policy, this->admissions, this->claims, open, this->now, 1000});
+    }
+
+    /// Plans, and carries the placements out.
+    std::size_t carryOut()
+    {
+        std::size_t placed = 0;
+        for (const PlaceRuns &command : this->plan().placements) {
+            REQUIRE(this->apply(command) == CommandOutcome::Applied);
+            placed += command.placements.size();
+        }
+        return placed;
+    }
+
+    void needAdvice()
+    {
+        this->policy.queues["q"].needsAdvice = true;
+        this->policy.queues["q"].adviceMs = 500;
+        this->policy.queues["q"].adviceValidMs = 1500;
+    }
+
+    void admit(unsigned number, Milliseconds validFor)
+    {
+        this->admissions[at(0)].admitted[life(number)] = {"ticket", this->now + validFor};
+    }
+
+    Policy policy;
+    AdmissionTable admissions;
+    ClaimTable claims;
+    std::set<LifeNumber> closed;
+    Instant now{std::chrono::seconds(100)};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PlanFixture, "tasks fill what room there is and no more", "[planner]")
+{
+    this->accept({step(13)}); // three targets hold four each
+    CHECK(this->carryOut() == 12);
+    CHECK(this->carryOut() == 0);
+    CHECK(this->plan().summary.waitingTasks.at(0) == 1);
+}
+
+TEST_CASE_METHOD(PlanFixture, "a gang is placed whole or not at all", "[planner]")
+{
+    this->accept({gang(13)});
+    CHECK(this->carryOut() == 0);
+    this->beginLife("t4", 1);
+    CHECK(this->carryOut() == 13);
+}
+
+TEST_CASE_METHOD(PlanFixture, "a gang waits until all members of its last run are over",
+                 "[planner]")
+{
+    this->accept({gang(2)});
+    CHECK(this->carryOut() == 2);
+    this->end(0, 0, 1, RunOutcome::Lost);
+    CHECK(this->carryOut() == 0);
+    this->end(0, 1, 1, RunOutcome::Broken);
+    CHECK(this->carryOut() == 2);
+    CHECK(this->task(0, 0).run == 2);
+    CHECK(this->task(0, 1).run == 2);
+}
+
+TEST_CASE_METHOD(PlanFixture, "each task counts its own starts", "[planner]")
+{
+    this->accept({step(2)});
+    this->place(0, 1, {1});
+    this->end(0, 0, 1, RunOutcome::Failed);
+    CHECK(this->carryOut() == 2);
+    CHECK(this->task(0, 0).run == 2);
+    CHECK(this->task(0, 1).run == 1);
+}
+
+TEST_CASE_METHOD(PlanFixture, "an account stays within its limit", "[planner]")
+{
+    AccountPolicy account;
+    account.limit[ResourceKind::MilliCores] = 2500;
+    this->policy.accounts["a"] = account;
+    this->accept({step(6)});
+    CHECK(this->carryOut() == 2);
+}
+
+TEST_CASE_METHOD(PlanFixture, "a label, a service and a bound for each target are kept",
+                 "[planner]")
+{
+    StepSpec spec = step(6);
+    spec.maxPerTarget = 1;
+    this->accept({spec});
+    CHECK(this->carryOut() == 3);
+    BookFixture labelled;
+    spec.label = "fast";
+    labelled.accept({spec});
+    this->book = labelled.book;
+    CHECK(this->carryOut() == 0);
+    this->book = BookFixture().book;
+    this->accept({step(1)});
+    this->policy.queues["q"].service = "other";
+    CHECK(this->carryOut() == 0);
+}
+
+TEST_CASE_METHOD(PlanFixture, "tasks go where their data is while there is room", "[planner]")
+{
+    TargetIdentity near;
+    near.name = "near";
+    near.bornAtMs = 1;
+    near.service = "s";
+    near.rack = "r1-1";
+    near.capacity[ResourceKind::MilliCores] = 9000;
+    this->apply(BeginLife{near});
+    StepSpec spec = step(2);
+    spec.dataRack = "r1-1";
+    this->accept({spec});
+    CHECK(this->carryOut() == 2);
+    CHECK(this->book.find(life(4))->placed.size() == 2);
+}
+
+TEST_CASE_METHOD(PlanFixture, "more urgent queues come first, then the nearer objective",
+                 "[planner]")
+{
+    this->policy.queues["urgent"] = this->policy.queues["q"];
+    this->policy.queues["q"].priority = 2;
+    this->accept({step(12)});
+    WorkflowSpec urgent;
+    urgent.id = static_cast<WorkflowId>(99);
+    urgent.queue = "urgent";
+    urgent.account = "a";
+    urgent.steps = {step(12)};
+    this->apply(AcceptWorkflow{urgent});
+    const Plan made = this->plan();
+    REQUIRE(made.placements.size() == 1);
+    CHECK(made.placements[0].step.workflow == urgent.id);
+}
+
+TEST_CASE_METHOD(PlanFixture, "without an admission nothing is placed, and it is asked for",
+                 "[planner]")
+{
+    this->needAdvice();
+    this->accept({step(2)});
+    const Plan first = this->plan();
+    CHECK(first.placements.empty());
+    REQUIRE(first.questions.size() == 1);
+    CHECK(first.questions[0].targets.size() == 3);
+    this->admissions[at(0)].isAsked = true;
+    CHECK(this->plan().questions.empty());
+    this->admissions[at(0)].isAsked = false;
+    this->admissions[at(0)].refused = {life(1), life(3)};
+    this->admit(2, Milliseconds(1500));
+    CHECK(this->carryOut() == 2);
+    CHECK(this->book.find(life(2))->placed.size() == 2);
+}
+
+TEST_CASE_METHOD(PlanFixture, "a ticket that is about to run out is not used", "[planner]")
+{
+    this->needAdvice();
+    this->accept({step(1)});
+    this->admissions[at(0)].refused = {life(1), life(3)};
+    this->admit(2, Milliseconds(100));
+    const Plan made = this->plan();
+    CHECK(made.placements.empty());
+    REQUIRE(made.questions.size() == 1);
+    CHECK(made.questions[0].targets == std::vector<LifeNumber>{life(2)});
+}
+
+TEST_CASE_METHOD(PlanFixture, "a gang's tickets are renewed only where all of it has room",
+                 "[planner]")
+{
+    // A question about a gang costs half a second of a service that answers one at a time. Gangs
+    // that asked whenever their tickets had run out took two thirds of its time, and short steps
+    // waited behind them.
+    this->needAdvice();
+    this->accept({gang(6)});
+    this->admissions[at(0)].refused = {life(3)};
+    this->admit(1, Milliseconds(0));
+    this->admit(2, Milliseconds(0));
+    const Plan made = this->plan();
+    REQUIRE(made.questions.size() == 1);
+    CHECK(made.questions[0].targets.size() == 2);
+    std::size_t claimed = 0;
+    for (const auto &[target, tasks] : made.questions[0].claim)
+        claimed += tasks;
+    CHECK(claimed == 6);
+    this->closed = {life(2)};
+    CHECK(this->plan().questions.empty());
+}
+
+TEST_CASE_METHOD(PlanFixture, "claimed room is kept for its step", "[planner]")
+{
+    // A gang's room was taken by small tasks while its question was under way, and it asked again
+    // for ever.
+    this->policy.queues["small"] = this->policy.queues["q"];
+    this->accept({gang(12)});
+    WorkflowSpec small;
+    small.id = static_cast<WorkflowId>(3);
+    small.queue = "small";
+    small.account = "a";
+    small.steps = {step(4)};
+    this->apply(AcceptWorkflow{small});
+    this->claims[at(0)] = {{{life(1), 4}, {life(2), 4}, {life(3), 4}},
+                           this->now + Milliseconds(500)};
+    this->needAdvice();
+    CHECK(this->plan().placements.empty());
+    for (unsigned i = 1; i <= 3; ++i)
+        this->admit(i, Milliseconds(1500));
+    const Plan made = this->plan();
+    REQUIRE(made.placements.size() == 1);
+    CHECK(made.placements[0].step == at(0));
+    this->claims[at(0)].until = this->now;
+    this->admissions.clear();
+    CHECK(this->plan().placements.size() == 1); // a claim that has run out keeps nothing
+}
