--- /dev/null
+++ b/test/platform/wholepathtest.cpp
@@ -0,0 +1,197 @@
+#include <catch2/catch.hpp>
+
+#include "fakes/eventually.h"
+#include "platform/node.h"
+#include "platform/standinplatform.h"
+#include "replicas/temporaryfolder.h"
+#include "runtime/httpclient.h"
+
+#include <spdlog/spdlog.h>
+
+#include <future>
+
+using namespace guavavalve;
+using namespace guavavalve::platform;
+using fakes::eventually;
+
+namespace {
+
+constexpr const char *configuration = R"({"Version": 3,
+    "Routes": [{"Name": "q", "Host": "jobs.example", "PathPrefix": "/q/", "TimeoutMs": 3000,
+                "SloMs": 1000, "Priority": 1, "Service": "s", "Attempts": 2, "Stretch": 2.0}],
+    "Services": [{"Name": "s"}],
+    "Tenants": [{"Name": "t", "ApiKeys": ["key"], "Weight": 1}]})";
+constexpr const char *jobPath = "/q/5c0e7a21d94b36f8";
+constexpr const char *jobBody = R"({"TaskSpec": "x", "Steps": [
+    {"TaskCount": 3, "Cpu": 1000, "EstRuntimeMs": 50},
+    {"TaskCount": 2, "Cpu": 1000, "EstRuntimeMs": 50, "DependsOn": [0], "Gang": true}]})";
+
+/// Three machines with a disk and one entry, on addresses of the loopback network of their own.
+class PlatformFixture
+{
+public:
+    PlatformFixture()
+        : worker("i-1", "127.0.77.9")
+    {
+        spdlog::set_level(spdlog::level::off);
+        for (int i = 1; i <= 3; ++i)
+            this->seeds.push_back(this->ipOf(i) + ":" + std::to_string(controlPort));
+        for (int i = 1; i <= 3; ++i)
+            this->startCore(i);
+        this->startEdge();
+    }
+
+    ~PlatformFixture()
+    {
+        this->beating = false;
+        if (this->beats.valid())
+            this->beats.wait();
+        this->loop->stop();
+        for (auto &node : this->nodes) {
+            if (node)
+                node->shutDown();
+        }
+    }
+
+    static constexpr int controlPort = 28180;
+
+    std::string ipOf(int machine) const { return "127.0.77." + std::to_string(10 + machine); }
+
+    NodeSettings settings(int machine) const
+    {
+        NodeSettings settings;
+        settings.instance = "machine-" + std::to_string(machine);
+        settings.ip = this->ipOf(machine);
+        settings.failureDomain = "a";
+        settings.messengerPort = 27420;
+        settings.metricsPort = 27421;
+        settings.controlSeeds = this->seeds;
+        settings.isFirstStart = true;
+        settings.mayLose = 1;
+        return settings;
+    }
+
+    void startCore(int machine)
+    {
+        NodeSettings core = this->settings(machine);
+        core.servesControl = true;
+        core.controlListen = core.ip + ":" + std::to_string(controlPort);
+        core.dataFolder = this->folder.path() + "/" + std::to_string(machine);
+        this->start(core);
+    }
+
+    void startEdge()
+    {
+        NodeSettings edge = this->settings(9);
+        edge.servesCallers = true;
+        edge.callersListen = edge.ip + ":28183";
+        edge.readinessListen = edge.ip + ":28184";
+        this->start(edge);
+    }
+
+    void start(const NodeSettings &settings)
+    {
+        this->nodes.push_back(std::make_unique<Node>(settings, "/nowhere"));
+        REQUIRE(this->nodes.back()->start());
+    }
+
+    HttpResponse call(const std::string &address, const std::string &method,
+                      const std::string &path, const std::string &body = {},
+                      const std::string &key = "key")
+    {
+        auto answered = std::make_shared<std::promise<Result<HttpResponse>>>();
+        auto answer = answered->get_future();
+        this->loop->post([this, address, method, path, body, key, answered] {
+            HttpClient::Call call{method, path, {}, body};
+            call.headers["Host"] = "jobs.example";
+            call.headers["X-Api-Key"] = key;
+            this->client.call(address, call, monotonicNow() + std::chrono::seconds(3),
+                              [answered](Result<HttpResponse> response) {
+                                  answered->set_value(std::move(response));
+                              });
+        });
+        const Result<HttpResponse> response = answer.get();
+        return response ? response.value() : HttpResponse{0, {}, response.error().message};
+    }
+
+    HttpResponse control(const std::string &method, const std::string &path,
+                         const std::string &body = {})
+    {
+        return this->call(this->seeds[1], method, path, body);
+    }
+
+    HttpResponse caller(const std::string &method, const std::string &path,
+                        const std::string &body = {}, const std::string &key = "key")
+    {
+        return this->call(this->ipOf(9) + ":28183", method, path, body, key);
+    }
+
+    /// Sends the worker's heartbeats from now on.
+    void keepBeating()
+    {
+        this->beating = true;
+        this->beats = std::async(std::launch::async, [this] {
+            while (this->beating) {
+                this->control("PUT", "/instances/i-1", this->worker.heartbeat());
+                std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            }
+        });
+    }
+
+    TemporaryFolder folder;
+    std::vector<std::string> seeds;
+    std::shared_ptr<IoLoop> loop = std::make_shared<IoLoop>();
+    HttpClient client{this->loop, HttpClientOptions()};
+    StandInWorker worker;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::atomic<bool> beating{false};
+    std::future<void> beats;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PlatformFixture, "a job goes the whole way through the platform's interfaces",
+                 "[wholepath]")
+{
+    CHECK(this->caller("POST", jobPath, jobBody).status == 503); // no configuration: it never runs
+    REQUIRE(
+        eventually([&] { return this->control("PUT", "/config", configuration).status == 200; }));
+    CHECK(this->control("PUT", "/config", configuration).status == 200); // sent again
+    CHECK(this->control("PUT", "/config", "{").status == 400);
+    CHECK(this->control("GET", "/config").body == configuration);
+    CHECK(this->control("PUT", "/instances/i-2", "{}").status == 400);
+    this->keepBeating();
+    REQUIRE(eventually([&] { return this->caller("POST", jobPath, jobBody).status == 200; }));
+    CHECK(this->caller("POST", jobPath, jobBody).status == 200); // it joins the first
+    CHECK(this->caller("POST", "/other/5c0e7a21d94b36f8", jobBody).status == 404);
+    CHECK(this->caller("GET", jobPath, "", "wrong").status == 401);
+    CHECK(this->caller("GET", "/q/0000000000000001").status == 410);
+    CHECK(this->caller("POST", "/q/0000000000000002", "{}").status == 400);
+    CHECK(eventually(
+        [&] { return this->caller("GET", jobPath).body.find("completed") != std::string::npos; }));
+    CHECK(this->worker.starts() == 5);
+    CHECK(this->worker.startsOf("5c0e7a21d94b36f8.0.1.1") == 1);
+    CHECK(this->caller("GET", "/q/").body == R"({"Pending":0})");
+    CHECK(this->call(this->ipOf(9) + ":28184", "GET", "/readiness").status == 200);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "the configuration and the jobs outlive a machine",
+                 "[wholepath]")
+{
+    // The machine that formed the group, and as a rule leads it, ends after a configuration and a
+    // job were acknowledged. The others show the same document, and the job is known and not run
+    // again.
+    REQUIRE(
+        eventually([&] { return this->control("PUT", "/config", configuration).status == 200; }));
+    this->keepBeating();
+    REQUIRE(eventually([&] { return this->caller("POST", jobPath, jobBody).status == 200; }));
+    this->beating = false;
+    this->beats.wait();
+    this->nodes[0]->shutDown();
+    this->nodes[0].reset();
+    this->keepBeating();
+    CHECK(eventually([&] { return this->control("GET", "/config").body == configuration; }));
+    CHECK(eventually(
+        [&] { return this->caller("GET", jobPath).body.find("completed") != std::string::npos; }));
+    CHECK(this->worker.starts() == 5);
+}
