--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -374,6 +374,7 @@
     const Instant now = this->options.clock();
     if (!answer) {
         known.nextQuestionAt = now + adviceRetryPause;
+        this->claims.erase(question.step);
         logAdviceFailed(question.step, answer.error());
         return;
     }
--- a/test/platform/wholepathtest.cpp
+++ b/test/platform/wholepathtest.cpp
@@ -175,8 +175,7 @@
     CHECK(this->call(this->ipOf(9) + ":28184", "GET", "/readiness").status == 200);
 }
 
-TEST_CASE_METHOD(PlatformFixture, "the configuration and the jobs outlive a machine",
-                 "[wholepath]")
+TEST_CASE_METHOD(PlatformFixture, "the configuration and the jobs outlive a machine", "[wholepath]")
 {
     // The machine that formed the group, and as a rule leads it, ends after a configuration and a
     // job were acknowledged. The others show the same document, and the job is known and not run
