runtime: a loop whose last reference goes on its own thread ends quietly; lint

Cause: platformtest ended with 'Resource deadlock avoided' once: a server's closing action held the last reference to its loop, whose end then waited for its own thread. Ruled out: the desk's fixture (it stops its loop first). Change: the action lets go before the closer goes on, and a loop that ends on its own thread lets the thread go.

--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -295,8 +295,9 @@
     }
     auto over = std::make_shared<std::promise<void>>();
     auto done = over->get_future();
-    this->d->loop->post([d = this->d, over] {
+    this->d->loop->post([d = this->d, over]() mutable {
         d->closeAll();
+        d.reset(); // before the other side goes on: its reference must be the last one
         over->set_value();
     });
     constexpr std::chrono::seconds longEnough(5); // a loop that was stopped runs nothing more
--- a/src/runtime/ioloop.cpp
+++ b/src/runtime/ioloop.cpp
@@ -20,9 +20,9 @@
 };
 
 IoLoop::IoLoop()
-    : d(std::make_unique<Private>())
+    : d(std::make_shared<Private>())
 {
-    this->d->thread = std::thread([this] { this->d->context.run(); });
+    this->d->thread = std::thread([own = this->d] { own->context.run(); });
 }
 
 IoLoop::~IoLoop()
@@ -33,7 +33,13 @@
 void IoLoop::stop()
 {
     this->d->context.stop();
-    if (this->d->thread.joinable())
+    if (!this->d->thread.joinable())
+        return;
+    // Guards against a thread that waits for itself, which ends the process: the last reference to
+    // a loop may go with an action that runs on it.
+    if (this->isCurrentThread())
+        this->d->thread.detach();
+    else
         this->d->thread.join();
 }
 
--- a/src/runtime/ioloop.h
+++ b/src/runtime/ioloop.h
@@ -25,7 +25,8 @@
     IoLoop(const IoLoop &) = delete;
     IoLoop &operator=(const IoLoop &) = delete;
 
-    /// Ends the loop after the action that runs; later posts are dropped. Not from the loop.
+    /// Ends the loop after the action that runs; later posts are dropped. From the loop itself it
+    /// returns at once, and the thread ends with the action.
     void stop();
 
     /// Runs \a action on the loop, after what was posted before. From any thread.
@@ -41,7 +42,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::shared_ptr<Private> d; ///< the loop's thread holds it too
 };
 
 } // namespace guavavalve
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -187,8 +187,8 @@
     });
 }
 
-void Controller::batchStored(std::uint64_t inTerm, std::vector<Pending> batch,
-                             std::vector<Done<Nothing>> barriers,
+void Controller::batchStored(std::uint64_t inTerm, const std::vector<Pending> &batch,
+                             const std::vector<Done<Nothing>> &barriers,
                              const Result<std::string> &outcome)
 {
     const bool isOurTerm = this->leads && this->term == inTerm;
@@ -458,6 +458,7 @@
     });
     logRunsOver(life, ends);
     std::vector<WorkflowId> touched;
+    touched.reserve(ends.size());
     for (const RunEnd &end : ends)
         touched.push_back(end.task.step.workflow);
     EndRuns command{std::move(ends), this->options.calendarMs()};
@@ -560,7 +561,7 @@
     }
 }
 
-void Controller::targetHeard(TargetReport report, Done<Nothing> done)
+void Controller::targetHeard(const TargetReport &report, const Done<Nothing> &done)
 {
     if (!this->leads) {
         done(this->notLeading());
@@ -579,7 +580,7 @@
         if (report.sequence >= known->second.sequence) {
             known->second.sequence = report.sequence;
             known->second.session->heard(report.isReady);
-            this->setDraining(newest, !report.isReady, std::move(done));
+            this->setDraining(newest, !report.isReady, done);
             return;
         }
         done(Nothing{});
@@ -589,7 +590,7 @@
         this->lifeOver(newest);
     const std::string name = report.identity.name;
     this->add(BeginLife{report.identity},
-              [this, name, report, done = std::move(done)](const Result<CommandOutcome> &outcome) {
+              [this, name, report, done](const Result<CommandOutcome> &outcome) {
                   if (!outcome) {
                       done(outcome.error());
                       return;
@@ -616,7 +617,7 @@
 
 /// Acknowledged once it is stored: a controller that takes over a moment later must not start
 /// anything there either.
-void Controller::setDraining(LifeNumber life, bool isDraining, Done<Nothing> done)
+void Controller::setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done)
 {
     const bool isKnown = this->machine.read([&](const Book &book) {
         const LifeRecord *record = book.find(life);
@@ -634,7 +635,8 @@
     });
 }
 
-void Controller::targetLeft(const std::string &name, std::int64_t bornAtMs, Done<Nothing> done)
+void Controller::targetLeft(const std::string &name, std::int64_t bornAtMs,
+                            const Done<Nothing> &done)
 {
     if (!this->leads) {
         done(this->notLeading());
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -68,9 +68,9 @@
     void confirm(Done<Nothing> done);
 
     /// A heartbeat. \a done: it is known, and nothing new will be started on a draining target.
-    void targetHeard(TargetReport report, Done<Nothing> done);
+    void targetHeard(const TargetReport &report, const Done<Nothing> &done);
     /// A target has said that its life is over.
-    void targetLeft(const std::string &name, std::int64_t bornAtMs, Done<Nothing> done);
+    void targetLeft(const std::string &name, std::int64_t bornAtMs, const Done<Nothing> &done);
 
     const BookMachine &book() const { return this->machine; }
     const Policy &policy() const { return this->inForce; }
@@ -89,12 +89,13 @@
 
     void add(Command command, Done<CommandOutcome> done);
     void flush();
-    void batchStored(std::uint64_t inTerm, std::vector<Pending> batch,
-                     std::vector<Done<Nothing>> barriers, const Result<std::string> &outcome);
+    void batchStored(std::uint64_t inTerm, const std::vector<Pending> &batch,
+                     const std::vector<Done<Nothing>> &barriers,
+                     const Result<std::string> &outcome);
     void plan(std::vector<Pending> &batch);
     std::vector<OpenTarget> openTargets(const Book &book) const;
     void placed(const PlaceRuns &command, CommandOutcome outcome);
-    void setDraining(LifeNumber life, bool isDraining, Done<Nothing> done);
+    void setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done);
     void ask(const AdmissionQuestion &question);
     void answered(const AdmissionQuestion &question, const Result<AdmissionPort::Admitted> &answer);
 
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -215,10 +215,12 @@
         for (const OpenTarget &target : this->room.targets())
             free[target.identity->rack] += target.free[ResourceKind::MilliCores];
         std::vector<std::pair<std::int64_t, std::string>> byRoom;
+        byRoom.reserve(free.size());
         for (const auto &[rack, milliCores] : free)
             byRoom.emplace_back(-milliCores, rack);
         std::sort(byRoom.begin(), byRoom.end());
         std::vector<std::string> names;
+        names.reserve(byRoom.size());
         for (auto &[milliCores, rack] : byRoom)
             names.push_back(std::move(rack));
         return names;
--- /dev/null
+++ b/test/runtime/iolooptest.cpp
@@ -0,0 +1,48 @@
+#include <catch2/catch.hpp>
+
+#include "runtime/httpserver.h"
+#include "runtime/ioloop.h"
+
+#include <future>
+#include <memory>
+
+using namespace guavavalve;
+
+TEST_CASE("actions run on the loop in their order", "[ioloop]")
+{
+    IoLoop loop;
+    std::promise<bool> done;
+    int first = 0;
+    loop.post([&] { first = 1; });
+    loop.post([&] { done.set_value(first == 1 && loop.isCurrentThread()); });
+    CHECK(done.get_future().get());
+    CHECK_FALSE(loop.isCurrentThread());
+}
+
+TEST_CASE("a loop whose last reference goes on its own thread ends quietly", "[ioloop]")
+{
+    // A server closes: the action that closes its connections holds the last reference to the
+    // loop. The loop's end then waited for its own thread, and the process was ended for it.
+    for (int i = 0; i < 20; ++i) {
+        auto loop = std::make_shared<IoLoop>();
+        std::promise<void> gone;
+        IoLoop &reference = *loop;
+        reference.post([held = std::move(loop), &gone]() mutable {
+            held.reset();
+            gone.set_value();
+        });
+        gone.get_future().wait();
+    }
+    SUCCEED();
+}
+
+TEST_CASE("servers on a loop that others hold come and go", "[ioloop]")
+{
+    for (int i = 0; i < 50; ++i) {
+        HttpServerOptions options;
+        options.loop = std::make_shared<IoLoop>();
+        HttpServer server(options);
+        REQUIRE(server.start());
+        options.loop.reset();
+    }
+}
