--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -26,6 +26,7 @@
 /// How often connections are looked at for their deadlines: coarse, so that a request arms no
 /// timer of its own.
 constexpr Milliseconds sweepInterval{500};
+constexpr Milliseconds acceptPause{50}; ///< after a connection that could not be taken
 
 struct Route
 {
@@ -79,6 +80,7 @@
 
     const Route *find(const std::string &method, const std::string &path, bool &pathKnown) const;
     void accept();
+    void acceptLater();
     void sweep();
     void closeAll();
 
@@ -168,11 +170,25 @@
             self->connections.insert(connection);
             connection->start();
         }
-        self->accept();
+        if (error)
+            self->acceptLater();
+        else
+            self->accept();
     };
     this->acceptor->async_accept(std::move(handler));
 }
 
+/// Guards against a process without a descriptor left, which would take up a processor with trying:
+/// the connection that waits is offered again at once each time.
+void HttpServer::Private::acceptLater()
+{
+    this->loop->runAfter(acceptPause, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->acceptor)
+            self->accept();
+    });
+}
+
 void HttpServer::Private::sweep()
 {
     this->sweepTimer->expires_after(sweepInterval);
--- a/test/platform/nodesettingstest.cpp
+++ b/test/platform/nodesettingstest.cpp
@@ -15,7 +15,7 @@
         "Ip": "127.0.1.20", "Zone": "a", "BindAddrs": {"ControlPlane": "127.0.1.20:8180"},
         "InternalPorts": [7420, 7435], "SeedNodes": ["127.0.1.20:8180", "127.0.2.18:8180"],
         "Bootstrap": true, "DataDir": "/data", "HeartbeatMs": 1500, "Advice": "127.0.9.9:80",
-        "FaultTolerance": {"Machines": 2}, "Bounds": {"MaxHoldMs": 6000, "GraceS": 6},
+        "FaultTolerance": {"Machines": 2}, "Limits": {"MaxFds": 4100}, "Bounds": {"MaxHoldMs": 6000, "GraceS": 6},
         "NewField": [1]})");
 }
 
@@ -36,6 +36,7 @@
     CHECK(node.mayLose == 2);
     CHECK(node.longestLease == Milliseconds(6000));
     CHECK(node.grace == Milliseconds(6000));
+    CHECK(node.maxFiles == 4100);
 }
 
 TEST_CASE("settings that are missing or wrong are named", "[settings]")
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -238,3 +238,27 @@
     this->admissions.clear();
     CHECK(this->plan().placements.size() == 1); // a claim that has run out keeps nothing
 }
+
+TEST_CASE_METHOD(PlanFixture, "room is let gather for a gang that waits", "[planner]")
+{
+    // The cell is full, and small tasks end one by one. Each gap went to the next small task, and
+    // the gang, which needs a whole target, never started.
+    this->policy.queues["small"] = this->policy.queues["q"];
+    this->policy.queues["small"].priority = 1;
+    WorkflowSpec running;
+    running.id = static_cast<WorkflowId>(3);
+    running.queue = "small";
+    running.account = "a";
+    running.steps = {step(9)}; // one of four places on each target stays free
+    this->apply(AcceptWorkflow{running});
+    PlaceRuns command{{running.id, 0, 0}, 1, {}};
+    for (std::uint16_t i = 0; i < 9; ++i)
+        command.placements.push_back({i, life(1 + i % 3)});
+    REQUIRE(this->apply(command) == CommandOutcome::Applied);
+    WorkflowSpec waiting = running;
+    waiting.id = static_cast<WorkflowId>(4);
+    this->apply(AcceptWorkflow{waiting});
+    CHECK(this->plan().placements.size() == 1); // without the gang they go into the gaps
+    this->accept({gang(6)});
+    CHECK(this->plan().placements.empty());
+}
