--- a/test/platform/wholepathtest.cpp
+++ b/test/platform/wholepathtest.cpp
@@ -9,6 +9,7 @@
 #include <spdlog/spdlog.h>
 
 #include <future>
+#include <unistd.h>
 
 using namespace guavavalve;
 using namespace guavavalve::platform;
@@ -26,12 +27,22 @@
     {"TaskCount": 3, "Cpu": 1000, "EstRuntimeMs": 50},
     {"TaskCount": 2, "Cpu": 1000, "EstRuntimeMs": 50, "DependsOn": [0], "Gang": true}]})";
 
+/// A part of the loopback network for this process alone: all machines of the platform have the
+/// same ports, and tests run side by side.
+std::string ownNetwork()
+{
+    constexpr int parts = 250;
+    const int id = static_cast<int>(getpid());
+    return "127." + std::to_string(1 + id / parts % parts) + "." + std::to_string(1 + id % parts)
+        + ".";
+}
+
 /// Three machines with a disk and one entry, on addresses of the loopback network of their own.
 class PlatformFixture
 {
 public:
     PlatformFixture()
-        : worker("i-1", "127.0.77.9")
+        : worker("i-1", this->net + "9")
     {
         spdlog::set_level(spdlog::level::off);
         for (int i = 1; i <= 3; ++i)
@@ -55,7 +66,7 @@
 
     static constexpr int controlPort = 28180;
 
-    std::string ipOf(int machine) const { return "127.0.77." + std::to_string(10 + machine); }
+    std::string ipOf(int machine) const { return this->net + std::to_string(10 + machine); }
 
     NodeSettings settings(int machine) const
     {
@@ -138,6 +149,7 @@
         });
     }
 
+    std::string net = ownNetwork();
     TemporaryFolder folder;
     std::vector<std::string> seeds;
     std::shared_ptr<IoLoop> loop = std::make_shared<IoLoop>();
--- /dev/null
+++ b/test/workflows/targetsessiontest.cpp
@@ -0,0 +1,153 @@
+#include <catch2/catch.hpp>
+
+#include "workflows/bookfixture.h"
+#include "workflows/targetsession.h"
+#include "workflows/virtualloop.h"
+
+#include <memory>
+
+using namespace guavavalve;
+using namespace guavavalve::workflows;
+
+namespace {
+
+/// Answers questions while it is told to, and remembers the leases that it was given.
+class RecordingPort : public TargetPort
+{
+public:
+    explicit RecordingPort(VirtualLoop &loop)
+        : loop(loop)
+    {}
+    void start(const TargetIdentity &, const StartOrder &, Instant deadline,
+               Done<OrderAnswer> done) override
+    {
+        ++this->starts;
+        this->answer(deadline, std::move(done), OrderAnswer{OrderReply::Done, this->clockMs});
+    }
+    void stop(const TargetIdentity &, const StopOrder &, Instant deadline,
+              Done<OrderAnswer> done) override
+    {
+        this->answer(deadline, std::move(done), OrderAnswer{OrderReply::Done, this->clockMs});
+    }
+    void hold(const TargetIdentity &, const HoldOrder &order, Instant deadline,
+              Done<HoldAnswer> done) override
+    {
+        this->lastLease = order.leaseUntilMs;
+        if (order.leaseUntilMs != 0)
+            this->lastGrantAt = this->loop.now();
+        HoldAnswer lists;
+        lists.reply = OrderReply::Done;
+        lists.clockMs = this->clockMs;
+        lists.running = this->running;
+        this->answer(deadline, std::move(done), lists);
+    }
+
+    template<typename Answer>
+    void answer(Instant deadline, Done<Answer> done, Answer with)
+    {
+        if (this->isSilent) {
+            this->loop.runAfter(deadline - this->loop.now(), [done = std::move(done)] {
+                done(failure(ErrorCode::DeadlineExceeded, "no answer"));
+            });
+            return;
+        }
+        this->loop.runAfter(Milliseconds(100), [done = std::move(done), with] { done(with); });
+    }
+
+    VirtualLoop &loop;
+    bool isSilent = false;
+    std::int64_t clockMs = 5000;
+    std::int64_t lastLease = -1;
+    Instant lastGrantAt{};
+    int starts = 0;
+    std::vector<RunningTask> running;
+};
+
+struct SessionFixture
+{
+    SessionFixture()
+    {
+        TargetSession::Hooks hooks;
+        hooks.runsOver = [this](const std::vector<RunEnd> &ends) {
+            this->over = ends;
+            this->overAt = this->loop.now();
+        };
+        hooks.usableChanged = [] {};
+        hooks.lifeOver = [] {};
+        hooks.runAfter = [this](Microseconds delay, std::function<void()> action) {
+            this->loop.runAfter(delay, std::move(action));
+        };
+        hooks.isCurrent = [this] { return this->isCurrent; };
+        TargetIdentity identity;
+        identity.name = "t1";
+        this->session = std::make_shared<TargetSession>(static_cast<LifeNumber>(1), identity, 3,
+                                                        this->limits, this->port, std::move(hooks),
+                                                        [this] { return this->loop.now(); });
+        this->session->heard(true);
+        this->session->begin();
+        this->loop.runFor(Milliseconds(1000));
+    }
+
+    void startTask()
+    {
+        StartOrder order;
+        order.task = this->task;
+        order.run = 1;
+        this->port.running = {{this->task, 1, ""}};
+        this->session->start(order);
+    }
+
+    void tickFor(Milliseconds span)
+    {
+        for (Milliseconds passed(0); passed < span; passed += Milliseconds(10)) {
+            this->loop.runFor(Milliseconds(10));
+            this->session->tick();
+        }
+    }
+
+    TaskAddress task{{BookFixture::job, 0, 0}, 0};
+    VirtualLoop loop;
+    RecordingPort port{this->loop};
+    SessionLimits limits;
+    bool isCurrent = true;
+    std::vector<RunEnd> over;
+    Instant overAt{};
+    std::shared_ptr<TargetSession> session;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SessionFixture, "a controller that is no longer current grants no lease",
+                 "[session]")
+{
+    // A controller is cut off from the other replicas and not from a target. The next one counts
+    // this one's leases from its own election: one that is granted after that would let a run go
+    // on here while it is started elsewhere.
+    CHECK(this->port.lastLease > 0);
+    this->isCurrent = false;
+    this->tickFor(Milliseconds(500));
+    CHECK(this->port.lastLease == 0);
+    this->startTask();
+    this->tickFor(Milliseconds(500));
+    CHECK(this->port.starts == 0);
+    this->isCurrent = true;
+    this->tickFor(Milliseconds(500));
+    CHECK(this->port.starts == 1);
+    CHECK(this->port.lastLease > 0);
+}
+
+TEST_CASE_METHOD(SessionFixture, "a lease is over only by the slowest clock that is allowed",
+                 "[session]")
+{
+    // A target falls silent. Its clock may be 2% slow, so what it runs may go on for that much
+    // longer than the lease that it was granted last.
+    this->startTask();
+    this->tickFor(Milliseconds(1000));
+    this->port.isSilent = true;
+    this->tickFor(Milliseconds(15000));
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].outcome == RunOutcome::Lost);
+    const auto slowest = this->limits.lease + this->limits.lease / 50;
+    CHECK(this->overAt >= this->port.lastGrantAt + slowest);
+    CHECK(this->overAt <= this->port.lastGrantAt + slowest + Milliseconds(1000));
+}
