--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -142,35 +142,32 @@
         setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
     }
 
-    void write()
+    /// Goes on with \a next, or ends the call if the connection broke.
+    auto whenSettled(void (Connection::*next)())
     {
-        this->isSent = true;
-        http::async_write(
-            this->socket, this->request,
-            [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+        return
+            [self = this->shared_from_this(), next](boost::system::error_code error, std::size_t) {
                 if (!self->done)
                     return;
                 if (error)
                     self->fail(ErrorCode::Unavailable, "the connection broke: " + error.message());
                 else
-                    self->read();
-            });
+                    (self.get()->*next)();
+            };
+    }
+
+    void write()
+    {
+        this->isSent = true;
+        http::async_write(this->socket, this->request, this->whenSettled(&Connection::read));
     }
 
     void read()
     {
         this->parser.emplace();
         this->parser->body_limit(this->pool->options.maxResponseBytes);
-        http::async_read(
-            this->socket, this->buffer, *this->parser,
-            [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
-                if (!self->done)
-                    return;
-                if (error)
-                    self->fail(ErrorCode::Unavailable, "the connection broke: " + error.message());
-                else
-                    self->succeed();
-            });
+        http::async_read(this->socket, this->buffer, *this->parser,
+                         this->whenSettled(&Connection::succeed));
     }
 
     void succeed()
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -1,5 +1,6 @@
 #include "runtime/httpconnection.h"
 
+#include "runtime/httperror.h"
 #include "runtime/ioloop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -69,15 +70,11 @@
 HttpResponse httpRefusal(int status, std::string_view error, std::string_view message,
                          int retryAfterMs)
 {
-    constexpr int msPerSecond = 1000;
     HttpResponse response;
     response.status = status;
     response.body = R"({"error":")" + std::string(error) + R"(","message":")" + std::string(message)
         + R"(","ran":"no","retryAfterMs":)" + std::to_string(retryAfterMs) + "}";
-    if (retryAfterMs > 0) {
-        response.headers["Retry-After"] =
-            std::to_string((retryAfterMs + msPerSecond - 1) / msPerSecond);
-    }
+    setRetryAfter(response, retryAfterMs);
     return response;
 }
 
--- a/src/runtime/httperror.cpp
+++ b/src/runtime/httperror.cpp
@@ -38,9 +38,17 @@
     return 500;
 }
 
-HttpResponse errorResponse(const Error &error)
+void setRetryAfter(HttpResponse &response, std::int64_t retryAfterMs)
 {
     constexpr std::int64_t msPerSecond = 1000;
+    if (retryAfterMs > 0) {
+        response.headers["Retry-After"] =
+            std::to_string((retryAfterMs + msPerSecond - 1) / msPerSecond);
+    }
+}
+
+HttpResponse errorResponse(const Error &error)
+{
     HttpResponse response;
     response.status = httpStatus(error);
     const std::int64_t retryAfterMs = error.retryAfter.count();
@@ -50,10 +58,7 @@
                               {"retryAfterMs", retryAfterMs}};
     // A message may quote bytes of the request that are no UTF-8.
     response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    if (retryAfterMs > 0) {
-        response.headers["Retry-After"] =
-            std::to_string((retryAfterMs + msPerSecond - 1) / msPerSecond);
-    }
+    setRetryAfter(response, retryAfterMs);
     return response;
 }
 
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds forgetSilence{15000};
 constexpr Milliseconds forgetInterval{2000};
 constexpr Milliseconds planLogInterval{1000};
+/// Of a task whose queue is gone: nobody may call it failed.
+constexpr std::uint16_t neverFailed = 1000;
 
 } // namespace
 
@@ -325,10 +327,7 @@
     end.run = run;
     end.outcome = RunOutcome::NeverStarted;
     this->add(EndRuns{{end}, this->options.calendarMs()}, nullptr);
-    this->add(ForgetLife{life}, [this, life](const Result<CommandOutcome> &outcome) {
-        if (outcome && outcome.value() != CommandOutcome::Rejected)
-            this->lives.erase(life);
-    });
+    this->forgetLife(life);
 }
 
 void Controller::ask(const AdmissionQuestion &question)
@@ -336,9 +335,7 @@
     std::vector<std::string> names;
     double expectedMs = 0.0;
     this->machine.read([&](const Book &book) {
-        const Workflow *workflow = book.find(question.step.workflow);
-        const QueuePolicy *queue =
-            workflow == nullptr ? nullptr : this->inForce.queue(workflow->spec.queue);
+        const QueuePolicy *queue = this->queueOf(question.step.workflow, book);
         if (queue != nullptr) {
             expectedMs = queue->adviceMs
                 + queue->adviceMsPerTarget * static_cast<double>(question.targets.size());
@@ -379,9 +376,7 @@
         return;
     }
     this->machine.read([&](const Book &book) {
-        const Workflow *workflow = book.find(question.step.workflow);
-        const QueuePolicy *queue =
-            workflow == nullptr ? nullptr : this->inForce.queue(workflow->spec.queue);
+        const QueuePolicy *queue = this->queueOf(question.step.workflow, book);
         if (queue == nullptr)
             return;
         const std::map<std::string, std::string> tickets(answer.value().begin(),
@@ -441,20 +436,19 @@
     }
 }
 
-std::uint16_t Controller::maxFailuresOf(const TaskAddress &task, const Book &book) const
+const QueuePolicy *Controller::queueOf(WorkflowId id, const Book &book) const
 {
-    const Workflow *workflow = book.find(task.step.workflow);
-    const QueuePolicy *queue =
-        workflow == nullptr ? nullptr : this->inForce.queue(workflow->spec.queue);
-    constexpr std::uint16_t unknown = 1000; // its queue is gone: nobody may call it failed
-    return queue == nullptr ? unknown : queue->maxFailures;
+    const Workflow *workflow = book.find(id);
+    return workflow == nullptr ? nullptr : this->inForce.queue(workflow->spec.queue);
 }
 
 void Controller::runsOver(LifeNumber life, std::vector<RunEnd> ends)
 {
     this->machine.read([&](const Book &book) {
-        for (RunEnd &end : ends)
-            end.maxFailures = this->maxFailuresOf(end.task, book);
+        for (RunEnd &end : ends) {
+            const QueuePolicy *queue = this->queueOf(end.task.step.workflow, book);
+            end.maxFailures = queue == nullptr ? neverFailed : queue->maxFailures;
+        }
     });
     logRunsOver(life, ends);
     std::vector<WorkflowId> touched;
@@ -489,37 +483,50 @@
     logLifeOver(found->second.session->identity());
     const std::shared_ptr<TargetSession> session = found->second.session;
     session->declareOver();
+    this->forgetLife(life);
+}
+
+void Controller::forgetLife(LifeNumber life)
+{
     this->add(ForgetLife{life}, [this, life](const Result<CommandOutcome> &outcome) {
         if (outcome && outcome.value() != CommandOutcome::Rejected)
             this->lives.erase(life);
     });
 }
 
+void Controller::addPlaced(const StepAddress &address, const StepProgress &step, PlacedTasks &to)
+{
+    for (std::size_t t = 0; t < step.tasks.size(); ++t) {
+        if (step.tasks[t].phase == TaskPhase::Placed)
+            to.emplace_back(step.tasks[t].life,
+                            TaskAddress{address, static_cast<std::uint16_t>(t)});
+    }
+}
+
+void Controller::stopAll(const PlacedTasks &placed)
+{
+    for (const auto &[life, task] : placed) {
+        const auto found = this->lives.find(life);
+        if (found != this->lives.end())
+            found->second.session->stop(task);
+    }
+}
+
 void Controller::stopPlaced(WorkflowId id)
 {
-    std::vector<std::pair<LifeNumber, TaskAddress>> placed;
+    PlacedTasks placed;
     this->machine.read([&](const Book &book) {
         const Workflow *workflow = book.find(id);
         if (workflow == nullptr)
             return;
         for (std::uint32_t k = 0; k < workflow->occurrences.size(); ++k) {
             for (std::size_t i = 0; i < workflow->occurrences[k].size(); ++i) {
-                const StepProgress &step = workflow->occurrences[k][i];
-                for (std::size_t t = 0; t < step.tasks.size(); ++t) {
-                    if (step.tasks[t].phase != TaskPhase::Placed)
-                        continue;
-                    const StepAddress address{id, k, static_cast<std::uint16_t>(i)};
-                    placed.emplace_back(step.tasks[t].life,
-                                        TaskAddress{address, static_cast<std::uint16_t>(t)});
-                }
+                addPlaced({id, k, static_cast<std::uint16_t>(i)}, workflow->occurrences[k][i],
+                          placed);
             }
         }
     });
-    for (const auto &[life, task] : placed) {
-        const auto found = this->lives.find(life);
-        if (found != this->lives.end())
-            found->second.session->stop(task);
-    }
+    this->stopAll(placed);
 }
 
 /// Stops what is left of a gang that has lost members, if the targets do not break it off.
@@ -527,7 +534,7 @@
 {
     const Instant now = this->options.clock();
     std::map<StepAddress, Instant> since;
-    std::vector<std::pair<LifeNumber, TaskAddress>> orphans;
+    PlacedTasks orphans;
     this->machine.read([&](const Book &book) {
         for (const WorkflowId id : book.live()) {
             const Workflow &workflow = *book.find(id);
@@ -542,23 +549,14 @@
                     const auto before = this->orphansSince.find(address);
                     const Instant began = before == this->orphansSince.end() ? now : before->second;
                     since[address] = began;
-                    for (std::size_t t = 0; t < step.tasks.size(); ++t) {
-                        if (step.tasks[t].phase == TaskPhase::Placed
-                            && now > began + orphanPatience)
-                            orphans.emplace_back(
-                                step.tasks[t].life,
-                                TaskAddress{address, static_cast<std::uint16_t>(t)});
-                    }
+                    if (now > began + orphanPatience)
+                        addPlaced(address, step, orphans);
                 }
             }
         }
     });
     this->orphansSince = std::move(since);
-    for (const auto &[life, task] : orphans) {
-        const auto found = this->lives.find(life);
-        if (found != this->lives.end())
-            found->second.session->stop(task);
-    }
+    this->stopAll(orphans);
 }
 
 void Controller::targetHeard(const TargetReport &report, const Done<Nothing> &done)
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -103,12 +103,17 @@
     void runsOver(LifeNumber life, std::vector<RunEnd> ends);
     void lifeOver(LifeNumber life);
     void neverStarted(LifeNumber life, const TaskAddress &task, RunNumber run);
+    void forgetLife(LifeNumber life);
+    using PlacedTasks = std::vector<std::pair<LifeNumber, TaskAddress>>;
+    static void addPlaced(const StepAddress &address, const StepProgress &step, PlacedTasks &to);
+    void stopAll(const PlacedTasks &placed);
     void stopPlaced(WorkflowId id);
     void stopOrphans();
     void refreshPolicy();
     void tick(std::uint64_t inTerm);
     void forgetOld();
-    std::uint16_t maxFailuresOf(const TaskAddress &task, const Book &book) const;
+    /// The policy of the queue that the workflow is in, or null.
+    const QueuePolicy *queueOf(WorkflowId id, const Book &book) const;
     Error notLeading() const;
 
     ControllerOptions options;
--- a/src/workflows/internal/planroom.cpp
+++ b/src/workflows/internal/planroom.cpp
@@ -45,9 +45,15 @@
     const auto claim = this->input.claims.find(step.address);
     if (claim == this->input.claims.end() || claim->second.until <= this->input.now)
         return;
-    for (const auto &[life, tasks] : claim->second.tasks) {
+    this->addRoom(step, claim->second.tasks, sign);
+}
+
+void PlanRoom::addRoom(const ReadyStep &step, const std::map<LifeNumber, std::uint16_t> &tasks,
+                       std::int64_t sign)
+{
+    for (const auto &[life, count] : tasks) {
         if (OpenTarget *target = this->find(life))
-            addTimes(target->free, step.spec().reserved(), sign * tasks);
+            addTimes(target->free, step.spec().reserved(), sign * count);
     }
 }
 
@@ -63,10 +69,7 @@
 
 void PlanRoom::keep(const ReadyStep &step, const std::map<LifeNumber, std::uint16_t> &claim)
 {
-    for (const auto &[life, tasks] : claim) {
-        if (OpenTarget *target = this->find(life))
-            addTimes(target->free, step.spec().reserved(), -static_cast<std::int64_t>(tasks));
-    }
+    this->addRoom(step, claim, -1);
 }
 
 void PlanRoom::take(const ReadyStep &step, OpenTarget &target)
--- a/src/workflows/internal/planroom.h
+++ b/src/workflows/internal/planroom.h
@@ -40,6 +40,8 @@
 
 private:
     void addClaim(const ReadyStep &step, std::int64_t sign);
+    void addRoom(const ReadyStep &step, const std::map<LifeNumber, std::uint16_t> &tasks,
+                 std::int64_t sign);
 
     const PlanInput &input;
     std::vector<OpenTarget> open; ///< by life
--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -1,7 +1,6 @@
 #include "workflows/internal/questionmaker.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 #include <vector>
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -328,7 +328,6 @@
         this->later(this->limits.resendPause, [this, task] { this->sendStart(task); });
         return;
     }
-    ++run.sends;
     this->port.start(
         this->who, run.order, this->clock() + this->limits.orderLimit,
         [weak = this->weak_from_this(), task, number = run.run](const Result<OrderAnswer> &answer) {
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -102,7 +102,6 @@
         Instant confirmedAt{}; ///< when an order for it was last answered
         bool wasListed = false;
         bool isStopWanted = false;
-        unsigned sends = 0;
     };
 
     void hold();
