--- /dev/null
+++ b/src/controller/instancemetrics.cpp
@@ -0,0 +1,35 @@
+#include "controller/instancemetrics.h"
+
+#include "replicas/messengercounters.h"
+#include "replicas/replicatedlog.h"
+#include "runtime/logging.h"
+#include "runtime/metrics.h"
+
+#include <string>
+
+namespace guavavalve {
+
+void showReplica(const ReplicaStatus &status, Metrics &into)
+{
+    into.set(Metric::ReplicaTerm, static_cast<double>(status.term));
+    into.set(Metric::ReplicaCommittedIndex, static_cast<double>(status.committed));
+    into.set(Metric::ReplicaAppliedIndex, static_cast<double>(status.applied));
+    for (const auto &[role, name] : replicaRoleNames)
+        into.set(Metric::ReplicaRoleInfo, status.role == role ? 1.0 : 0.0, {std::string(name)});
+}
+
+void showMessenger(const MessengerCounters &counters, Metrics &into)
+{
+    into.countUpTo(Metric::ControlSentBytes, static_cast<double>(counters.bytesSent));
+    into.countUpTo(Metric::ControlReceivedBytes, static_cast<double>(counters.bytesReceived));
+    into.countUpTo(Metric::FramesRejectedTotal,
+                   static_cast<double>(counters.badHandshakes + counters.unauthenticatedFrames
+                                       + counters.oversizedFrames + counters.malformedFrames));
+}
+
+void showLog(Metrics &into)
+{
+    into.countUpTo(Metric::LogLinesDroppedTotal, static_cast<double>(Logging::droppedLines()));
+}
+
+} // namespace guavavalve
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "controller/instancemetrics.h"
 #include "core/codec.h"
 #include "operators/operatoridentification.h"
 #include "runtime/logging.h"
@@ -239,13 +240,8 @@
     into.set(Metric::ConfigurationVersion, static_cast<double>(this->follower->version()));
     into.set(Metric::Ready, this->readiness.isReady() ? 1.0 : 0.0);
     into.set(Metric::RequestsOpen, static_cast<double>(this->server.inFlight()));
-    into.countUpTo(Metric::LogLinesDroppedTotal, static_cast<double>(Logging::droppedLines()));
-    const MessengerCounters counters = this->messenger.counters();
-    into.countUpTo(Metric::ControlSentBytes, static_cast<double>(counters.bytesSent));
-    into.countUpTo(Metric::ControlReceivedBytes, static_cast<double>(counters.bytesReceived));
-    into.countUpTo(Metric::FramesRejectedTotal,
-                   static_cast<double>(counters.badHandshakes + counters.unauthenticatedFrames
-                                       + counters.oversizedFrames + counters.malformedFrames));
+    showLog(into);
+    showMessenger(this->messenger.counters(), into);
     const CallerCounters callersSeen = this->callers->counters();
     const std::pair<const char *, std::size_t> outcomes[] = {
         {"accepted", callersSeen.accepted}, {"joined", callersSeen.joined},
@@ -259,12 +255,7 @@
 
 void Daemon::refreshReplicaMetrics(Metrics &into)
 {
-    const ReplicaStatus status = this->replica->log().status();
-    into.set(Metric::ReplicaTerm, static_cast<double>(status.term));
-    into.set(Metric::ReplicaCommittedIndex, static_cast<double>(status.committed));
-    into.set(Metric::ReplicaAppliedIndex, static_cast<double>(status.applied));
-    for (const auto &[role, name] : replicaRoleNames)
-        into.set(Metric::ReplicaRoleInfo, status.role == role ? 1.0 : 0.0, {std::string(name)});
+    showReplica(this->replica->log().status(), into);
     const std::lock_guard<std::mutex> lock(this->controllerMetricsMutex);
     this->controllerMetrics.refresh(*this->replica, into);
 }
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -16,6 +16,26 @@
     {Metric::WaitingSeconds, "guavavalve_waiting_seconds", MetricType::Histogram, "seconds",
      "team,class",
      "Time from acceptance of a job to its first start, observed once when the job has ended."},
+    {Metric::WorkflowSeconds, "guavavalve_workflow_seconds", MetricType::Histogram, "seconds",
+     "team,class",
+     "Time from acceptance of a workflow, or from when its last occurrence was due, until it "
+     "completed, by its queue as the class. Shown by the controller."},
+    {Metric::WorkflowsTotal, "guavavalve_workflows_total", MetricType::Counter, "workflows",
+     "state",
+     "Workflows that are over, by state: completed, failed, cancelled. Shown by the controller."},
+    {Metric::RunsTotal, "guavavalve_runs_total", MetricType::Counter, "runs", "outcome",
+     "Runs of tasks that are over, by how they ended. Shown by the controller."},
+    {Metric::CommitSeconds, "guavavalve_commit_seconds", MetricType::Histogram, "seconds", "",
+     "Time from the proposal of a batch of commands until a quorum has stored it and it is "
+     "applied. Shown by the controller."},
+    {Metric::AdmissionSeconds, "guavavalve_admission_seconds", MetricType::Histogram, "seconds",
+     "outcome",
+     "Time until the admission service has answered a question, or it failed: answered, failed. "
+     "Shown by the controller."},
+    {Metric::RequestSeconds, "guavavalve_request_seconds", MetricType::Histogram, "seconds",
+     "outcome",
+     "Time from a request taken at this instance until it was replied to: answered, refused (not "
+     "run), unknown."},
     {Metric::RequestsTotal, "guavavalve_requests_total", MetricType::Counter, "requests", "outcome",
      "Callers' requests at this entry by outcome: accepted or joined when taken; answered, refused "
      "(not run), failed (ran) or unknown when replied to."},
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -12,6 +12,12 @@
 /// conventions of Prometheus.
 enum class Metric : std::uint8_t {
     WaitingSeconds,
+    WorkflowSeconds,
+    WorkflowsTotal,
+    RunsTotal,
+    CommitSeconds,
+    AdmissionSeconds,
+    RequestSeconds,
     RequestsTotal,
     RequestsOpen,
     TasksWaiting,
@@ -35,7 +41,7 @@
     SeriesDroppedTotal,
 };
 
-inline constexpr std::size_t metricCount = 22;
+inline constexpr std::size_t metricCount = 28;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -9,15 +9,21 @@
 #include "workflows/targethealth.h"
 #include "workflows/targetport.h"
 #include "workflows/targetsession.h"
+#include "workflows/workflowmetrics.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+namespace guavavalve {
+class Metrics;
+}
+
 namespace guavavalve::workflows {
 
 struct ControllerOptions
@@ -28,6 +34,7 @@
     std::function<void(Microseconds delay, std::function<void()>)> runAfter; ///< on the loop
     std::function<void(std::function<void()>)> post; ///< onto the loop, from any thread
     std::function<std::int64_t()> calendarMs;
+    Metrics *metrics = nullptr; ///< null: nothing is counted
     Clock clock = monotonicNow;
     Milliseconds tick{100}; ///< how often leases and times that come due are looked at
     Milliseconds retention{180000}; ///< how long a workflow that is over can be asked for
@@ -75,6 +82,9 @@
 
     const BookMachine &book() const { return this->machine; }
     const Policy &policy() const { return this->inForce; }
+    /// Targets that new work may go to.
+    std::size_t usableTargets() const;
+    std::size_t knownTargets() const { return this->lives.size(); }
 
 private:
     struct Pending
@@ -91,14 +101,17 @@
     void add(Command command, Done<CommandOutcome> done);
     void flush();
     void batchStored(std::uint64_t inTerm, const std::vector<Pending> &batch,
-                     const std::vector<Done<Nothing>> &barriers,
+                     const std::vector<Done<Nothing>> &barriers, Instant proposedAt,
                      const Result<std::string> &outcome);
     void plan(std::vector<Pending> &batch);
     std::vector<OpenTarget> openTargets(const Book &book) const;
     void placed(const PlaceRuns &command, CommandOutcome outcome);
+    void countFirstStart(const PlaceRuns &command, const Book &book) const;
+    void countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs) const;
     void setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done);
     void ask(const AdmissionQuestion &question);
-    void answered(const AdmissionQuestion &question, const Result<AdmissionPort::Admitted> &answer);
+    void answered(const AdmissionQuestion &question, Instant askedAt,
+                  const Result<AdmissionPort::Admitted> &answer);
 
     void openSession(LifeNumber life, const LifeRecord &record);
     void runsOver(LifeNumber life, std::vector<RunEnd> ends);
@@ -107,7 +120,7 @@
     void forgetLife(LifeNumber life);
     using PlacedTasks = std::vector<std::pair<LifeNumber, TaskAddress>>;
     static void addPlaced(const StepAddress &address, const StepProgress &step, PlacedTasks &to);
-    void stopAll(const PlacedTasks &placed);
+    void stopAll(WorkflowId id, std::string_view why, const PlacedTasks &placed);
     void stopPlaced(WorkflowId id);
     void stopOrphans();
     void refreshPolicy();
@@ -122,6 +135,7 @@
     BookMachine &machine;
     TargetPort &targets;
     AdmissionPort &admissionPort;
+    WorkflowMetrics metrics;
 
     bool leads = false;
     std::uint64_t term = 0;
--- /dev/null
+++ b/src/workflows/controllerstops.cpp
@@ -0,0 +1,87 @@
+#include "workflows/controller.h"
+
+#include "workflows/decisionlog.h"
+
+#include <map>
+#include <utility>
+
+namespace guavavalve::workflows {
+
+namespace {
+
+/// Members of a gang that has lost others are broken off by their targets; those that are not
+/// within this time are stopped.
+constexpr Milliseconds orphanPatience{1000};
+
+} // namespace
+
+void Controller::addPlaced(const StepAddress &address, const StepProgress &step, PlacedTasks &to)
+{
+    for (std::size_t t = 0; t < step.tasks.size(); ++t) {
+        if (step.tasks[t].phase == TaskPhase::Placed)
+            to.emplace_back(step.tasks[t].life,
+                            TaskAddress{address, static_cast<std::uint16_t>(t)});
+    }
+}
+
+void Controller::stopAll(WorkflowId id, std::string_view why, const PlacedTasks &placed)
+{
+    std::size_t stopped = 0;
+    for (const auto &[life, task] : placed) {
+        const auto found = this->lives.find(life);
+        if (found != this->lives.end() && found->second.session->stop(task))
+            ++stopped;
+    }
+    if (stopped > 0)
+        logStopping(id, why, stopped);
+}
+
+void Controller::stopPlaced(WorkflowId id)
+{
+    PlacedTasks placed;
+    this->machine.read([&](const Book &book) {
+        const Workflow *workflow = book.find(id);
+        if (workflow == nullptr)
+            return;
+        for (std::uint32_t k = 0; k < workflow->occurrences.size(); ++k) {
+            for (std::size_t i = 0; i < workflow->occurrences[k].size(); ++i) {
+                addPlaced({id, k, static_cast<std::uint16_t>(i)}, workflow->occurrences[k][i],
+                          placed);
+            }
+        }
+    });
+    this->stopAll(id, "cancelled or failed", placed);
+}
+
+/// Stops what is left of a gang that has lost members, if the targets do not break it off.
+void Controller::stopOrphans()
+{
+    const Instant now = this->options.clock();
+    std::map<StepAddress, Instant> since;
+    std::map<WorkflowId, PlacedTasks> orphans;
+    this->machine.read([&](const Book &book) {
+        for (const WorkflowId id : book.live()) {
+            const Workflow &workflow = *book.find(id);
+            for (std::uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
+                for (std::size_t i = 0; i < workflow.occurrences[k].size(); ++i) {
+                    const StepProgress &step = workflow.occurrences[k][i];
+                    const bool isBroken = workflow.spec.steps[i].gang && step.placed > 0
+                        && step.placed < step.tasks.size();
+                    if (!isBroken)
+                        continue;
+                    const StepAddress address{id, k, static_cast<std::uint16_t>(i)};
+                    const auto before = this->orphansSince.find(address);
+                    const Instant began = before == this->orphansSince.end() ? now : before->second;
+                    since[address] = began;
+                    if (now > began + orphanPatience)
+                        addPlaced(address, step, orphans[id]);
+                }
+            }
+        }
+    });
+    this->orphansSince = std::move(since);
+    for (const auto &[id, placed] : orphans)
+        this->stopAll(id, "members of its gang are gone", placed);
+}
+
+} // namespace guavavalve::workflows
--- /dev/null
+++ b/src/workflows/controllertargets.cpp
@@ -0,0 +1,242 @@
+#include "workflows/controller.h"
+
+#include "workflows/decisionlog.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace guavavalve::workflows {
+
+namespace {
+
+/// Of a task whose queue is gone: nobody may call it failed.
+constexpr std::uint16_t neverFailed = 1000;
+
+} // namespace
+
+void Controller::openSession(LifeNumber life, const LifeRecord &record)
+{
+    TargetSession::Hooks hooks;
+    hooks.runsOver = [this, life](std::vector<RunEnd> ends) {
+        this->runsOver(life, std::move(ends));
+    };
+    hooks.usableChanged = [this] {
+        this->needsPlan = true;
+        this->flush();
+    };
+    hooks.lifeOver = [this, life] { this->lifeOver(life); };
+    hooks.runAfter = this->options.runAfter;
+    hooks.isCurrent = [this] { return this->isCurrent(); };
+    auto session =
+        std::make_shared<TargetSession>(life, record.identity, this->term, this->options.session,
+                                        this->targets, std::move(hooks), this->options.clock);
+    this->machine.read([&](const Book &book) {
+        for (const TaskAddress &task : record.placed) {
+            const Workflow *workflow = book.find(task.step.workflow);
+            const TaskProgress *progress = workflow == nullptr ? nullptr : workflow->task(task);
+            if (progress == nullptr)
+                continue;
+            session->adopt(task, progress->run);
+        }
+    });
+    this->lives[life].session = session;
+    session->heard(!record.isDraining);
+    session->begin();
+    for (const TaskAddress &task : record.placed) {
+        const bool isOver = this->machine.read([&](const Book &book) {
+            const Workflow *workflow = book.find(task.step.workflow);
+            return workflow == nullptr || workflow->isOver();
+        });
+        if (isOver)
+            session->stop(task);
+    }
+}
+
+void Controller::runsOver(LifeNumber life, std::vector<RunEnd> ends)
+{
+    this->machine.read([&](const Book &book) {
+        for (RunEnd &end : ends) {
+            const QueuePolicy *queue = this->queueOf(end.task.step.workflow, book);
+            end.maxFailures = queue == nullptr ? neverFailed : queue->maxFailures;
+        }
+    });
+    logRunsOver(life, ends);
+    std::vector<WorkflowId> touched;
+    touched.reserve(ends.size());
+    const Instant now = this->options.clock();
+    const TargetTrust before = this->health.trust(life, now);
+    for (const RunEnd &end : ends) {
+        touched.push_back(end.task.step.workflow);
+        this->health.ended(life, end.task.step.workflow, end.outcome, now);
+    }
+    this->metrics.runsOver(ends);
+    logTrust(life, before, this->health.trust(life, now));
+    const std::int64_t atMs = this->options.calendarMs();
+    EndRuns command{std::move(ends), atMs};
+    this->add(
+        std::move(command),
+        [this, life, atMs, touched = std::move(touched)](const Result<CommandOutcome> &outcome) {
+            if (outcome)
+                this->countOver(touched, atMs);
+            const auto found = this->lives.find(life);
+            if (!outcome || found == this->lives.end())
+                return; // leadership is lost: the next controller learns of the ends by itself
+            const std::shared_ptr<TargetSession> session = found->second.session;
+            session->committed();
+            for (const WorkflowId id : touched) {
+                const bool hasFailed = this->machine.read([&](const Book &book) {
+                    const Workflow *workflow = book.find(id);
+                    return workflow != nullptr && workflow->isOver() && workflow->placed > 0;
+                });
+                if (hasFailed)
+                    this->stopPlaced(id);
+            }
+        });
+}
+
+/// Those that the ends of \a atMs have finished.
+void Controller::countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs) const
+{
+    const std::set<WorkflowId> distinct(touched.begin(), touched.end());
+    this->machine.read([&](const Book &book) {
+        for (const WorkflowId id : distinct) {
+            const Workflow *workflow = book.find(id);
+            if (workflow != nullptr && workflow->isOver() && workflow->endedAtMs == atMs)
+                this->metrics.over(*workflow, atMs);
+        }
+    });
+}
+
+void Controller::lifeOver(LifeNumber life)
+{
+    const auto found = this->lives.find(life);
+    if (found == this->lives.end())
+        return;
+    logLifeOver(found->second.session->identity());
+    const std::shared_ptr<TargetSession> session = found->second.session;
+    session->declareOver();
+    this->forgetLife(life);
+}
+
+void Controller::forgetLife(LifeNumber life)
+{
+    this->add(ForgetLife{life}, [this, life](const Result<CommandOutcome> &outcome) {
+        if (outcome && outcome.value() != CommandOutcome::Rejected)
+            this->lives.erase(life);
+        this->health.forget(life);
+    });
+}
+
+void Controller::targetHeard(const TargetReport &report, const Done<Nothing> &done)
+{
+    if (!this->leads) {
+        done(this->notLeading());
+        return;
+    }
+    const LifeNumber newest =
+        this->machine.read([&](const Book &book) { return book.newestLife(report.identity.name); });
+    const auto known = this->lives.find(newest);
+    const std::int64_t born =
+        known == this->lives.end() ? -1 : known->second.session->identity().bornAtMs;
+    if (born > report.identity.bornAtMs) {
+        done(Nothing{}); // delayed, from an earlier life: it changes nothing
+        return;
+    }
+    if (born == report.identity.bornAtMs) {
+        if (report.sequence >= known->second.sequence) {
+            known->second.sequence = report.sequence;
+            known->second.session->heard(report.isReady);
+            this->setDraining(newest, !report.isReady, done);
+            return;
+        }
+        done(Nothing{});
+        return;
+    }
+    if (born >= 0)
+        this->lifeOver(newest);
+    const std::string name = report.identity.name;
+    this->add(BeginLife{report.identity},
+              [this, name, report, done](const Result<CommandOutcome> &outcome) {
+                  if (!outcome) {
+                      done(outcome.error());
+                      return;
+                  }
+                  LifeNumber life = LifeNumber::None;
+                  LifeRecord record;
+                  this->machine.read([&](const Book &book) {
+                      life = book.newestLife(name);
+                      if (const LifeRecord *found = book.find(life))
+                          record = *found;
+                  });
+                  if (this->leads && life != LifeNumber::None && this->lives.count(life) == 0
+                      && record.identity.bornAtMs == report.identity.bornAtMs) {
+                      logLifeBegun(record.identity);
+                      this->openSession(life, record);
+                      this->lives[life].sequence = report.sequence;
+                      this->lives[life].session->heard(report.isReady);
+                      this->setDraining(life, !report.isReady, done);
+                      return;
+                  }
+                  done(Nothing{});
+              });
+}
+
+/// Acknowledged once it is stored: a controller that takes over a moment later must not start
+/// anything there either.
+void Controller::setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done)
+{
+    const bool isKnown = this->machine.read([&](const Book &book) {
+        const LifeRecord *record = book.find(life);
+        return record == nullptr || record->isDraining == isDraining;
+    });
+    if (isKnown) {
+        done(Nothing{});
+        return;
+    }
+    this->add(DrainLife{life, isDraining}, [done](const Result<CommandOutcome> &outcome) {
+        if (outcome)
+            done(Nothing{});
+        else
+            done(outcome.error());
+    });
+}
+
+void Controller::targetLeft(const std::string &name, std::int64_t bornAtMs,
+                            const Done<Nothing> &done)
+{
+    if (!this->leads) {
+        done(this->notLeading());
+        return;
+    }
+    const LifeNumber newest =
+        this->machine.read([&](const Book &book) { return book.newestLife(name); });
+    const auto known = this->lives.find(newest);
+    const bool isThisLife = known != this->lives.end()
+        && (bornAtMs == 0 || known->second.session->identity().bornAtMs == bornAtMs);
+    if (isThisLife)
+        this->lifeOver(newest);
+    done(Nothing{});
+}
+
+/// A placement that was under way when its target's life was found to be over: no order for it
+/// has been sent, and none will be.
+void Controller::neverStarted(LifeNumber life, const TaskAddress &task, RunNumber run)
+{
+    RunEnd end;
+    end.task = task;
+    end.run = run;
+    end.outcome = RunOutcome::NeverStarted;
+    this->add(EndRuns{{end}, this->options.calendarMs()}, nullptr);
+    this->forgetLife(life);
+}
+
+const QueuePolicy *Controller::queueOf(WorkflowId id, const Book &book) const
+{
+    const Workflow *workflow = book.find(id);
+    return workflow == nullptr ? nullptr : this->inForce.queue(workflow->spec.queue);
+}
+
+} // namespace guavavalve::workflows
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -25,7 +25,8 @@
     return text.data();
 }
 
-void logPlaced(const PlaceRuns &command)
+void logPlaced(const PlaceRuns &command, const WorkflowSpec &spec, std::int64_t version,
+               std::int64_t ageMs)
 {
     std::string places;
     for (const Placement &placement : command.placements) {
@@ -35,9 +36,33 @@
     logChange(LogLevel::Information, "placed",
               {{"step", stepName(command.step)},
                {"run", std::to_string(command.run)},
+               {"queue", spec.queue},
+               {"account", spec.account},
+               {"version", std::to_string(version)},
+               {"ageMs", std::to_string(ageMs)},
                {"lives", places}});
 }
 
+void logStopping(WorkflowId id, std::string_view why, std::size_t tasks)
+{
+    logChange(
+        LogLevel::Information, "stopping-runs",
+        {{"job", workflowName(id)}, {"why", std::string(why)}, {"tasks", std::to_string(tasks)}});
+}
+
+void logUsable(const TargetIdentity &target, bool isUsable, const TargetStanding &standing)
+{
+    const auto yesNo = [](bool value) { return std::string(value ? "yes" : "no"); };
+    logChange(LogLevel::Information, isUsable ? "target-usable" : "target-unusable",
+              {{"target", target.name},
+               {"ready", yesNo(standing.saysReady)},
+               {"listed", yesNo(standing.hasLists)},
+               {"fenced", yesNo(standing.isFenced)},
+               {"failures", std::to_string(standing.failures)},
+               {"foreign", std::to_string(standing.foreignRuns)},
+               {"answerAgeMs", std::to_string(standing.answerAge.count())}});
+}
+
 void logPlan(const PlanSummary &summary, std::size_t questions, std::size_t live)
 {
     std::string waiting;
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -6,10 +6,12 @@
 #include "workflows/planner.h"
 #include "workflows/policy.h"
 #include "workflows/targethealth.h"
+#include "workflows/targetstanding.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -19,7 +21,13 @@
 
 std::string workflowName(WorkflowId id);
 
-void logPlaced(const PlaceRuns &command);
+/// \a version: of the configuration that it was decided by; \a ageMs: since the workflow was due.
+void logPlaced(const PlaceRuns &command, const WorkflowSpec &spec, std::int64_t version,
+               std::int64_t ageMs);
+/// All that is placed of the workflow is being stopped.
+void logStopping(WorkflowId id, std::string_view why, std::size_t tasks);
+/// New work may go to the target from now on, or no longer, by what is known of it.
+void logUsable(const TargetIdentity &target, bool isUsable, const TargetStanding &standing);
 /// What binds at the moment: written at most once a second.
 void logPlan(const PlanSummary &summary, std::size_t questions, std::size_t live);
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome);
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -1,5 +1,7 @@
 #include "workflows/targetsession.h"
 
+#include "workflows/decisionlog.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -57,14 +59,15 @@
     this->sendStart(task);
 }
 
-void TargetSession::stop(const TaskAddress &task)
+bool TargetSession::stop(const TaskAddress &task)
 {
     const auto found = this->runs.find(task);
     if (found == this->runs.end() || found->second.phase == Phase::Over
         || found->second.isStopWanted)
-        return;
+        return false;
     found->second.isStopWanted = true;
     this->sendStop(task, found->second.run);
+    return true;
 }
 
 void TargetSession::committed()
@@ -124,8 +127,14 @@
 void TargetSession::noteUsable()
 {
     const bool isNow = this->isUsable();
-    if (std::exchange(this->wasUsable, isNow) != isNow)
-        this->hooks.usableChanged();
+    if (std::exchange(this->wasUsable, isNow) == isNow)
+        return;
+    const auto age =
+        this->answeredAt == Instant{} ? Microseconds{} : this->clock() - this->answeredAt;
+    logUsable(this->who, isNow,
+              {this->saysReady, this->hasLists, this->isFenced, this->failures,
+               this->foreign.size(), std::chrono::duration_cast<Milliseconds>(age)});
+    this->hooks.usableChanged();
 }
 
 void TargetSession::later(Microseconds delay, std::function<void()> action)
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -67,8 +67,9 @@
     void adopt(const TaskAddress &task, RunNumber run);
     /// Starts a run whose placement is stored, and sends the order until it is answered.
     void start(StartOrder order);
-    /// Stops a run, sending the order until it is answered. Unknown runs are ignored.
-    void stop(const TaskAddress &task);
+    /// Stops a run, sending the order until it is answered. False: there is none, or it is being
+    /// stopped already.
+    bool stop(const TaskAddress &task);
     /// The ends that were reported are stored up to here: the target may forget them.
     void committed();
 
--- a/test/platform/wholepathtest.cpp
+++ b/test/platform/wholepathtest.cpp
@@ -207,6 +207,36 @@
     CHECK(this->worker.starts() == 5);
 }
 
+TEST_CASE_METHOD(PlatformFixture, "what callers got is seen on the metrics addresses",
+                 "[wholepath]")
+{
+    REQUIRE(
+        eventually([&] { return this->control("PUT", "/config", configuration).status == 200; }));
+    this->keepBeating();
+    REQUIRE(eventually([&] { return this->caller("POST", jobPath, jobBody).status == 200; }));
+    REQUIRE(eventually(
+        [&] { return this->caller("GET", jobPath).body.find("completed") != std::string::npos; }));
+    const auto shows = [this](int machine, const std::string &line) {
+        const std::string text = this->call(this->ipOf(machine) + ":27421", "GET", "/metrics").body;
+        return text.find("\n" + line) != std::string::npos;
+    };
+    int leaders = 0;
+    for (int machine = 1; machine <= 3; ++machine) {
+        if (!shows(machine, "guavavalve_replica_role{role=\"leader\"} 1"))
+            continue;
+        ++leaders;
+        CHECK(shows(machine, "guavavalve_workflows_total{state=\"completed\"} 1"));
+        CHECK(shows(machine, "guavavalve_runs_total{outcome=\"succeeded\"} 5"));
+        CHECK(shows(machine, "guavavalve_waiting_seconds_count{class=\"q\",team=\"t\"} 1"));
+        CHECK(shows(machine, "guavavalve_workflow_seconds_count{class=\"q\",team=\"t\"} 1"));
+        CHECK(shows(machine, "guavavalve_targets{state=\"ready\"} 1"));
+        CHECK(shows(machine, "guavavalve_configuration_version 3"));
+    }
+    CHECK(leaders == 1);
+    CHECK(shows(9, "guavavalve_request_seconds_count{outcome=\"answered\"}"));
+    CHECK(shows(9, "guavavalve_ready 1"));
+}
+
 TEST_CASE_METHOD(PlatformFixture, "a control address takes messages of several megabytes",
                  "[wholepath]")
 {
