workflows: tickets are renewed for targets with room only

Cause: a remnant of the preemption that was taken out: the most urgent queue's tickets were renewed for full targets too. What its questions took was missing for others. One sort of targets serves both kinds of question.

--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -1,7 +1,6 @@
 #include "workflows/internal/questionmaker.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -20,6 +19,19 @@
 /// admitted on average, one question in seven would find too few at once.
 constexpr double spareRoom = 2.5;
 
+/// The \a most targets that come first by their key.
+std::vector<LifeNumber> firstTargets(std::vector<std::pair<std::int64_t, LifeNumber>> keyed,
+                                     std::size_t most)
+{
+    std::sort(keyed.begin(), keyed.end());
+    keyed.resize(std::min(keyed.size(), most));
+    std::vector<LifeNumber> lives;
+    lives.reserve(keyed.size());
+    for (const auto &[key, life] : keyed)
+        lives.push_back(life);
+    return lives;
+}
+
 } // namespace
 
 std::uint16_t slotsIn(const ReadyStep &step, const Resources &room)
@@ -89,30 +101,19 @@
     return found >= wanted ? std::optional(std::move(question)) : std::nullopt;
 }
 
-/// For single tasks each ticket on a target with room helps, or on one where room can be made.
+/// For single tasks each ticket on a target with room helps.
 std::optional<AdmissionQuestion> QuestionMaker::renewSingles(const ReadyStep &step,
                                                              const StepAdmissions &known) const
 {
-    std::vector<std::tuple<bool, std::int64_t, LifeNumber>> expired;
+    std::vector<std::pair<std::int64_t, LifeNumber>> expired;
     for (const OpenTarget &target : this->room.targets()) {
-        if (known.admitted.count(target.life) == 0 || !PlanRoom::mayRun(step, target)
-            || this->room.isAdmitted(step, target.life))
-            continue;
-        const bool isFull = slotsOn(step, target) == 0;
-        if (isFull && step.queue->priority > 0)
-            continue;
-        expired.emplace_back(isFull, -target.free[ResourceKind::MilliCores], target.life);
+        if (known.admitted.count(target.life) != 0 && PlanRoom::mayRun(step, target)
+            && !this->room.isAdmitted(step, target.life) && slotsOn(step, target) > 0)
+            expired.emplace_back(-target.free[ResourceKind::MilliCores], target.life);
     }
     if (expired.empty())
         return std::nullopt;
-    std::sort(expired.begin(), expired.end());
-    AdmissionQuestion question;
-    question.step = step.address;
-    for (const auto &[isFull, free, life] : expired) {
-        if (question.targets.size() < maxNamedTargets)
-            question.targets.push_back(life);
-    }
-    return question;
+    return AdmissionQuestion{step.address, firstTargets(expired, maxNamedTargets), {}};
 }
 
 /// Asks about targets that nothing is known of: those with the most room first. What is learned
@@ -134,15 +135,9 @@
     }
     if (unknown.empty())
         return {};
-    std::sort(unknown.begin(), unknown.end());
-    std::vector<LifeNumber> byRoom;
-    byRoom.reserve(unknown.size());
-    for (const auto &[free, life] : unknown)
-        byRoom.push_back(life);
     if (step.spec().gang)
-        return this->exploreForGang(step, byRoom);
-    byRoom.resize(std::min(byRoom.size(), maxNamedTargets));
-    return {{step.address, std::move(byRoom), {}}};
+        return this->exploreForGang(step, firstTargets(unknown, unknown.size()));
+    return {{step.address, firstTargets(unknown, maxNamedTargets), {}}};
 }
 
 /// Names as many targets as probably hold the gang, in as few and as long questions as there may
