--- a/src/workflows/askerpool.cpp
+++ b/src/workflows/askerpool.cpp
@@ -19,6 +19,10 @@
 constexpr Milliseconds failedPause{2000};
 /// Questions under way from one instance, below the 32 that the service lets wait.
 constexpr std::size_t maxUnderWay = 20;
+/// As long as it has answered none.
+constexpr std::size_t maxUnproved = 2;
+/// An answer that comes this much later than it should is overdue: a slow instance adds 50 ms.
+constexpr Milliseconds overdueAfter{100};
 /// Work that one instance may have waiting at the service: what comes later is better decided then.
 constexpr Milliseconds longestQueue{800};
 
@@ -36,6 +40,16 @@
 
 } // namespace
 
+/// Guards against an instance that is gone or stands still while it is still held for present: a
+/// new controller had fifteen steps asked about by its predecessor, which had been frozen, and each
+/// waited 0.6 s for an answer that could not come.
+bool AskerPool::mayAsk(const Load &load, Instant now)
+{
+    const std::size_t most = load.hasAnswered ? maxUnderWay : maxUnproved;
+    const bool isOverdue = load.underWay > 0 && now > load.busyUntil + overdueAfter;
+    return load.underWay < most && !isOverdue && load.busyUntil <= now + longestQueue;
+}
+
 std::optional<InstanceId> AskerPool::choose(const std::vector<InstanceId> &instances,
                                             Milliseconds expected, Instant now)
 {
@@ -43,9 +57,9 @@
     Instant bestFreeAt{};
     for (std::size_t i = keptFrom(expected, instances.size()); i < instances.size(); ++i) {
         const Load &load = this->loads[instances[i]];
-        const Instant freeAt = std::max(now, load.busyUntil);
-        if (load.underWay >= maxUnderWay || freeAt > now + longestQueue)
+        if (!AskerPool::mayAsk(load, now))
             continue;
+        const Instant freeAt = std::max(now, load.busyUntil);
         if (!best || freeAt < bestFreeAt) {
             best = instances[i];
             bestFreeAt = freeAt;
@@ -69,6 +83,7 @@
 {
     Load &load = this->loads[instance];
     load.underWay -= load.underWay > 0 ? 1 : 0;
+    load.hasAnswered = !hasFailed;
     if (hasFailed)
         load.busyUntil = now + failedPause;
 }
--- a/src/workflows/askerpool.h
+++ b/src/workflows/askerpool.h
@@ -14,7 +14,8 @@
 /// question at a time for each instance that asks. Pure; not thread-safe.
 ///
 /// A question goes to the instance whose questions will be answered first. Longer questions stay
-/// away from the first few instances in the list.
+/// away from the first few instances in the list. An instance that has not answered yet is tried
+/// with two questions, and one whose answer is overdue gets no more until it comes.
 class AskerPool
 {
 public:
@@ -27,6 +28,9 @@
     /// When \a instance will probably have all its questions answered.
     Instant busyUntil(const InstanceId &instance) const;
 
+    /// \a instance is known to be there: it is this one.
+    void trust(const InstanceId &instance) { this->loads[instance].hasAnswered = true; }
+
     /// A question of \a instance has been answered, or has failed.
     void answered(const InstanceId &instance, bool hasFailed, Instant now);
 
@@ -35,8 +39,11 @@
     {
         Instant busyUntil{};
         std::size_t underWay = 0; ///< questions
+        bool hasAnswered = false;
     };
 
+    static bool mayAsk(const Load &load, Instant now);
+
     std::map<InstanceId, Load> loads;
 };
 
--- a/test/workflows/askerpooltest.cpp
+++ b/test/workflows/askerpooltest.cpp
@@ -27,6 +27,8 @@
 TEST_CASE("the instance that is free first asks", "[askers]")
 {
     AskerPool pool;
+    pool.trust("a");
+    pool.trust("b");
     CHECK(pool.choose(instances(2), shortOne, now) == "a");
     CHECK(pool.choose(instances(2), shortOne, now) == "b");
     CHECK(pool.choose(instances(2), shortOne, now) == "a");
@@ -35,6 +37,24 @@
     CHECK(pool.choose(instances(2), shortOne, now) == "a"); // the other has just failed
 }
 
+TEST_CASE("an instance that may be gone is not given everything", "[askers]")
+{
+    // Guests waited a second longer for their confirmations after the leading machine had frozen:
+    // its successor took it for present, and had it ask about every third step. None of these
+    // questions was answered, and each step was asked about again only 0.6 s later.
+    AskerPool pool;
+    CHECK(pool.choose(instances(1), shortOne, now));
+    CHECK(pool.choose(instances(1), shortOne, now));
+    CHECK_FALSE(pool.choose(instances(1), shortOne, now)); // it has not answered yet
+    pool.answered("a", false, now);
+    CHECK(pool.choose(instances(1), shortOne, now));
+    CHECK_FALSE(
+        pool.choose(instances(1), shortOne, now + 20 * shortOne)); // its answers are overdue
+    pool.answered("a", false, now + 21 * shortOne);
+    pool.answered("a", false, now + 21 * shortOne);
+    CHECK(pool.choose(instances(1), shortOne, now + 21 * shortOne));
+}
+
 TEST_CASE("a full cell's questions leave instances to the shortest", "[askers]")
 {
     // Callers that wait for a step of 0.8 s were served a second late while the cell was full: each
@@ -42,6 +62,8 @@
     // came behind.
     AskerPool pool;
     const auto all = instances(12);
+    for (const InstanceId &instance : all)
+        pool.answered(instance, false, now);
     while (pool.choose(all, longOne, now))
         continue;
     while (pool.choose(all, middleOne, now))
@@ -54,6 +76,7 @@
 TEST_CASE("questions that could only wait are not asked", "[askers]")
 {
     AskerPool pool;
+    pool.trust("a");
     CHECK(pool.choose(instances(1), longOne, now));
     CHECK(pool.choose(instances(1), longOne, now));
     CHECK_FALSE(pool.choose(instances(1), longOne, now));
