--- a/test/workflows/controllertest.cpp
+++ b/test/workflows/controllertest.cpp
@@ -179,6 +179,27 @@
     CHECK(this->isAllOver());
 }
 
+TEST_CASE("a target that fails everything gets little", "[controller]")
+{
+    // One target of four fails what it is given, and says that it is well. Jobs went there first,
+    // one after the other, and each used up a try, or all it had.
+    Quiet quiet;
+    Simulation cell(1, 4, 4000);
+    cell.fleet.failing = "t1"; // the one that is chosen when all are empty
+    constexpr unsigned jobs = 20;
+    StepSpec whole = BookFixture::step(1);
+    whole.need[ResourceKind::MilliCores] = 4000;
+    for (unsigned i = 1; i <= jobs; ++i) {
+        cell.submit(static_cast<WorkflowId>(i), {whole});
+        cell.runFor(Milliseconds(1000));
+    }
+    cell.runFor(Milliseconds(10000));
+    for (unsigned i = 1; i <= jobs; ++i)
+        CHECK(cell.stateOf(static_cast<WorkflowId>(i)) == WorkflowState::Completed);
+    CHECK(cell.fleet.failures <= 7); // two, and one each time that it may prove itself
+    CHECK(cell.fleet.breach.empty());
+}
+
 TEST_CASE_METHOD(ControllerFixture, "a replica that does not lead takes nothing", "[controller]")
 {
     this->controller().leadershipChanged(false, 0);
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -257,9 +257,9 @@
     if (!target.isUp || found == target.running.end() || found->second.serial != serial)
         return;
     found->second.checkpoint = "saved";
-    this->endRun(target, task,
-                 this->chance(this->faults.failedTask) ? RunOutcome::Failed
-                                                       : RunOutcome::Succeeded);
+    const bool fails = name == this->failing || this->chance(this->faults.failedTask);
+    this->failures += fails ? 1 : 0;
+    this->endRun(target, task, fails ? RunOutcome::Failed : RunOutcome::Succeeded);
 }
 
 /// Once all members of a run are there, they end together.
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -50,8 +50,10 @@
               Done<HoldAnswer> done) override;
 
     FleetFaults faults;
+    std::string failing; ///< a target that fails all its tasks; empty: none
     std::string breach; ///< the first; empty: none
     std::size_t starts = 0;
+    std::size_t failures = 0;
 
 private:
     struct Running
