workflows: a target that refuses what it has room for counts as failing

Change: such an end is RunOutcome::Refused and counts for TargetHealth like a failure. Tests of both.

--- a/src/workflows/runend.h
+++ b/src/workflows/runend.h
@@ -19,10 +19,11 @@
     Broken, ///< another member of its gang ended
     Alone, ///< the other members of its gang did not come
     Lost, ///< its target's life is over, or its lease has run out unheard
-    NeverStarted, ///< the target has refused it or can no longer start it
+    NeverStarted, ///< the target can no longer start it
+    Refused, ///< never started: the target has refused it, although it had the room
 };
 
-inline constexpr EnumNames<RunOutcome, 8> runOutcomeNames{{
+inline constexpr EnumNames<RunOutcome, 9> runOutcomeNames{{
     {RunOutcome::Succeeded, "succeeded"},
     {RunOutcome::Failed, "failed"},
     {RunOutcome::Stopped, "stopped"},
@@ -31,6 +32,7 @@
     {RunOutcome::Alone, "alone"},
     {RunOutcome::Lost, "lost"},
     {RunOutcome::NeverStarted, "never-started"},
+    {RunOutcome::Refused, "refused"},
 }};
 
 /// The end of one run.
--- a/src/workflows/targethealth.cpp
+++ b/src/workflows/targethealth.cpp
@@ -44,7 +44,7 @@
         this->records[life] = {};
         return;
     }
-    if (outcome != RunOutcome::Failed)
+    if (outcome != RunOutcome::Failed && outcome != RunOutcome::Refused)
         return;
     Record &record = this->records[life];
     if (record.failuresInARow > 0 && record.lastFailed == workflow)
--- a/src/workflows/targethealth.h
+++ b/src/workflows/targethealth.h
@@ -33,7 +33,7 @@
 class TargetHealth
 {
 public:
-    /// A run of \a workflow has ended on \a life. Only ends by success and by failure count.
+    /// A run of \a workflow has ended on \a life. Only success, failure and refusal count.
     void ended(LifeNumber life, WorkflowId workflow, RunOutcome outcome, Instant now);
     void forget(LifeNumber life);
     void clear();
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -294,8 +294,9 @@
             continue;
         const bool isKnown = run.phase == Phase::Confirmed && run.confirmedAt < sentAt;
         if (run.phase == Phase::Adopted || isKnown) {
-            over.push_back(this->over(
-                task, run, run.wasListed ? RunOutcome::Lost : RunOutcome::NeverStarted, {}));
+            const RunOutcome unheard =
+                run.wasRefused ? RunOutcome::Refused : RunOutcome::NeverStarted;
+            over.push_back(this->over(task, run, run.wasListed ? RunOutcome::Lost : unheard, {}));
         }
     }
 }
@@ -371,6 +372,7 @@
     default:
         // An earlier send of the order may still be carried out: the stop settles it first.
         run.isStopWanted = true;
+        run.wasRefused = answer.value().reply == OrderReply::Refused;
         this->sendStop(task, number);
     }
 }
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -102,6 +102,7 @@
         std::string checkpoint; ///< the newest that was listed
         Instant confirmedAt{}; ///< when an order for it was last answered
         bool wasListed = false;
+        bool wasRefused = false; ///< its start, by a target that is not well
         bool isStopWanted = false;
     };
 
--- a/test/workflows/targethealthtest.cpp
+++ b/test/workflows/targethealthtest.cpp
@@ -64,6 +64,16 @@
     CHECK(this->trust(1) == TargetTrust::Trusted);
 }
 
+TEST_CASE_METHOD(HealthFixture, "a target that refuses what it has room for is suspended",
+                 "[health]")
+{
+    // Targets that were not well answered each start with 503. Their room stayed free, so the same
+    // tasks were sent there again and again, and began late.
+    this->ends(1, 2, RunOutcome::Refused);
+    this->ends(1, 3, RunOutcome::Refused);
+    CHECK(this->trust(1) == TargetTrust::Suspended);
+}
+
 TEST_CASE_METHOD(HealthFixture, "a suspended target has to prove itself", "[health]")
 {
     this->ends(1, 2, RunOutcome::Failed);
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -22,7 +22,7 @@
                Done<OrderAnswer> done) override
     {
         ++this->starts;
-        this->answer(deadline, std::move(done), OrderAnswer{OrderReply::Done, this->clockMs});
+        this->answer(deadline, std::move(done), OrderAnswer{this->startReply, this->clockMs});
     }
     void stop(const TargetIdentity &, const StopOrder &, Instant deadline,
               Done<OrderAnswer> done) override
@@ -60,6 +60,7 @@
     std::int64_t lastLease = -1;
     Instant lastGrantAt{};
     int starts = 0;
+    OrderReply startReply = OrderReply::Done;
     std::vector<RunningTask> running;
 };
 
@@ -136,6 +137,26 @@
     CHECK(this->port.lastLease > 0);
 }
 
+TEST_CASE_METHOD(SessionFixture,
+                 "a start that its target refuses is told from one that came too late", "[session]")
+{
+    // It is over once its stop is confirmed and the lists do not have it: an earlier send of the
+    // same order may still be carried out until then.
+    const auto outcomeAfter = [this](OrderReply reply, std::uint16_t index) {
+        this->port.startReply = reply;
+        StartOrder order;
+        order.task = {this->task.step, index};
+        order.run = 1;
+        this->session->start(order);
+        this->tickFor(Milliseconds(1000));
+        this->session->committed();
+        REQUIRE(this->over.size() == 1);
+        return this->over[0].outcome;
+    };
+    CHECK(outcomeAfter(OrderReply::Refused, 1) == RunOutcome::Refused);
+    CHECK(outcomeAfter(OrderReply::NoRoom, 2) == RunOutcome::NeverStarted);
+}
+
 TEST_CASE_METHOD(SessionFixture, "a lease is over only by the slowest clock that is allowed",
                  "[session]")
 {
