workflows: an idle target is on probation for 0.8 s at most, and suspended for 2 s

Cause, by reading: a gang is given no target on probation, and a target leaves probation only by a single task's success. In a cell that has run empty nobody hands one in, and a gang that needs that target would wait for ever. Suspensions of up to 6 s, too, could be all that a step waits for. Change: a target on probation that has been idle for 0.8 s may be given anything; 1 s and then 2 s of suspension, so that nothing waits longer than 3 s for this.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -250,8 +250,8 @@
         const bool onProbation = trust == TargetTrust::Probation;
         if (onProbation && !record->placed.empty())
             continue;
-        open.push_back(
-            {life, &record->identity, record->identity.capacity - record->used, onProbation});
+        open.push_back({life, &record->identity, record->identity.capacity - record->used,
+                        onProbation && !this->health.hasWaited(life, now)});
     }
     return open;
 }
--- a/src/workflows/targethealth.cpp
+++ b/src/workflows/targethealth.cpp
@@ -17,10 +17,12 @@
 constexpr double highestRate = 0.5;
 /// Runs in a row below which nothing is held against a target.
 constexpr unsigned fewestFailures = 2;
-/// The first suspension; each further one is twice as long. Targets that fail everything do so for
-/// some seconds.
-constexpr Milliseconds firstSuspension{1500};
-constexpr unsigned mostDoublings = 2;
+/// The first suspension; the further ones are twice as long. Targets that fail everything do so for
+/// some seconds; and a step that may run nowhere else waits no longer than 3 s in all.
+constexpr Milliseconds firstSuspension{1000};
+constexpr unsigned mostDoublings = 1;
+/// For a task to come by which an idle target proves itself.
+constexpr Milliseconds longestProbation{800};
 
 } // namespace
 
@@ -77,4 +79,10 @@
     return now < found->second.suspendedUntil ? TargetTrust::Suspended : TargetTrust::Probation;
 }
 
+bool TargetHealth::hasWaited(LifeNumber life, Instant now) const
+{
+    const auto found = this->records.find(life);
+    return found == this->records.end() || now > found->second.suspendedUntil + longestProbation;
+}
+
 } // namespace guavavalve::workflows
--- a/src/workflows/targethealth.h
+++ b/src/workflows/targethealth.h
@@ -40,6 +40,12 @@
 
     TargetTrust trust(LifeNumber life, Instant now) const;
 
+    /// True if \a life has been on probation for so long that, idle, it may be given anything.
+    ///
+    /// Guards against a gang that waits for ever: when a cell runs empty, nobody hands in the
+    /// single task by which a target that the gang needs could prove itself.
+    bool hasWaited(LifeNumber life, Instant now) const;
+
 private:
     struct Record
     {
--- a/test/workflows/askerpooltest.cpp
+++ b/test/workflows/askerpooltest.cpp
@@ -12,6 +12,7 @@
 std::vector<InstanceId> instances(int count)
 {
     std::vector<InstanceId> names;
+    names.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         names.push_back(std::string(1, static_cast<char>('a' + i)));
     return names;
