workflows: cancelled workflows are counted; a placement copies no payload for its log line

The planner's tests had three places that hand in a second workflow line by line: two of them call the fixture's add() now; their assertions are as they were.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -106,8 +106,11 @@
 
 void Controller::cancel(WorkflowId id, Done<CommandOutcome> done)
 {
-    this->add(CancelWorkflow{id, this->options.calendarMs()},
-              [this, id, done = std::move(done)](const Result<CommandOutcome> &outcome) {
+    const std::int64_t atMs = this->options.calendarMs();
+    this->add(CancelWorkflow{id, atMs},
+              [this, id, atMs, done = std::move(done)](const Result<CommandOutcome> &outcome) {
+                  if (outcome && outcome.value() == CommandOutcome::Applied)
+                      this->countOver({id}, atMs);
                   if (outcome && outcome.value() != CommandOutcome::Rejected)
                       this->stopPlaced(id);
                   done(outcome);
@@ -291,13 +294,17 @@
     order.run = command.run;
     order.term = this->term;
     std::vector<std::string> checkpoints(command.placements.size());
-    WorkflowSpec spec;
+    std::string queue;
+    std::string account;
+    std::int64_t ageMs = 0;
     const bool isKnown = this->machine.read([&](const Book &book) {
         const Workflow *workflow = book.find(command.step.workflow);
         if (workflow == nullptr)
             return false;
         order.payload = workflow->spec.payload;
-        spec = workflow->spec;
+        queue = workflow->spec.queue;
+        account = workflow->spec.account;
+        ageMs = this->options.calendarMs() - workflow->spec.dueAtMs(command.step.occurrence);
         this->countFirstStart(command, book);
         const StepProgress &progress = workflow->step(command.step);
         std::string shared;
@@ -312,8 +319,7 @@
     });
     if (!isKnown)
         return;
-    logPlaced(command, spec, this->policyVersion,
-              this->options.calendarMs() - spec.dueAtMs(command.step.occurrence));
+    logPlaced(command, queue, account, this->policyVersion, ageMs);
     const auto admitted = this->admissions.find(command.step);
     for (std::size_t i = 0; i < command.placements.size(); ++i) {
         const Placement &placement = command.placements[i];
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -97,7 +97,7 @@
         });
 }
 
-/// Those that the ends of \a atMs have finished.
+/// Those that a command of \a atMs has finished.
 void Controller::countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs) const
 {
     const std::set<WorkflowId> distinct(touched.begin(), touched.end());
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -25,8 +25,8 @@
     return text.data();
 }
 
-void logPlaced(const PlaceRuns &command, const WorkflowSpec &spec, std::int64_t version,
-               std::int64_t ageMs)
+void logPlaced(const PlaceRuns &command, const std::string &queue, const std::string &account,
+               std::int64_t version, std::int64_t ageMs)
 {
     std::string places;
     for (const Placement &placement : command.placements) {
@@ -36,8 +36,8 @@
     logChange(LogLevel::Information, "placed",
               {{"step", stepName(command.step)},
                {"run", std::to_string(command.run)},
-               {"queue", spec.queue},
-               {"account", spec.account},
+               {"queue", queue},
+               {"account", account},
                {"version", std::to_string(version)},
                {"ageMs", std::to_string(ageMs)},
                {"lives", places}});
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -22,8 +22,8 @@
 std::string workflowName(WorkflowId id);
 
 /// \a version: of the configuration that it was decided by; \a ageMs: since the workflow was due.
-void logPlaced(const PlaceRuns &command, const WorkflowSpec &spec, std::int64_t version,
-               std::int64_t ageMs);
+void logPlaced(const PlaceRuns &command, const std::string &queue, const std::string &account,
+               std::int64_t version, std::int64_t ageMs);
 /// All that is placed of the workflow is being stopped.
 void logStopping(WorkflowId id, std::string_view why, std::size_t tasks);
 /// New work may go to the target from now on, or no longer, by what is known of it.
--- a/test/platform/wholepathtest.cpp
+++ b/test/platform/wholepathtest.cpp
@@ -216,6 +216,13 @@
     REQUIRE(eventually([&] { return this->caller("POST", jobPath, jobBody).status == 200; }));
     REQUIRE(eventually(
         [&] { return this->caller("GET", jobPath).body.find("completed") != std::string::npos; }));
+    constexpr const char *waitingJob = "/q/5c0e7a21d94b36f9";
+    REQUIRE(this->caller("POST", waitingJob,
+                         R"({"TaskSpec": "x", "Steps": [{"TaskCount": 1, "Cpu": 1000,
+                             "EstRuntimeMs": 50, "Requirements": "a label that nobody has"}]})")
+                .status
+            == 200);
+    REQUIRE(this->caller("DELETE", waitingJob).status == 200);
     const auto shows = [this](int machine, const std::string &line) {
         const std::string text = this->call(this->ipOf(machine) + ":27421", "GET", "/metrics").body;
         return text.find("\n" + line) != std::string::npos;
@@ -226,6 +233,7 @@
             continue;
         ++leaders;
         CHECK(shows(machine, "guavavalve_workflows_total{state=\"completed\"} 1"));
+        CHECK(shows(machine, "guavavalve_workflows_total{state=\"cancelled\"} 1"));
         CHECK(shows(machine, "guavavalve_runs_total{outcome=\"succeeded\"} 5"));
         CHECK(shows(machine, "guavavalve_waiting_seconds_count{class=\"q\",team=\"t\"} 1"));
         CHECK(shows(machine, "guavavalve_workflow_seconds_count{class=\"q\",team=\"t\"} 1"));
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
+#include <string>
 
 namespace guavavalve::workflows {
 
@@ -47,6 +48,17 @@
         return placed;
     }
 
+    /// Accepts a workflow of one step beside the fixture's own.
+    void add(unsigned id, const std::string &queue, const StepSpec &spec)
+    {
+        WorkflowSpec workflow;
+        workflow.id = static_cast<WorkflowId>(id);
+        workflow.queue = queue;
+        workflow.account = "a";
+        workflow.steps = {spec};
+        this->apply(AcceptWorkflow{workflow});
+    }
+
     void needAdvice()
     {
         this->policy.queues["q"].needsAdvice = true;
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -162,12 +162,7 @@
     // for ever.
     this->policy.queues["small"] = this->policy.queues["q"];
     this->accept({gang(12)});
-    WorkflowSpec small;
-    small.id = static_cast<WorkflowId>(3);
-    small.queue = "small";
-    small.account = "a";
-    small.steps = {step(4)};
-    this->apply(AcceptWorkflow{small});
+    this->add(3, "small", step(4));
     this->claims[at(0)] = {{{life(1), 4}, {life(2), 4}, {life(3), 4}},
                            this->now + Milliseconds(500)};
     this->needAdvice();
@@ -276,16 +271,6 @@
         this->add(101, "small", step(12));
     }
 
-    void add(unsigned id, const std::string &queue, const StepSpec &spec)
-    {
-        WorkflowSpec workflow;
-        workflow.id = static_cast<WorkflowId>(id);
-        workflow.queue = queue;
-        workflow.account = "a";
-        workflow.steps = {spec};
-        this->apply(AcceptWorkflow{workflow});
-    }
-
     static StepSpec wideGang(std::uint16_t tasks)
     {
         StepSpec spec = gang(tasks);
