--- a/src/core/error.h
+++ b/src/core/error.h
@@ -37,9 +37,10 @@
     IncompleteAnswer, ///< less arrived than the target announced
     Corrupt, ///< stored or received bytes fail their checks
     Internal, ///< a fault of ours
+    WriteRefused, ///< the disk took nothing of a write, as a full one does: it may be tried again
 };
 
-inline constexpr EnumNames<ErrorCode, 15> errorCodeNames{{
+inline constexpr EnumNames<ErrorCode, 16> errorCodeNames{{
     {ErrorCode::InvalidArgument, "invalid-argument"},
     {ErrorCode::Unauthenticated, "unauthenticated"},
     {ErrorCode::PermissionDenied, "permission-denied"},
@@ -55,6 +56,7 @@
     {ErrorCode::IncompleteAnswer, "incomplete-answer"},
     {ErrorCode::Corrupt, "corrupt"},
     {ErrorCode::Internal, "internal"},
+    {ErrorCode::WriteRefused, "write-refused"},
 }};
 
 /// An error as a value.
--- a/src/journal/disk.h
+++ b/src/journal/disk.h
@@ -24,10 +24,13 @@
     virtual Result<std::string> readPart(const std::string &name, std::uint64_t offset,
                                          std::size_t length) = 0;
     /// Appends, creating the file if need be.
+    /// \errors WriteRefused: nothing of it is in the file, now or later. So for the changes below,
+    /// but for the syncs: after an error of theirs nobody knows what is on the disk.
     virtual Result<void> append(const std::string &name, const std::string &bytes) = 0;
     virtual Result<void> truncate(const std::string &name, std::uint64_t size) = 0;
     virtual Result<void> sync(const std::string &name) = 0;
     virtual Result<void> rename(const std::string &from, const std::string &to) = 0;
+    /// No error if it is not there.
     virtual Result<void> remove(const std::string &name) = 0;
     virtual Result<void> syncFolder() = 0;
 };
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -36,18 +36,19 @@
         if (auto begun = this->beginSegment(); !begun)
             return begun;
     }
-    // Only now: the new segment's header must not be ahead of the batch. A crash between them
-    // would leave a replica that counts as formed and has no first entry.
-    if (batch.hardState)
-        this->hardState = *batch.hardState;
     Segment &segment = this->segments.back();
     const std::string name = segmentName(segment.number);
     const std::string payload = encode(batch);
     if (payload.size() > Frame::maxPayloadBytes)
         return failure(ErrorCode::LimitExceeded, "the batch is larger than a frame may be");
-    const std::string bytes = encodeFrame(this->nextSequence++, payload, this->seed());
+    const std::string bytes = encodeFrame(this->nextSequence, payload, this->seed());
     if (auto appended = this->disk->append(name, bytes); !appended)
         return appended;
+    ++this->nextSequence;
+    // Only now: a later segment's header must not be ahead of its batches. A crash between them
+    // would leave a replica that counts as formed and has no first entry.
+    if (batch.hardState)
+        this->hardState = *batch.hardState;
     segment.bytes += bytes.size();
     for (const LogEntry &entry : batch.entries)
         segment.lastIndex = std::max(segment.lastIndex, entry.index);
@@ -71,11 +72,19 @@
 
 /// Guards against a crash in the middle: under its own name a file is always whole, since the
 /// bytes are synced before the name is given and the name before anyone relies on it.
-Result<void> Journal::putBeside(const std::string &name, const std::string &bytes)
+Result<void> Journal::putBeside(const std::string &name, const std::string &head,
+                                const std::string &rest)
 {
     const std::string beside = name + std::string(besideSuffix);
-    if (auto appended = this->disk->append(beside, bytes); !appended)
+    // What a refused try has left: the bytes would stand in the file twice.
+    if (auto removed = this->disk->remove(beside); !removed)
+        return removed;
+    if (auto appended = this->disk->append(beside, head); !appended)
         return appended;
+    if (!rest.empty()) { // apart, since joining them would copy a snapshot
+        if (auto appended = this->disk->append(beside, rest); !appended)
+            return appended;
+    }
     if (auto synced = this->disk->sync(beside); !synced)
         return synced;
     if (auto renamed = this->disk->rename(beside, name); !renamed)
@@ -91,7 +100,7 @@
     const std::string head = fileMark(snapshotMark)
         + encodeFrame(meta.index, encode(SnapshotHeader{journalFormat, this->identity, meta}),
                       this->seed());
-    if (auto put = this->putBeside(snapshotName(meta.index), head + state); !put)
+    if (auto put = this->putBeside(snapshotName(meta.index), head, state); !put)
         return put;
     const std::lock_guard reading(this->snapshotMutex);
     const LogIndex older = std::exchange(this->snapshotIndex, meta.index);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -50,7 +50,8 @@
     Result<void> joinSnapshot(Found &found) const;
     Result<void> tidy(const Found &found);
     Result<void> beginSegment();
-    Result<void> putBeside(const std::string &name, const std::string &bytes);
+    Result<void> putBeside(const std::string &name, const std::string &head,
+                           const std::string &rest = {});
     std::uint64_t seed() const;
 
     std::unique_ptr<Disk> disk;
--- a/src/journal/posixdisk.cpp
+++ b/src/journal/posixdisk.cpp
@@ -31,30 +31,23 @@
     int file;
 };
 
-bool writeAll(int file, const std::string &bytes)
+/// Errors that say that the disk has no room, and so has taken nothing.
+bool isNoRoom(int systemCode)
 {
-    std::size_t written = 0;
-    while (written < bytes.size()) {
-        const ssize_t count = ::write(file, bytes.data() + written, bytes.size() - written);
-        if (count < 0 && errno == EINTR)
-            continue;
-        if (count <= 0)
-            return false;
-        written += static_cast<std::size_t>(count);
-    }
-    return true;
+    return systemCode == ENOSPC || systemCode == EDQUOT || systemCode == EFBIG;
 }
 
 } // namespace
 
-PosixDisk::PosixDisk(std::string path)
+PosixDisk::PosixDisk(std::string path, WriteCall write)
     : folder(std::move(path))
+    , writeCall(write ? std::move(write) : WriteCall(::write))
 {}
 
 PosixDisk::~PosixDisk()
 {
-    for (const auto &[name, file] : this->appending)
-        ::close(file);
+    for (const auto &[name, opened] : this->appending)
+        ::close(opened.file);
     if (this->lockFile >= 0)
         ::close(this->lockFile);
 }
@@ -64,7 +57,7 @@
     std::error_code problem;
     std::filesystem::create_directories(this->folder, problem);
     if (problem) {
-        return failure(ErrorCode::Unavailable,
+        return failure(isNoRoom(problem.value()) ? ErrorCode::WriteRefused : ErrorCode::Unavailable,
                        "cannot create the folder " + this->folder + ": " + problem.message());
     }
     const std::string parent =
@@ -84,6 +77,17 @@
                    what + " " + this->path(name) + ": " + std::generic_category().message(errno));
 }
 
+/// Of a call that changes files, other than a sync: such a call has done nothing if there was no
+/// room for it. A sync that finds no room may have lost what was written before it.
+Error PosixDisk::changeError(const std::string &what, const std::string &name) const
+{
+    const bool isRefusal = isNoRoom(errno);
+    Error error = this->systemError(what, name);
+    if (isRefusal)
+        error.code = ErrorCode::WriteRefused;
+    return error;
+}
+
 Result<void> PosixDisk::lock(const std::string &name)
 {
     const int file = ::open(this->path(name).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, fileMode);
@@ -146,18 +150,41 @@
     return bytes;
 }
 
-Result<int> PosixDisk::openForAppend(const std::string &name)
+Result<PosixDisk::AppendFile *> PosixDisk::openForAppend(const std::string &name)
 {
     const std::lock_guard guard(this->mutex);
     const auto found = this->appending.find(name);
     if (found != this->appending.end())
-        return found->second;
+        return &found->second;
     const int file =
         ::open(this->path(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, fileMode);
     if (file < 0)
-        return this->systemError("cannot open", name);
-    this->appending.emplace(name, file);
-    return file;
+        return this->changeError("cannot open", name);
+    struct stat info = {};
+    if (::fstat(file, &info) != 0) {
+        Error error = this->systemError("cannot read the size of", name);
+        ::close(file);
+        return error;
+    }
+    AppendFile opened;
+    opened.file = file;
+    opened.size = static_cast<std::uint64_t>(info.st_size);
+    return &this->appending.emplace(name, opened).first->second;
+}
+
+bool PosixDisk::writeAll(int file, const std::string &bytes) const
+{
+    std::size_t written = 0;
+    while (written < bytes.size()) {
+        const ssize_t count =
+            this->writeCall(file, bytes.data() + written, bytes.size() - written);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            return false;
+        written += static_cast<std::size_t>(count);
+    }
+    return true;
 }
 
 void PosixDisk::closeFile(const std::string &name)
@@ -166,33 +193,46 @@
     const auto found = this->appending.find(name);
     if (found == this->appending.end())
         return;
-    ::close(found->second);
+    ::close(found->second.file);
     this->appending.erase(found);
 }
 
+/// Guards against a record that follows the first half of another: a full disk may take a part of
+/// a write before it refuses. The file is cut back to where it was, if need be before the next try,
+/// so nothing ever stands behind a torn record.
 Result<void> PosixDisk::append(const std::string &name, const std::string &bytes)
 {
-    const auto file = this->openForAppend(name);
-    if (!file)
-        return file.error();
-    if (!writeAll(file.value(), bytes))
-        return this->systemError("cannot write", name);
+    const auto opened = this->openForAppend(name);
+    if (!opened)
+        return opened.error();
+    AppendFile &to = *opened.value();
+    const auto size = static_cast<off_t>(to.size);
+    if (to.isTorn && ::ftruncate(to.file, size) != 0)
+        return this->changeError("cannot cut back", name);
+    to.isTorn = false;
+    if (!this->writeAll(to.file, bytes)) {
+        const Error error = this->changeError("cannot write", name);
+        to.isTorn = ::ftruncate(to.file, size) != 0;
+        return error;
+    }
+    to.size += bytes.size();
     return boost::outcome_v2::success();
 }
 
 Result<void> PosixDisk::truncate(const std::string &name, std::uint64_t size)
 {
+    this->closeFile(name);
     if (::truncate(this->path(name).c_str(), static_cast<off_t>(size)) != 0)
-        return this->systemError("cannot truncate", name);
+        return this->changeError("cannot truncate", name);
     return boost::outcome_v2::success();
 }
 
 Result<void> PosixDisk::sync(const std::string &name)
 {
-    const auto file = this->openForAppend(name);
-    if (!file)
-        return file.error();
-    if (::fdatasync(file.value()) != 0)
+    const auto opened = this->openForAppend(name);
+    if (!opened)
+        return opened.error();
+    if (::fdatasync(opened.value()->file) != 0)
         return this->systemError("cannot sync", name);
     return boost::outcome_v2::success();
 }
@@ -202,15 +242,15 @@
     this->closeFile(from);
     this->closeFile(to);
     if (::rename(this->path(from).c_str(), this->path(to).c_str()) != 0)
-        return this->systemError("cannot rename", from);
+        return this->changeError("cannot rename", from);
     return boost::outcome_v2::success();
 }
 
 Result<void> PosixDisk::remove(const std::string &name)
 {
     this->closeFile(name);
-    if (::unlink(this->path(name).c_str()) != 0)
-        return this->systemError("cannot remove", name);
+    if (::unlink(this->path(name).c_str()) != 0 && errno != ENOENT)
+        return this->changeError("cannot remove", name);
     return boost::outcome_v2::success();
 }
 
--- a/src/journal/posixdisk.h
+++ b/src/journal/posixdisk.h
@@ -2,6 +2,10 @@
 
 #include "journal/disk.h"
 
+#include <sys/types.h>
+
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -13,7 +17,10 @@
 class PosixDisk : public Disk
 {
 public:
-    explicit PosixDisk(std::string folder);
+    /// write(2), or what a test puts in its place.
+    using WriteCall = std::function<ssize_t(int file, const char *bytes, std::size_t count)>;
+
+    explicit PosixDisk(std::string folder, WriteCall writeCall = {});
     ~PosixDisk() override;
     PosixDisk(const PosixDisk &) = delete;
     PosixDisk &operator=(const PosixDisk &) = delete;
@@ -35,14 +42,24 @@
 
 private:
     std::string path(const std::string &name) const;
+    struct AppendFile
+    {
+        int file = -1;
+        std::uint64_t size = 0; ///< up to the end of the last append that was taken whole
+        bool isTorn = false; ///< a part of a refused append is still behind that
+    };
+
     Error systemError(const std::string &what, const std::string &name) const;
-    Result<int> openForAppend(const std::string &name);
+    Error changeError(const std::string &what, const std::string &name) const;
+    Result<AppendFile *> openForAppend(const std::string &name);
+    bool writeAll(int file, const std::string &bytes) const;
     void closeFile(const std::string &name);
 
     std::string folder;
     int lockFile = -1;
     std::mutex mutex;
-    std::map<std::string, int> appending; ///< open files by name
+    std::map<std::string, AppendFile> appending; ///< open files by name
+    WriteCall writeCall;
 };
 
 } // namespace guavavalve
--- a/src/journal/storage.h
+++ b/src/journal/storage.h
@@ -22,8 +22,10 @@
     /// group or format. Nothing has been changed on an error.
     virtual Result<RecoveredState> recover() = 0;
 
-    /// Makes \a batch durable with one sync. After an error the process must not go on: what is
-    /// on the disk is unknown.
+    /// Makes \a batch durable with one sync.
+    /// \errors WriteRefused: nothing of the batch counts, and the same call may be tried again, as
+    /// for the calls below. After any other error the process must not go on: what is on the disk
+    /// is unknown.
     virtual Result<void> write(const WriteBatch &batch) = 0;
 
     /// Writes a snapshot beside the log and makes it durable; may run beside write().
--- a/src/replicas/raftdriver.cpp
+++ b/src/replicas/raftdriver.cpp
@@ -41,6 +41,11 @@
     return core;
 }
 
+Error diskIsFull()
+{
+    return failure(ErrorCode::Unavailable, "this replica's disk is full");
+}
+
 void stopProcess(const Error &error)
 {
     std::fprintf(stderr, "the replicated log must stop the process: %s\n", error.message.c_str());
@@ -157,6 +162,10 @@
             return;
         }
         const std::uint64_t token = ++this->lastToken;
+        if (this->isOverfull) {
+            reply(diskIsFull());
+            return;
+        }
         this->replies.emplace(token, std::move(reply));
         this->core->receive(std::move(message), token, this->options.clock());
     };
@@ -222,6 +231,13 @@
         }
         for (const Task &task : work)
             task();
+        if (this->isOverfull) {
+            // The rest of the group goes on without this replica, as if it were cut off.
+            for (const Proposal &proposal : proposed)
+                proposal.done(diskIsFull());
+            this->storeUnsaved();
+            continue;
+        }
         // After the messages: a thread that was held up must not take its own delay for silence.
         this->core->tick(this->options.clock());
         this->takeProposals(std::move(proposed));
--- a/src/replicas/raftdriver.h
+++ b/src/replicas/raftdriver.h
@@ -9,6 +9,7 @@
 #include "replicas/raftcore.h"
 #include "replicas/raftoptions.h"
 #include "replicas/replicatedlog.h"
+#include "replicas/unsavedoutput.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -76,6 +77,10 @@
     void takeProposals(std::vector<Proposal> proposals);
     void pump();
     void carryOut(RaftOutput output);
+    UnsavedOutput::Hooks outputHooks();
+    void storeUnsaved();
+    Result<void> releaseSegments(LogIndex through);
+    void handOverIfFull();
     void send(std::vector<OutgoingMessage> &messages);
     void sendRequest(OutgoingMessage outgoing);
     void answerLeftovers();
@@ -122,6 +127,11 @@
     std::atomic<std::size_t> unappliedBytes{0};
 
     // Only the log's thread touches what follows.
+    UnsavedOutput unsaved;
+    bool isRefused = false; ///< by the disk, at the last try
+    bool isOverfull = false; ///< more is unsaved than may be
+    Instant nextStore{}; ///< a disk that has refused is tried again then
+    Instant nextSnapshot{}; ///< the same for a snapshot
     std::uint64_t lastToken = 0;
     std::map<std::uint64_t, Done<std::string>> replies;
     std::map<LogIndex, Waiting> waiting;
--- a/src/replicas/raftdriverstate.cpp
+++ b/src/replicas/raftdriverstate.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t applyBatchBytes = 1U << 20U;
 /// Snapshots wait while one is being sent, but not until the log is this much too long.
 constexpr std::size_t snapshotPatience = 4;
+/// Before a snapshot that the disk refused is taken again: it takes longer to make than a record.
+constexpr Milliseconds snapshotPause{1000};
 
 } // namespace
 
@@ -124,7 +126,8 @@
         entries >= limit || this->bytesSinceSnapshot >= this->options.snapshotAfterBytes;
     const bool isVeryLong = entries >= snapshotPatience * limit
         || this->bytesSinceSnapshot >= snapshotPatience * this->options.snapshotAfterBytes;
-    if (this->takesSnapshot || !isLong || entries == 0)
+    if (this->takesSnapshot || !isLong || entries == 0
+        || this->options.clock() < this->nextSnapshot)
         return;
     if (this->core->isSendingSnapshot() && !isVeryLong)
         return;
@@ -148,12 +151,17 @@
     this->post(
         [this, meta, saved] {
             this->takesSnapshot = false;
+            if (!saved && saved.error().code == ErrorCode::WriteRefused) {
+                this->bytesSinceSnapshot += this->options.snapshotAfterBytes;
+                this->nextSnapshot = this->options.clock() + snapshotPause;
+                return;
+            }
             if (!saved) {
                 this->fail(saved.error());
                 return;
             }
             this->core->compact(meta);
-            if (auto released = this->storage->release(meta.index); !released)
+            if (auto released = this->releaseSegments(meta.index); !released)
                 this->fail(released.error());
         },
         Urgency::Kept);
--- a/src/replicas/raftleader.cpp
+++ b/src/replicas/raftleader.cpp
@@ -309,7 +309,7 @@
     if (peer->second.match < this->log.lastIndex() || this->successorTold)
         return;
     this->successorTold = true;
-    this->sendTo(*member, TimeoutNow{}, false);
+    this->sendTo(*member, TimeoutNow{}, true);
 }
 
 } // namespace guavavalve
--- a/src/runtime/httperror.cpp
+++ b/src/runtime/httperror.cpp
@@ -27,6 +27,7 @@
         return 502;
     case ErrorCode::Unavailable:
     case ErrorCode::NotLeader:
+    case ErrorCode::WriteRefused:
         return 503;
     case ErrorCode::DeadlineExceeded:
         // Refused in time is the service's own matter; not finished in time is a gateway's.
--- a/src/tool/exitcode.cpp
+++ b/src/tool/exitcode.cpp
@@ -15,6 +15,7 @@
     case ErrorCode::NotLeader:
     case ErrorCode::DeadlineExceeded:
     case ErrorCode::Internal:
+    case ErrorCode::WriteRefused:
         return ExitCode::Unavailable;
     default:
         return ExitCode::Refused;
--- a/test/journal/fakedisk.h
+++ b/test/journal/fakedisk.h
@@ -28,6 +28,7 @@
     /// Steps that still succeed; then each one fails, as in a process that has been killed.
     std::int64_t stepsLeft = -1; ///< negative: no end
     std::size_t steps = 0; ///< taken so far
+    bool isFull = false; ///< appends are refused
 
     bool hasCrashed() const { return this->stepsLeft == 0; }
 
@@ -89,6 +90,8 @@
     }
     Result<void> append(const std::string &name, const std::string &bytes) override
     {
+        if (this->folder->isFull)
+            return failure(ErrorCode::WriteRefused, "the disk is full");
         if (!this->step()) {
             // Killed in the middle of the write: a part of it is there, unsynced.
             const auto found = this->folder->current.find(name);
@@ -136,6 +139,8 @@
     }
     Result<void> remove(const std::string &name) override
     {
+        if (this->folder->current.count(name) == 0)
+            return boost::outcome_v2::success();
         if (!this->step())
             return dead();
         this->changeNames([name](FakeFolder::Names &names) { names.erase(name); });
--- /dev/null
+++ b/test/replicas/fulldisktest.cpp
@@ -0,0 +1,101 @@
+#include <catch2/catch.hpp>
+
+#include "raftsimulation.h"
+#include "singlereplica.h"
+
+using namespace guavavalve;
+
+namespace {
+
+constexpr RaftSimulation::Odds calm{0, 0, 0, 0};
+
+std::size_t leadAndCommit(RaftSimulation &simulation)
+{
+    simulation.setOdds(calm);
+    simulation.run(Milliseconds(3000));
+    REQUIRE(simulation.leader());
+    REQUIRE(simulation.proposeAtLeader());
+    simulation.run(Milliseconds(500));
+    return *simulation.leader();
+}
+
+} // namespace
+
+// The leader's disk is full. The others have room and make a quorum, so callers notice nothing; the
+// process used to end, and everybody waited for the next leader.
+TEST_CASE("a leader whose disk is full goes on while a quorum of the others stores", "[raft]")
+{
+    RaftSimulation simulation(11, 3, 3);
+    const std::size_t leader = leadAndCommit(simulation);
+    const std::uint64_t term = simulation.core(leader).term();
+    simulation.setFull(leader, true);
+    const std::size_t before = simulation.commits();
+    for (int i = 0; i < 5; ++i) {
+        REQUIRE(simulation.proposeAtLeader());
+        simulation.run(Milliseconds(200));
+    }
+    CHECK(simulation.commits() >= before + 5);
+    CHECK(simulation.refusals > 0);
+    CHECK(simulation.core(leader).term() == term);
+    // Killed, it comes back without them; those who stored them have them.
+    simulation.crash(leader);
+    simulation.setFull(leader, false);
+    simulation.restart(leader);
+    simulation.run(Milliseconds(5000));
+    REQUIRE(simulation.settles(Milliseconds(10000)));
+    CHECK(simulation.failure() == RaftSimulation::none);
+}
+
+// With one follower gone and another's disk full there is no quorum. What only the leader has
+// stored must not be acknowledged, and it must be once there is room again.
+TEST_CASE("a full follower acknowledges nothing until it has room", "[raft]")
+{
+    RaftSimulation simulation(12, 3, 3);
+    const std::size_t leader = leadAndCommit(simulation);
+    const std::size_t full = (leader + 1) % 3;
+    simulation.crash((leader + 2) % 3);
+    simulation.setFull(full, true);
+    const std::size_t before = simulation.commits();
+    REQUIRE(simulation.proposeAtLeader());
+    simulation.run(Milliseconds(300));
+    CHECK(simulation.commits() == before);
+    simulation.setFull(full, false);
+    simulation.run(Milliseconds(5000));
+    REQUIRE(simulation.settles(Milliseconds(10000)));
+    CHECK(simulation.commits() > before);
+    CHECK(simulation.failure() == RaftSimulation::none);
+}
+
+// A replica whose disk is full is asked for its vote. A vote that is not stored could be given again
+// to another after a kill: two would lead in one term.
+TEST_CASE("a vote that cannot be stored is not given", "[raft]")
+{
+    RaftSimulation simulation(13, 3, 3);
+    const std::size_t leader = leadAndCommit(simulation);
+    simulation.setFull((leader + 1) % 3, true);
+    simulation.crash(leader);
+    const std::size_t leaders = simulation.leaders();
+    simulation.run(Milliseconds(5000));
+    CHECK(simulation.leaders() == leaders);
+    simulation.setFull((leader + 1) % 3, false);
+    simulation.run(Milliseconds(5000));
+    CHECK(simulation.leaders() > leaders);
+    CHECK(simulation.failure() == RaftSimulation::none);
+}
+
+// The same over real files and threads: the process goes on, says once that its disk refuses and
+// once that it does not, and commands are acknowledged when they are stored.
+TEST_CASE("a replica waits for a disk that refuses writes", "[raftnode]")
+{
+    SingleReplica replica(ErrorCode::WriteRefused);
+    replica.setFailing(true);
+    replica.propose("kept");
+    CHECK(waitFor([&] { return replica.refusals == 1; }));
+    CHECK(replica.acknowledged == 0);
+    replica.setFailing(false);
+    CHECK(waitFor([&] { return replica.acknowledged == 1; }));
+    CHECK(replica.recoveries == 1);
+    CHECK(replica.refusals == 1);
+    CHECK(replica.stops == 0);
+    CHECK(replica.machine.commands().size() == 1);
+}
--- a/test/replicas/raftsimulation.h
+++ b/test/replicas/raftsimulation.h
@@ -3,6 +3,7 @@
 #include "journal/fakedisk.h"
 #include "journal/journal.h"
 #include "replicas/raftcore.h"
+#include "replicas/unsavedoutput.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -27,6 +28,7 @@
         int drop = 5; ///< percent of messages lost
         int duplicate = 3; ///< percent delivered twice
         int delay = 30; ///< percent that later ones may overtake
+        int fullDisk = 0; ///< of a thousand steps, those in which a disk fills up or has room again
     };
 
     RaftSimulation(std::uint64_t seed, std::size_t instances, std::size_t voters);
@@ -48,6 +50,7 @@
     void restart(std::size_t node);
     void loseDisk(std::size_t node);
     /// The replica is killed in its next write, before the sync.
+    void setFull(std::size_t node, bool isFull) { this->nodes[node].folder->isFull = isFull; }
     void dieInNextWrite(std::size_t node) { this->nodes[node].folder->stepsLeft = 1; }
     bool proposeAtLeader();
     std::optional<std::size_t> leader() const;
@@ -69,6 +72,7 @@
     std::size_t commits() const { return this->committed.size(); }
     std::size_t leaders() const { return this->leaderOfTerm.size(); }
     std::size_t crashes = 0;
+    std::size_t refusals = 0;
     std::size_t lostDisks = 0;
     std::size_t snapshotsInstalled = 0;
     std::size_t memberChanges = 0;
@@ -79,6 +83,7 @@
         std::shared_ptr<FakeFolder> folder;
         std::unique_ptr<Journal> journal;
         std::unique_ptr<RaftCore> core;
+        UnsavedOutput unsaved;
         ReplicaId identity = ReplicaId::None;
         LogIndex applied = 0;
         std::uint64_t state = 0; ///< hash over all that has been applied
@@ -104,6 +109,9 @@
     void tick(Node &node);
     void deliver();
     void carryOut(std::size_t index);
+    bool store(std::size_t index);
+    UnsavedOutput::Hooks hooksOf(std::size_t index);
+    void fillDisks();
     void send(std::size_t index, std::vector<OutgoingMessage> &messages);
     void apply(Node &node);
     void restoreState(Node &node, const std::string &state);
@@ -118,6 +126,7 @@
     std::uint64_t pick(std::uint64_t bound) { return this->random() % bound; }
 
     std::mt19937_64 random;
+    std::mt19937_64 diskRandom; ///< apart, so that seeds without full disks play as they did
     Odds odds;
     Instant now{Microseconds(1000000)};
     std::deque<Node> nodes;
