replicas: an election at once where every voter has just started and follows nobody

Ruled out: a shorter wait in general, which would break leases that do exist. Change: a voter that has just started says so, naming its start; a candidate that hears it from all voters has their wait waived. Only the voter with the longest log is granted it by all.

--- a/src/replicas/hello.h
+++ b/src/replicas/hello.h
@@ -15,7 +15,7 @@
 struct Hello
 {
     static constexpr std::uint32_t expectedMark = 0x4c565647; // "GVVL"
-    static constexpr std::uint16_t currentVersion = 1;
+    static constexpr std::uint16_t currentVersion = 2;
 
     std::uint32_t mark = expectedMark;
     std::uint16_t version = currentVersion;
--- a/src/replicas/raftcore.cpp
+++ b/src/replicas/raftcore.cpp
@@ -62,6 +62,7 @@
     }
     this->stored = this->log.lastIndex();
     this->electionAt = this->afterElectionTimeout();
+    this->freshStart = std::max<std::uint64_t>(1, this->options.random()); // 0 names none
 }
 
 void RaftCore::tick(Instant time)
@@ -73,6 +74,8 @@
         this->leaderTick();
         return;
     }
+    if (this->isFresh() && this->now >= this->earlyAt)
+        this->askEarly();
     if (this->now < this->electionAt)
         return;
     if (this->mayStand())
@@ -153,6 +156,7 @@
     if (this->currentRole != ReplicaRole::Follower || this->currentLeader != message.from)
         this->becomeFollower(message.term, message.from);
     this->heardLeaderAt = this->now;
+    this->freshStart = 0;
     this->electionAt = this->afterElectionTimeout();
     if (const auto *append = std::get_if<AppendRequest>(&message.body))
         this->onAppendRequest(message, *append, token);
--- a/src/replicas/raftcore.h
+++ b/src/replicas/raftcore.h
@@ -115,6 +115,10 @@
     // raftelection.cpp
     bool mayStand() const;
     void startPreVote();
+    void askEarly();
+    void onEarlyReply(ReplicaId from, const VoteReply &answer);
+    VoteReply earlyReply(const RaftMessage &message, const VoteRequest &request) const;
+    bool isFresh() const;
     void startElection(bool transfer);
     void becomeLeader();
     void requestVotes(bool preVote, bool transfer);
@@ -184,6 +188,9 @@
     Instant heardLeaderAt;
     Instant electionAt;
     std::set<ReplicaId> votes;
+    std::uint64_t freshStart = 0; ///< names this start, until a leader is heard or an election won
+    Instant earlyAt{}; ///< the next early pre-vote
+    std::map<ReplicaId, std::uint64_t> earlyGrants; ///< by voter, with the start that gave it
 
     std::map<ReplicaId, Progress> progress;
     LogIndex noOpIndex = 0;
--- a/src/replicas/raftelection.cpp
+++ b/src/replicas/raftelection.cpp
@@ -3,6 +3,7 @@
 #include "core/codec.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 // Elections and the group's one formation.
@@ -44,6 +45,63 @@
         this->requestVotes(true, false);
 }
 
+/// This replica has just started and no leader has been heard since.
+bool RaftCore::isFresh() const
+{
+    return this->freshStart != 0 && this->currentRole != ReplicaRole::Leader;
+}
+
+/// Asks all voters whether they too follow nobody.
+///
+/// Guards against a whole election timeout without a leader after all replicas were restarted:
+/// callers saw 0.5 to 1 s more of silence than the restart took. A voter that starts waits, since it
+/// may have promised a leader not to vote for another. If every voter says that it neither leads
+/// nor has heard a leader since it started, there is none to whom the promise could matter, and an
+/// election is held at once. Each voter grants this only to a replica that comes after itself, by
+/// the end of its log and then by its identity; so only one is granted it by all.
+void RaftCore::askEarly()
+{
+    this->earlyAt = this->now + this->options.heartbeat;
+    if (!this->members().isVoter(this->own))
+        return;
+    this->earlyGrants.clear();
+    this->earlyGrants[this->own] = this->freshStart;
+    VoteRequest request;
+    request.preVote = true;
+    request.isEarly = true;
+    request.forTerm = this->hard.term + 1;
+    request.lastIndex = this->log.lastIndex();
+    request.lastTerm = this->log.lastTerm();
+    for (const MemberRecord &member : this->members().members) {
+        if (member.voter && member.replica != this->own)
+            this->sendTo(member, request, false);
+    }
+}
+
+VoteReply RaftCore::earlyReply(const RaftMessage &message, const VoteRequest &request) const
+{
+    VoteReply answer;
+    answer.preVote = true;
+    answer.forTerm = request.forTerm;
+    const auto theirs = std::make_tuple(request.lastTerm, request.lastIndex, message.from);
+    const auto ours = std::make_tuple(this->log.lastTerm(), this->log.lastIndex(), this->own);
+    answer.granted = this->isFresh() && theirs > ours && request.forTerm > this->hard.term;
+    answer.freshStart = answer.granted ? this->freshStart : 0;
+    return answer;
+}
+
+void RaftCore::onEarlyReply(ReplicaId from, const VoteReply &answer)
+{
+    if (!answer.granted || !this->isFresh() || answer.forTerm != this->hard.term + 1)
+        return;
+    this->earlyGrants[from] = answer.freshStart;
+    for (const MemberRecord &member : this->members().members) {
+        if (member.voter && this->earlyGrants.count(member.replica) == 0)
+            return;
+    }
+    this->startElection(false);
+}
+
 void RaftCore::startElection(bool transfer)
 {
     this->setTerm(this->hard.term + 1);
@@ -68,9 +126,13 @@
     request.lastIndex = this->log.lastIndex();
     request.lastTerm = this->log.lastTerm();
     for (const MemberRecord &member : this->members().members) {
-        if (member.voter && member.replica != this->own)
-            this->sendTo(member, request, false);
+        if (!member.voter || member.replica == this->own)
+            continue;
+        const auto early = this->earlyGrants.find(member.replica);
+        request.freshStart = preVote || early == this->earlyGrants.end() ? 0 : early->second;
+        this->sendTo(member, request, false);
     }
+    this->earlyGrants.clear();
 }
 
 void RaftCore::countVotes(bool preVote)
@@ -89,6 +151,7 @@
 void RaftCore::becomeLeader()
 {
     this->currentRole = ReplicaRole::Leader;
+    this->freshStart = 0;
     this->currentLeader = this->own;
     this->leadsSince = this->now;
     this->heartbeatAt = this->now + this->options.heartbeat;
@@ -111,10 +174,17 @@
 void RaftCore::onVoteRequest(const RaftMessage &message, const VoteRequest &request,
                              std::uint64_t token)
 {
+    if (request.isEarly) {
+        this->reply(message, token, this->earlyReply(message, request));
+        return;
+    }
     VoteReply answer;
     answer.preVote = request.preVote;
     answer.forTerm = request.forTerm;
-    const bool waits = this->hearsLeader() && !request.transfer;
+    // A waiver holds for the start that gave it, as long as that has heard no leader since: a voter
+    // that has, or has been restarted after it had, may have promised that leader to wait.
+    const bool isWaived = this->isFresh() && request.freshStart == this->freshStart;
+    const bool waits = this->hearsLeader() && !request.transfer && !isWaived;
     const auto last = std::make_pair(this->log.lastTerm(), this->log.lastIndex());
     const bool isUpToDate = std::make_pair(request.lastTerm, request.lastIndex) >= last;
     if (request.preVote) {
@@ -135,6 +205,10 @@
 
 void RaftCore::onVoteReply(const RaftMessage &message, const VoteReply &answer)
 {
+    if (answer.freshStart != 0) {
+        this->onEarlyReply(message.from, answer);
+        return;
+    }
     const std::uint64_t wanted = this->isPreCandidate ? this->hard.term + 1 : this->hard.term;
     const bool isAwaited = this->currentRole == ReplicaRole::Candidate
         && answer.preVote == this->isPreCandidate && answer.forTerm == wanted;
