--- a/src/controller/controllerlink.cpp
+++ b/src/controller/controllerlink.cpp
@@ -23,6 +23,10 @@
     Instant deadline;
     Done<std::string> done;
     bool mayHaveRun = false;
+    unsigned attempts = 0; ///< of these the last one counts, unless an earlier one succeeds
+    bool isSettled = false;
+    std::string address; ///< of the last attempt
+    Instant overdueAt{}; ///< when the last attempt is doubted
 };
 
 ControllerLink::ControllerLink(Messenger &messenger, std::vector<std::string> replicas, Delay delay,
@@ -56,6 +60,8 @@
 {
     const Instant now = this->clock();
     if (now >= call->deadline) {
+        if (!this->settle(call))
+            return;
         Error error = failure(ErrorCode::Unavailable, "no controller answered by the deadline");
         error.ran = call->mayHaveRun ? Ran::Unknown : Ran::No;
         error.retryAfter = Milliseconds(1000);
@@ -63,30 +69,133 @@
         return;
     }
     const std::string address = this->nextAddress();
+    unsigned attempt = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (call->isSettled)
+            return;
+        attempt = ++call->attempts;
+        call->address = address;
+        call->overdueAt = now + this->limits.doubtAfter;
+    }
     const Instant limit = std::min(call->deadline, now + this->limits.tryLimit);
     this->messenger.call(
         address, call->method, call->payload, limit,
-        [self = this->shared_from_this(), call, address](Result<std::string> reply) {
-            self->answered(call, address, std::move(reply));
+        [self = this->shared_from_this(), call, address, attempt](Result<std::string> reply) {
+            self->answered(call, address, attempt, std::move(reply));
         });
+    if (this->limits.doubtAfter.count() > 0)
+        this->watch(call, address, attempt);
+}
+
+/// True for the first to settle the call.
+bool ControllerLink::settle(const std::shared_ptr<Call> &call)
+{
+    const std::lock_guard lock(this->mutex);
+    this->underWay.erase(call);
+    return !std::exchange(call->isSettled, true);
 }
 
 void ControllerLink::answered(const std::shared_ptr<Call> &call, const std::string &address,
-                              Result<std::string> reply)
+                              unsigned attempt, Result<std::string> reply)
 {
-    if (reply) {
+    const bool mayRepeat = !reply && mayGoAgain(reply.error().code);
+    {
         const std::lock_guard lock(this->mutex);
-        this->leader = address;
-    } else if (mayGoAgain(reply.error().code)) {
-        if (reply.error().ran == Ran::Unknown)
-            call->mayHaveRun = true;
+        const bool isLatest = attempt == call->attempts;
+        if (call->isSettled || (!isLatest && !reply))
+            return; // another attempt decides
+        if (reply && isLatest)
+            this->leader = address;
+        call->mayHaveRun |= mayRepeat && reply.error().ran == Ran::Unknown;
+    }
+    if (mayRepeat) {
         const bool redirected = reply.error().code == ErrorCode::NotLeader;
         this->suspect(address, redirected ? reply.error().message : std::string());
         this->delay(this->limits.pauseBetweenTries,
                     [self = this->shared_from_this(), call] { self->attempt(call); });
         return;
     }
-    call->done(std::move(reply));
+    if (this->settle(call))
+        call->done(std::move(reply));
+}
+
+/// Guards against calls that wait out a try at a controller that is frozen or cut off: the others
+/// had a new one 0.3 to 0.6 s before, and nobody told the instances that callers reach.
+void ControllerLink::watch(const std::shared_ptr<Call> &call, const std::string &address,
+                           unsigned attempt)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->underWay.insert(call);
+    }
+    this->delay(this->limits.doubtAfter, [self = this->shared_from_this(), call, address, attempt] {
+        {
+            const std::lock_guard lock(self->mutex);
+            const bool isOpen = !call->isSettled && call->attempts == attempt;
+            if (!isOpen || std::exchange(self->isAsking, true))
+                return;
+        }
+        self->askOthers(address);
+    });
+}
+
+/// A call to \a address has been without an answer for too long.
+bool ControllerLink::isDoubted(const std::string &address) const
+{
+    const Instant now = this->clock();
+    return std::any_of(
+        this->underWay.begin(), this->underWay.end(),
+        [&](const auto &call) { return call->address == address && now >= call->overdueAt; });
+}
+
+void ControllerLink::askOthers(const std::string &doubted)
+{
+    std::vector<std::string> others;
+    {
+        const std::lock_guard lock(this->mutex);
+        others = this->replicas;
+    }
+    const Instant limit = this->clock() + this->limits.doubtAfter;
+    for (const std::string &other : others) {
+        if (other == doubted)
+            continue;
+        this->messenger.call(other, Method::WhoLeads, {}, limit,
+                             [self = this->shared_from_this(), doubted](
+                                 const Result<std::string> &leads) { self->told(doubted, leads); });
+    }
+    this->delay(this->limits.doubtAfter, [self = this->shared_from_this(), doubted] {
+        {
+            const std::lock_guard lock(self->mutex);
+            self->isAsking = self->isDoubted(doubted);
+            if (!self->isAsking)
+                return;
+        }
+        self->askOthers(doubted);
+    });
+}
+
+/// A replica follows another leader than the one that does not answer: what waits for that one
+/// goes to the new one at once, as it would after the try. An answer that still comes counts.
+void ControllerLink::told(const std::string &doubted, const Result<std::string> &leads)
+{
+    if (!leads || leads.value().empty() || leads.value() == doubted)
+        return;
+    std::vector<std::shared_ptr<Call>> moved;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto &call : this->underWay) {
+            if (call->address != doubted)
+                continue;
+            call->mayHaveRun = true;
+            moved.push_back(call);
+        }
+        if (moved.empty())
+            return;
+        this->leader = leads.value();
+    }
+    for (const auto &call : moved)
+        this->attempt(call);
 }
 
 void ControllerLink::learn(std::vector<std::string> known)
--- a/src/controller/controllerlink.h
+++ b/src/controller/controllerlink.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
         /// enough that a controller that went silent is left in time.
         Milliseconds tryLimit{1500};
         Milliseconds pauseBetweenTries{50};
+        /// Without an answer for this long the other replicas are asked who leads; zero: never.
+        Milliseconds doubtAfter{0};
     };
 
     /// \a replicas: addresses ("ip:port") of the replicas' messengers.
@@ -49,8 +52,13 @@
     struct Call;
 
     void attempt(const std::shared_ptr<Call> &call);
-    void answered(const std::shared_ptr<Call> &call, const std::string &address,
+    void answered(const std::shared_ptr<Call> &call, const std::string &address, unsigned attempt,
                   Result<std::string> reply);
+    bool settle(const std::shared_ptr<Call> &call);
+    void watch(const std::shared_ptr<Call> &call, const std::string &address, unsigned attempt);
+    void askOthers(const std::string &doubted);
+    void told(const std::string &doubted, const Result<std::string> &leads);
+    bool isDoubted(const std::string &address) const;
     std::string nextAddress();
     void suspect(const std::string &address, const std::string &leader);
 
@@ -62,6 +70,8 @@
     mutable std::mutex mutex;
     std::string leader; ///< address; empty: not known
     std::size_t turn = 0;
+    std::set<std::shared_ptr<Call>> underWay; ///< watched for doubt
+    bool isAsking = false; ///< the other replicas, who leads
 };
 
 } // namespace guavavalve
--- a/src/replicas/messenger.h
+++ b/src/replicas/messenger.h
@@ -35,6 +35,7 @@
     ReplicaStatus = 61,
     FormGroup = 62,
     Presence = 63,
+    WhoLeads = 64, ///< a replica: answers with the address of the leader it follows; empty: none
 };
 
 /// Authenticated calls between our own instances over TCP.
