workflows: a finished workflow is counted once; waiting jobs are those that no target has begun

Cause 1: all commands of a batch see the state after it, and each that had touched a workflow ended in its millisecond counted it. Change: a workflow is counted once for each batch; begun is what a target has confirmed or listed, or what has an end or a checkpoint.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -195,6 +195,7 @@
     const bool isOurTerm = this->leads && this->term == inTerm;
     if (isOurTerm)
         this->isBatchUnderWay = false;
+    this->countedOver.clear();
     Result<CommandOutcomes> outcomes = failure(ErrorCode::Unavailable, "not stored");
     if (!outcome)
         outcomes = outcome.error();
@@ -341,20 +342,6 @@
     }
 }
 
-/// All tasks that have been placed in the occurrence are those of this command, and their first
-/// runs.
-void Controller::countFirstStart(const PlaceRuns &command, const Book &book) const
-{
-    const Workflow &workflow = *book.find(command.step.workflow);
-    std::size_t begun = 0;
-    for (const StepProgress &step : workflow.occurrences[command.step.occurrence]) {
-        for (const TaskProgress &task : step.tasks)
-            begun += task.run > 0 ? 1 : 0;
-    }
-    if (command.run == 1 && begun == command.placements.size())
-        this->metrics.started(workflow.spec, command.step.occurrence, this->options.calendarMs());
-}
-
 void Controller::tick(std::uint64_t inTerm)
 {
     if (!this->leads || this->term != inTerm)
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -85,6 +86,9 @@
     /// Targets that new work may go to.
     std::size_t usableTargets() const;
     std::size_t knownTargets() const { return this->lives.size(); }
+    /// Workflows of \a queue that are not over and of which, as far as is known here, no task has
+    /// begun on a target.
+    std::size_t waitingIn(const std::string &queue) const;
 
 private:
     struct Pending
@@ -107,7 +111,8 @@
     std::vector<OpenTarget> openTargets(const Book &book) const;
     void placed(const PlaceRuns &command, CommandOutcome outcome);
     void countFirstStart(const PlaceRuns &command, const Book &book) const;
-    void countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs) const;
+    void countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs);
+    bool hasBegun(const Workflow &workflow) const;
     void setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done);
     void ask(const AdmissionQuestion &question);
     void answered(const AdmissionQuestion &question, Instant askedAt,
@@ -142,10 +147,12 @@
     bool isBatchUnderWay = false;
     bool isFlushQueued = false;
     bool needsPlan = false;
+    std::set<WorkflowId> countedOver; ///< by the commands of the batch that was stored last
     std::vector<Pending> pending;
     std::vector<Done<Nothing>> waitingBarriers;
     std::map<LifeNumber, LifeState> lives;
     TargetHealth health;
+    std::map<TaskAddress, unsigned> movesOf; ///< runs stopped because their target had stalled
     AdmissionTable admissions;
     ClaimTable claims;
     std::map<StepAddress, Instant> orphansSince; ///< gangs that have lost members
--- /dev/null
+++ b/src/workflows/controllercounts.cpp
@@ -0,0 +1,78 @@
+#include "workflows/controller.h"
+
+#include <algorithm>
+
+// What the controller counts, for metrics and for callers.
+
+namespace guavavalve::workflows {
+
+/// All tasks that have been placed in the occurrence are those of this command, and their first
+/// runs.
+void Controller::countFirstStart(const PlaceRuns &command, const Book &book) const
+{
+    const Workflow &workflow = *book.find(command.step.workflow);
+    std::size_t begun = 0;
+    for (const StepProgress &step : workflow.occurrences[command.step.occurrence]) {
+        for (const TaskProgress &task : step.tasks)
+            begun += task.run > 0 ? 1 : 0;
+    }
+    if (command.run == 1 && begun == command.placements.size())
+        this->metrics.started(workflow.spec, command.step.occurrence, this->options.calendarMs());
+}
+
+/// Those that a command of \a atMs has finished.
+///
+/// Guards against counting one twice: all commands of a batch see the state after it, and several
+/// of one millisecond may have touched a workflow that one of them has finished.
+void Controller::countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs)
+{
+    this->machine.read([&](const Book &book) {
+        for (const WorkflowId id : touched) {
+            const Workflow *workflow = book.find(id);
+            const bool isOver =
+                workflow != nullptr && workflow->isOver() && workflow->endedAtMs == atMs;
+            if (isOver && this->countedOver.insert(id).second)
+                this->metrics.over(*workflow, atMs);
+        }
+    });
+}
+
+std::size_t Controller::waitingIn(const std::string &queue) const
+{
+    return this->machine.read([&](const Book &book) {
+        return static_cast<std::size_t>(
+            std::count_if(book.live().begin(), book.live().end(), [&](WorkflowId id) {
+                const Workflow *workflow = book.find(id);
+                return workflow->spec.queue == queue && !workflow->isOver()
+                    && !this->hasBegun(*workflow);
+            }));
+    });
+}
+
+/// Guards against a count that is too low while targets have just gone dark, and after a change of
+/// controller: that a start is stored does not say that it has arrived. What is stored of ends and
+/// checkpoints does, and so do the targets' answers and lists.
+bool Controller::hasBegun(const Workflow &workflow) const
+{
+    const auto isBegun = [&](const TaskProgress &task, const TaskAddress &address) {
+        if (task.phase == TaskPhase::Succeeded || task.failures > 0 || !task.checkpoint.empty())
+            return true;
+        const auto life = this->lives.find(task.life);
+        return task.phase == TaskPhase::Placed && life != this->lives.end()
+            && life->second.session->hasBegun(address);
+    };
+    for (std::uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
+        for (std::uint16_t i = 0; i < workflow.occurrences[k].size(); ++i) {
+            const StepProgress &step = workflow.occurrences[k][i];
+            for (std::uint16_t index = 0; index < step.tasks.size(); ++index) {
+                if (isBegun(step.tasks[index], {{workflow.spec.id, k, i}, index}))
+                    return true;
+            }
+            if (step.gangFailures > 0)
+                return true;
+        }
+    }
+    return false;
+}
+
+} // namespace guavavalve::workflows
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -3,7 +3,6 @@
 #include "workflows/decisionlog.h"
 
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -97,19 +96,6 @@
         });
 }
 
-/// Those that a command of \a atMs has finished.
-void Controller::countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs) const
-{
-    const std::set<WorkflowId> distinct(touched.begin(), touched.end());
-    this->machine.read([&](const Book &book) {
-        for (const WorkflowId id : distinct) {
-            const Workflow *workflow = book.find(id);
-            if (workflow != nullptr && workflow->isOver() && workflow->endedAtMs == atMs)
-                this->metrics.over(*workflow, atMs);
-        }
-    });
-}
-
 void Controller::lifeOver(LifeNumber life)
 {
     const auto found = this->lives.find(life);
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -124,6 +124,12 @@
         && now > this->lapsesAt;
 }
 
+bool TargetSession::hasBegun(const TaskAddress &task) const
+{
+    const auto found = this->runs.find(task);
+    return found != this->runs.end() && (found->second.wasListed || found->second.wasStarted);
+}
+
 void TargetSession::noteUsable()
 {
     const bool isNow = this->isUsable();
@@ -367,6 +373,7 @@
     case OrderReply::Done:
     case OrderReply::Settled:
         run.phase = Phase::Confirmed;
+        run.wasStarted = answer.value().reply == OrderReply::Done;
         run.confirmedAt = this->clock();
         return;
     default:
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -85,6 +85,8 @@
     /// Nothing has been heard of it for long and nothing is placed on it.
     bool isForgettable(Milliseconds silence) const;
     bool isOver() const { return this->hasEnded; }
+    /// The target has said that it began the run that is placed here, or listed it.
+    bool hasBegun(const TaskAddress &task) const;
     std::size_t orders() const { return this->runs.size(); }
 
 private:
@@ -102,6 +104,7 @@
         std::string checkpoint; ///< the newest that was listed
         Instant confirmedAt{}; ///< when an order for it was last answered
         bool wasListed = false;
+        bool wasStarted = false; ///< its start was answered as carried out
         bool wasRefused = false; ///< its start, by a target that is not well
         bool isStopWanted = false;
     };
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -49,6 +49,7 @@
         this->loop.runAfter(delay, std::move(action));
     };
     options.calendarMs = [this] { return this->loop.nowMs(); };
+    options.metrics = &this->metrics;
     options.clock = [this] { return this->loop.now(); };
     reign->controller = std::make_unique<Controller>(options, reign->log, this->machine,
                                                      this->fleet, this->admissions);
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "replicas/inmemorylog.h"
+#include "runtime/metrics.h"
 #include "workflows/controller.h"
 #include "workflows/simulatedfleet.h"
 
@@ -52,6 +53,7 @@
     bool isAllOver() const;
 
     VirtualLoop loop;
+    Metrics metrics;
     SimulatedFleet fleet;
     BookMachine machine;
     std::set<std::string> draining;
