workflows: work is moved off targets that stand still or crawl

Cause: targets that hang answer and beat; their tasks stand still for 3 to 7 s, and nothing looked at the progress that they list. Change: ProgressWatch measures the speed of what runs on a target; one that stands still or crawls is suspended as one that fails, and what gains twice its cost is stopped there and begun elsewhere, twice for a task at most. A task goes back to where its last run was in vain only if it has no choice.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -52,6 +52,7 @@
         state.session->end();
     this->lives.clear();
     this->health.clear();
+    this->movesOf.clear();
     this->admissions.clear();
     this->claims.clear();
     this->orphansSince.clear();
@@ -377,6 +378,10 @@
             step = isLive || !step->second.asked.empty() ? std::next(step)
                                                          : this->admissions.erase(step);
         }
+        for (auto moved = this->movesOf.begin(); moved != this->movesOf.end();) {
+            const bool isLive = book.live().count(moved->first.step.workflow) != 0;
+            moved = isLive ? std::next(moved) : this->movesOf.erase(moved);
+        }
         for (auto claim = this->claims.begin(); claim != this->claims.end();)
             claim = claim->second.until < now ? this->claims.erase(claim) : std::next(claim);
     });
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -6,6 +6,7 @@
 #include "workflows/admissionport.h"
 #include "workflows/bookmachine.h"
 #include "workflows/planner.h"
+#include "workflows/progresswatch.h"
 #include "workflows/targethealth.h"
 #include "workflows/targetport.h"
 #include "workflows/targetsession.h"
@@ -100,6 +101,7 @@
     {
         std::shared_ptr<TargetSession> session;
         std::uint64_t sequence = 0; ///< of the newest report
+        ProgressWatch progress;
     };
 
     void add(Command command, Done<CommandOutcome> done);
@@ -128,6 +130,9 @@
     void stopAll(WorkflowId id, std::string_view why, const PlacedTasks &placed);
     void stopPlaced(WorkflowId id);
     void stopOrphans();
+    void runsListed(LifeNumber life, const std::vector<RunningTask> &running);
+    std::vector<ExpectedRun> expectedOf(const std::vector<RunningTask> &running) const;
+    void moveStalled(LifeNumber life, const ProgressWatch &progress);
     void refreshPolicy();
     void tick(std::uint64_t inTerm);
     void forgetOld();
--- a/src/workflows/controllerstops.cpp
+++ b/src/workflows/controllerstops.cpp
@@ -12,6 +12,8 @@
 /// Members of a gang that has lost others are broken off by their targets; those that are not
 /// within this time are stopped.
 constexpr Milliseconds orphanPatience{1000};
+/// A task is moved off stalled targets this often at the most: it may be its own fault.
+constexpr unsigned mostMoves = 2;
 
 } // namespace
 
@@ -84,4 +86,49 @@
         this->stopAll(id, "members of its gang are gone", placed);
 }
 
+std::vector<ExpectedRun>
+Controller::expectedOf(const std::vector<RunningTask> &running) const
+{
+    std::vector<ExpectedRun> expected;
+    this->machine.read([&](const Book &book) {
+        for (const RunningTask &one : running) {
+            const Workflow *workflow = book.find(one.task.step.workflow);
+            if (workflow == nullptr || workflow->isOver() || workflow->task(one.task) == nullptr)
+                continue;
+            const StepSpec &spec = workflow->spec.steps[one.task.step.step];
+            expected.push_back({one.task, one.run, spec.estimatedMs, !spec.gang && !spec.lasting});
+        }
+    });
+    return expected;
+}
+
+void Controller::runsListed(LifeNumber life, const std::vector<RunningTask> &running)
+{
+    const auto found = this->lives.find(life);
+    if (found == this->lives.end())
+        return;
+    ProgressWatch &progress = found->second.progress;
+    progress.listed(running, this->expectedOf(running), this->options.clock());
+    if (progress.isStalled())
+        this->moveStalled(life, progress);
+}
+
+/// Guards against work that waits for a target that answers and does nothing: for 3 to 7 s its runs
+/// stood still, and what was given to it meanwhile as well; three quarters of the short workflows
+/// that came too late to be of use had a run on such a target.
+void Controller::moveStalled(LifeNumber life, const ProgressWatch &progress)
+{
+    const Instant now = this->options.clock();
+    const TargetTrust before = this->health.trust(life, now);
+    this->health.stalled(life, now);
+    logTrust(life, before, this->health.trust(life, now));
+    const std::shared_ptr<TargetSession> session = this->lives.at(life).session;
+    for (const TaskAddress &task : progress.betterElsewhere(this->options.session.stopLimit)) {
+        if (this->movesOf[task] >= mostMoves || !session->stop(task))
+            continue;
+        ++this->movesOf[task];
+        logMoved(life, task, progress.speed().value_or(0.0));
+    }
+}
+
 } // namespace guavavalve::workflows
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -22,6 +22,9 @@
     hooks.runsOver = [this, life](std::vector<RunEnd> ends) {
         this->runsOver(life, std::move(ends));
     };
+    hooks.listed = [this, life](const std::vector<RunningTask> &running) {
+        this->runsListed(life, running);
+    };
     hooks.usableChanged = [this] {
         this->needsPlan = true;
         this->flush();
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -99,6 +99,14 @@
               {{"life", std::to_string(idValue(life))}, {"runs", runs}});
 }
 
+void logMoved(LifeNumber life, const TaskAddress &task, double speed)
+{
+    logChange(LogLevel::Information, "run-moved",
+              {{"life", std::to_string(idValue(life))},
+               {"task", stepName(task.step) + "." + std::to_string(task.index)},
+               {"speed", std::to_string(speed)}});
+}
+
 void logTrust(LifeNumber life, TargetTrust before, TargetTrust now)
 {
     if (before == now)
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -297,8 +297,8 @@
                 continue;
             const bool isFar =
                 !step.spec().dataRack.empty() && target.identity->rack != step.spec().dataRack;
-            const bool hasFailedThere = task.failures > 0 && task.life == target.life;
-            const std::tuple score{hasFailedThere, isFar, target.free[ResourceKind::MilliCores]};
+            const bool wasThere = task.run > 0 && task.life == target.life; // in vain
+            const std::tuple score{wasThere, isFar, target.free[ResourceKind::MilliCores]};
             if (best == nullptr || score < bestScore) {
                 best = &target;
                 bestScore = score;
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -61,8 +61,8 @@
 ///
 /// Steps are taken by their queue's priority and then by when their workflow's objective ends. A
 /// gang is placed whole or not at all. A task goes to the target with the least processor room
-/// left, so that wide gaps stay for wide tasks, and if there is a choice not where it has just
-/// failed. Client accounts are kept below their limits.
+/// left, so that wide gaps stay for wide tasks, and if there is a choice not where its last run
+/// was in vain. Client accounts are kept below their limits.
 Plan makePlan(const PlanInput &input);
 
 } // namespace guavavalve::workflows
--- a/src/workflows/targethealth.cpp
+++ b/src/workflows/targethealth.cpp
@@ -56,11 +56,24 @@
     const bool failsAgain = record.suspensions > 0 && now >= record.suspendedUntil;
     if (!failsAgain && (record.suspensions > 0 || record.failuresInARow < this->tolerated()))
         return;
+    TargetHealth::suspend(record, now);
+}
+
+/// Begins a suspension, or draws the one under way out.
+void TargetHealth::suspend(Record &record, Instant now)
+{
     record.suspendedUntil =
         now + firstSuspension * (1U << std::min(record.suspensions, mostDoublings));
     ++record.suspensions;
 }
 
+void TargetHealth::stalled(LifeNumber life, Instant now)
+{
+    Record &record = this->records[life];
+    if (now >= record.suspendedUntil)
+        TargetHealth::suspend(record, now);
+}
+
 void TargetHealth::forget(LifeNumber life)
 {
     this->records.erase(life);
--- a/src/workflows/targethealth.h
+++ b/src/workflows/targethealth.h
@@ -35,6 +35,8 @@
 public:
     /// A run of \a workflow has ended on \a life. Only success, failure and refusal count.
     void ended(LifeNumber life, WorkflowId workflow, RunOutcome outcome, Instant now);
+    /// What runs on \a life stands still or crawls.
+    void stalled(LifeNumber life, Instant now);
     void forget(LifeNumber life);
     void clear();
 
@@ -56,6 +58,7 @@
     };
 
     unsigned tolerated() const;
+    static void suspend(Record &record, Instant now);
 
     std::map<LifeNumber, Record> records;
 };
--- a/src/workflows/targetport.h
+++ b/src/workflows/targetport.h
@@ -7,6 +7,7 @@
 #include "workflows/targetlife.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,7 @@
     TaskAddress task;
     RunNumber run = 0;
     std::string checkpoint; ///< the newest saved; empty: none
+    std::optional<int> percent = std::nullopt; ///< of its work that is done; nothing: not said
 };
 
 struct ListedEnd
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -249,6 +249,8 @@
     if (!answer.isCut)
         this->findMissing(answer, sentAt, over);
     this->hasLists = this->hasLists || !answer.isCut;
+    if (this->hooks.listed)
+        this->hooks.listed(answer.running);
     if (over.empty()) {
         if (this->reportsUnderWay == 0)
             this->stored = this->seen;
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -28,6 +28,7 @@
     Milliseconds holdWait{1000}; ///< how long a target waits for an end before it answers
     Milliseconds orderLimit{700}; ///< for an answer beyond what the target may wait
     Milliseconds resendPause{150}; ///< between two sends of one order
+    Milliseconds stopLimit{900}; ///< what a stop may take until its run's end is listed
 };
 
 /// What one controller, in one term, knows of one life of a target, and the orders that it has
@@ -43,6 +44,8 @@
     {
         /// Runs that are over. They are reported once; committed() follows when it is stored.
         std::function<void(std::vector<RunEnd> ends)> runsOver;
+        /// What runs there; called before runsOver for the same list.
+        std::function<void(const std::vector<RunningTask> &running)> listed;
         /// Its room may be used from now on, or no longer.
         std::function<void()> usableChanged;
         /// Another life answers at its address.
--- a/test/workflows/controllertest.cpp
+++ b/test/workflows/controllertest.cpp
@@ -239,3 +239,20 @@
     });
     CHECK(wasRefused);
 }
+
+TEST_CASE_METHOD(ControllerFixture, "work on a target that stands still is begun elsewhere",
+                 "[controller]")
+{
+    // A target goes on answering and beating while its tasks stand still. Callers of short work got
+    // it 3 to 7 s late, when the target went on. It is stopped there and begun elsewhere.
+    StepSpec spec = BookFixture::step(1);
+    spec.estimatedMs = 1000;
+    this->submit(job, {spec});
+    this->runFor(Milliseconds(50));
+    this->fleet.hanging = this->placeOf();
+    REQUIRE(!this->fleet.hanging.empty());
+    this->runFor(Milliseconds(7000));
+    CHECK(this->stateOf(job) == WorkflowState::Completed);
+    CHECK(this->fleet.starts == 2);
+    CHECK(this->fleet.breach.empty());
+}
--- /dev/null
+++ b/test/workflows/progresswatchtest.cpp
@@ -0,0 +1,92 @@
+#include <catch2/catch.hpp>
+
+#include "workflows/progresswatch.h"
+
+#include <vector>
+
+using namespace guavavalve;
+using namespace guavavalve::workflows;
+
+namespace {
+
+/// A target that lists runs of a second each, estimated rightly, with the percent that a test says.
+struct WatchFixture
+{
+    static TaskAddress task(std::uint16_t index)
+    {
+        return {{static_cast<WorkflowId>(1), 0, 0}, index};
+    }
+    /// A list \a later than the last one.
+    void list(Milliseconds later, const std::vector<int> &percents, std::uint32_t estimatedMs = 1000,
+              bool isAlone = true)
+    {
+        this->now += later;
+        std::vector<RunningTask> running;
+        std::vector<ExpectedRun> expected;
+        for (std::uint16_t i = 0; i < percents.size(); ++i) {
+            running.push_back({task(i), 1, "", percents[i]});
+            expected.push_back({task(i), 1, estimatedMs, isAlone});
+        }
+        this->watch.listed(running, expected, this->now);
+    }
+
+    ProgressWatch watch;
+    Instant now{std::chrono::seconds(100)};
+    Milliseconds stop{900};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(WatchFixture, "runs that go on are left where they are", "[progress]")
+{
+    this->list(Milliseconds(0), {10, 20});
+    this->list(Milliseconds(400), {45, 60});
+    this->list(Milliseconds(500), {95, 99});
+    CHECK_FALSE(this->watch.isStalled());
+    CHECK(this->watch.speed().value() == Approx(0.9).margin(0.1));
+    CHECK(this->watch.betterElsewhere(this->stop).empty());
+}
+
+// A target answers, beats and lists what runs on it, and does nothing. Short work on it came 3 to 7 s
+// late, and new work was sent there since it had room.
+TEST_CASE_METHOD(WatchFixture, "runs that stand still are better off elsewhere", "[progress]")
+{
+    this->list(Milliseconds(0), {30, 0});
+    this->list(Milliseconds(400), {30, 0});
+    CHECK_FALSE(this->watch.isStalled()); // too early to tell
+    this->list(Milliseconds(600), {30, 0});
+    CHECK(this->watch.isStalled());
+    CHECK(this->watch.betterElsewhere(this->stop).size() == 2);
+    this->list(Milliseconds(1000), {99, 99});
+    CHECK_FALSE(this->watch.isStalled());
+}
+
+TEST_CASE_METHOD(WatchFixture, "one crawling run may have a wrong estimate, two are the target's",
+                 "[progress]")
+{
+    this->list(Milliseconds(0), {0});
+    this->list(Milliseconds(1000), {15});
+    CHECK_FALSE(this->watch.isStalled());
+    WatchFixture two;
+    two.list(Milliseconds(0), {0, 0});
+    two.list(Milliseconds(1000), {15, 15});
+    CHECK(two.watch.isStalled());
+    CHECK(two.watch.betterElsewhere(two.stop).size() == 2);
+}
+
+// Begun again, a long task would come later than the target's stall is likely to end.
+TEST_CASE_METHOD(WatchFixture, "a long run without a checkpoint waits for its target", "[progress]")
+{
+    this->list(Milliseconds(0), {50}, 6000);
+    this->list(Milliseconds(1000), {50}, 6000);
+    CHECK(this->watch.isStalled());
+    CHECK(this->watch.betterElsewhere(this->stop).empty());
+}
+
+// Members of a gang wait for each other: one target's stall holds up runs on all the others.
+TEST_CASE_METHOD(WatchFixture, "members of a gang say nothing of their target", "[progress]")
+{
+    this->list(Milliseconds(0), {10, 10}, 1000, false);
+    this->list(Milliseconds(1500), {10, 10}, 1000, false);
+    CHECK_FALSE(this->watch.isStalled());
+}
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -243,18 +243,32 @@
         this->finishGang(order.task, order.run);
         return answer;
     }
-    this->loop.runAfter(this->between(shortestRunMs, longestRunMs),
-                        [this, name = target.identity.name, task = order.task, serial] {
-                            this->finish(name, task, serial);
-                        });
+    const Milliseconds duration = this->between(shortestRunMs, longestRunMs);
+    target.running[order.task].startedAt = this->loop.now();
+    target.running[order.task].duration = duration;
+    this->loop.runAfter(duration, [this, name = target.identity.name, task = order.task, serial] {
+        this->finish(name, task, serial);
+    });
     return answer;
 }
 
+std::optional<int> SimulatedFleet::percentOf(const Target &target, const Running &run) const
+{
+    constexpr int whole = 100;
+    if (run.duration.count() == 0)
+        return std::nullopt;
+    if (target.identity.name == this->hanging)
+        return 0;
+    const auto worked = std::chrono::duration_cast<Milliseconds>(this->loop.now() - run.startedAt);
+    return static_cast<int>(whole * worked / run.duration);
+}
+
 void SimulatedFleet::finish(const std::string &name, const TaskAddress &task, std::uint64_t serial)
 {
     Target &target = this->targets.at(name);
     const auto found = target.running.find(task);
-    if (!target.isUp || found == target.running.end() || found->second.serial != serial)
+    if (!target.isUp || found == target.running.end() || found->second.serial != serial
+        || name == this->hanging)
         return;
     found->second.checkpoint = "saved";
     const bool fails = name == this->failing || this->chance(this->faults.failedTask);
@@ -354,7 +368,8 @@
             at.ends.erase(forgotten, at.ends.end());
             answer.ends = at.ends;
             for (const auto &[task, running] : at.running)
-                answer.running.push_back({task, running.run, running.checkpoint});
+                answer.running.push_back(
+                    {task, running.run, running.checkpoint, this->percentOf(at, running)});
             return answer;
         });
 }
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -51,6 +52,7 @@
 
     FleetFaults faults;
     std::string failing; ///< a target that fails all its tasks; empty: none
+    std::string hanging; ///< a target whose tasks stand still, for good; empty: none
     std::string breach; ///< the first; empty: none
     std::size_t starts = 0;
     std::size_t failures = 0;
@@ -61,6 +63,8 @@
         RunNumber run = 0;
         std::uint64_t serial = 0; ///< tells this run from a later one of the same number
         std::string checkpoint;
+        Instant startedAt{};
+        Milliseconds duration{0}; ///< zero: it lists no progress
     };
     struct Target
     {
@@ -90,6 +94,7 @@
     void expireLease(Target &target);
     void endRun(Target &target, const TaskAddress &task, RunOutcome outcome);
     void breakGang(const TaskAddress &task, RunNumber run);
+    std::optional<int> percentOf(const Target &target, const Running &run) const;
     void finish(const std::string &name, const TaskAddress &task, std::uint64_t serial);
     void finishGang(const TaskAddress &member, RunNumber run);
     OrderAnswer begin(Target &target, const StartOrder &order);
