workflows: a run's progress is compared with its own, and not with its caller's estimate

Listed progress is even: a run's own best rate is the measure. Change: still is no percent in 0.8 s; crawling is below 0.35 of the run's own best rate, for all runs that were seen.

--- a/src/workflows/controllerstops.cpp
+++ b/src/workflows/controllerstops.cpp
@@ -127,7 +127,7 @@
         if (this->movesOf[task] >= mostMoves || !session->stop(task))
             continue;
         ++this->movesOf[task];
-        logMoved(life, task, progress.speed().value_or(0.0));
+        logMoved(life, task);
     }
 }
 
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -99,12 +99,11 @@
               {{"life", std::to_string(idValue(life))}, {"runs", runs}});
 }
 
-void logMoved(LifeNumber life, const TaskAddress &task, double speed)
+void logMoved(LifeNumber life, const TaskAddress &task)
 {
     logChange(LogLevel::Information, "run-moved",
               {{"life", std::to_string(idValue(life))},
-               {"task", stepName(task.step) + "." + std::to_string(task.index)},
-               {"speed", std::to_string(speed)}});
+               {"task", stepName(task.step) + "." + std::to_string(task.index)}});
 }
 
 void logTrust(LifeNumber life, TargetTrust before, TargetTrust now)
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -32,8 +32,8 @@
 void logPlan(const PlanSummary &summary, std::size_t questions, std::size_t live);
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome);
 void logRunsOver(LifeNumber life, const std::vector<RunEnd> &ends);
-/// A run is stopped since its target has stalled. \a speed: of what runs there, 1 is sound.
-void logMoved(LifeNumber life, const TaskAddress &task, double speed);
+/// A run is stopped, to be begun elsewhere, since its target has stalled.
+void logMoved(LifeNumber life, const TaskAddress &task);
 /// Nothing is written where nothing has changed.
 void logTrust(LifeNumber life, TargetTrust before, TargetTrust now);
 void logAdvised(const StepAddress &step, std::size_t asked, std::size_t admitted);
--- a/src/workflows/progresswatch.cpp
+++ b/src/workflows/progresswatch.cpp
@@ -1,32 +1,48 @@
 #include "workflows/progresswatch.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace guavavalve::workflows {
 
 namespace {
 
-/// A speed is measured over at least this long: a run that goes on from a checkpoint stands still
+/// What a run does now is measured over this long: one that goes on from a checkpoint stands still
 /// for up to 0.6 s first, and progress is listed in whole percent.
-constexpr Milliseconds shortestSpan{800};
-/// A target below this speed crawls. Sound ones lie between 0.75 and 1.5 by the users' figures, and
-/// slowed ones are four times as slow and more.
-constexpr double crawlingSpeed = 0.35;
-/// Below this it stands still.
-constexpr double stillSpeed = 0.05;
-/// Crawling runs by which a target is judged; one may have a wrong estimate.
-constexpr std::size_t fewestCrawling = 2;
+constexpr Milliseconds longSpan{800};
+/// And its best over this long, so that a run of a second has one.
+constexpr Milliseconds shortSpan{300};
+/// Longer tasks may do less than one percent in a long span, by estimates three times too low.
+constexpr std::uint32_t longestWatchedMs = 20000;
+/// A run at less than this part of its best crawls: slowed targets are four times as slow and more.
+constexpr double crawlingPart = 0.35;
+/// Crawling runs by which a target is judged. One that stands still is enough.
+constexpr std::ptrdiff_t fewestCrawling = 2;
 /// How long targets stand still, by the users' figures: 3 to 7 s, of which one is over when it
 /// is seen.
 constexpr double usualStallMs = 4000.0;
-/// A run is moved only if that is likely to gain this many times what it costs.
-constexpr double moveGain = 2.0;
+/// A run is moved only if it would be over this many times as soon elsewhere: what it is compared
+/// with are guesses.
+constexpr double moveGain = 1.5;
 constexpr double wholePercent = 100.0;
 
+double millisecondsBetween(Instant from, Instant to)
+{
+    return static_cast<double>(std::chrono::duration_cast<Milliseconds>(to - from).count());
+}
+
 } // namespace
 
+bool ProgressWatch::Seen::crawls() const
+{
+    return this->rate && *this->rate < crawlingPart * this->bestRate;
+}
+
+double ProgressWatch::Seen::wholeMs() const
+{
+    return this->bestRate > 0.0 ? wholePercent / this->bestRate : this->estimatedMs;
+}
+
 void ProgressWatch::listed(const std::vector<RunningTask> &listed,
                            const std::vector<ExpectedRun> &expected, Instant now)
 {
@@ -36,58 +52,56 @@
             std::find_if(listed.begin(), listed.end(), [&](const RunningTask &running) {
                 return running.task == run.task && running.run == run.run;
             });
-        if (!run.isAlone || run.estimatedMs == 0 || row == listed.end() || !row->percent)
+        const bool isWatched =
+            run.isAlone && run.estimatedMs != 0 && run.estimatedMs <= longestWatchedMs;
+        if (!isWatched || row == listed.end() || !row->percent)
             continue;
-        const auto before = this->runs.find(run.task);
         Seen seen;
+        const auto before = this->runs.find(run.task);
         if (before != this->runs.end() && before->second.run == run.run) {
             seen = std::move(before->second);
         } else {
             seen.run = run.run;
             seen.estimatedMs = run.estimatedMs;
-            seen.spanSince = now;
-            seen.spanPercent = *row->percent;
-        }
-        seen.percent = *row->percent;
-        if (row->checkpoint != seen.checkpoint) {
-            seen.checkpoint = row->checkpoint;
-            seen.savedPercent = seen.percent;
-        }
-        if (now >= seen.spanSince + shortestSpan) {
-            const auto spanMs = std::chrono::duration_cast<Milliseconds>(now - seen.spanSince);
-            const double workMs =
-                (seen.percent - seen.spanPercent) * (seen.estimatedMs / wholePercent);
-            seen.speed = workMs / static_cast<double>(spanMs.count());
-            seen.spanSince = now;
-            seen.spanPercent = seen.percent;
+            seen.shortSpan = {now, *row->percent};
+            seen.longSpan = seen.shortSpan;
         }
+        this->measure(seen, *row, now);
         still[run.task] = std::move(seen);
     }
     this->runs = std::move(still);
 }
 
-std::optional<double> ProgressWatch::speed() const
+void ProgressWatch::measure(Seen &seen, const RunningTask &row, Instant now) const
 {
-    std::vector<double> speeds;
-    for (const auto &[task, seen] : this->runs) {
-        if (seen.speed)
-            speeds.push_back(*seen.speed);
+    seen.percent = *row.percent;
+    if (row.checkpoint != seen.checkpoint) {
+        seen.checkpoint = row.checkpoint;
+        seen.savedPercent = seen.percent;
+    }
+    const auto rateOver = [&](const Span &span) {
+        return (seen.percent - span.percent) / millisecondsBetween(span.since, now);
+    };
+    if (now >= seen.longSpan.since + longSpan) {
+        seen.rate = rateOver(seen.longSpan);
+        seen.longSpan = {now, seen.percent};
+    }
+    if (now >= seen.shortSpan.since + shortSpan) {
+        seen.bestRate = std::max(seen.bestRate, rateOver(seen.shortSpan));
+        seen.shortSpan = {now, seen.percent};
     }
-    if (speeds.empty())
-        return std::nullopt;
-    const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
-    std::nth_element(speeds.begin(), middle, speeds.end());
-    return *middle;
 }
 
 bool ProgressWatch::isStalled() const
 {
-    const auto now = this->speed();
-    if (!now || *now >= crawlingSpeed)
-        return false;
-    const auto measured = std::count_if(this->runs.begin(), this->runs.end(),
-                                        [](const auto &run) { return run.second.speed; });
-    return *now < stillSpeed || static_cast<std::size_t>(measured) >= fewestCrawling;
+    const auto count = [this](const auto &matches) {
+        return std::count_if(this->runs.begin(), this->runs.end(),
+                             [&](const auto &run) { return matches(run.second); });
+    };
+    const auto still = count([](const Seen &seen) { return seen.standsStill(); });
+    const auto slow = count([](const Seen &seen) { return seen.standsStill() || seen.crawls(); });
+    const auto measured = count([](const Seen &seen) { return seen.rate.has_value(); });
+    return slow == measured && (still > 0 || slow >= fewestCrawling);
 }
 
 std::vector<TaskAddress> ProgressWatch::betterElsewhere(Milliseconds stopLimit) const
@@ -95,17 +109,22 @@
     std::vector<TaskAddress> found;
     if (!this->isStalled())
         return found;
-    const double speedHere = std::max(stillSpeed, *this->speed());
     for (const auto &[task, seen] : this->runs) {
-        const double perPercent = seen.estimatedMs / wholePercent;
-        const double left = (wholePercent - seen.percent) * perPercent;
-        const double here = std::min(left / speedHere, usualStallMs + left);
-        const double elsewhere = static_cast<double>(stopLimit.count())
-            + (wholePercent - seen.savedPercent) * perPercent;
-        if (here > moveGain * elsewhere)
+        if (this->isBetterElsewhere(seen, stopLimit))
             found.push_back(task);
     }
     return found;
 }
 
+bool ProgressWatch::isBetterElsewhere(const Seen &seen, Milliseconds stopLimit) const
+{
+    const double leftMs = (1.0 - seen.percent / wholePercent) * seen.wholeMs();
+    double here = usualStallMs + leftMs;
+    if (seen.rate && *seen.rate > 0.0)
+        here = std::min(here, (wholePercent - seen.percent) / *seen.rate);
+    const double elsewhere = static_cast<double>(stopLimit.count())
+        + (1.0 - seen.savedPercent / wholePercent) * seen.wholeMs();
+    return here > moveGain * elsewhere;
+}
+
 } // namespace guavavalve::workflows
--- a/src/workflows/progresswatch.h
+++ b/src/workflows/progresswatch.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -23,9 +24,8 @@
 
 /// Sees from the progress that one target lists whether its runs go on, crawl or stand still. Pure.
 ///
-/// The speed of a run is the work that it does in a second by its caller's estimate, in seconds; a
-/// sound target comes to about one. Estimates are rough, so one crawling run says nothing, and a
-/// target is judged by the middle of all its runs.
+/// A run works evenly on a sound target, so its progress is compared with its own earlier progress.
+/// Estimates are no measure: by the users' figures they are wrong by a factor of two and more.
 class ProgressWatch
 {
 public:
@@ -33,8 +33,6 @@
     void listed(const std::vector<RunningTask> &listed, const std::vector<ExpectedRun> &expected,
                 Instant now);
 
-    /// The middle of the speeds of the runs that were seen for long enough; nothing: none was.
-    std::optional<double> speed() const;
     /// True if all that was seen for long enough stands still, or crawls.
     bool isStalled() const;
 
@@ -44,6 +42,12 @@
     std::vector<TaskAddress> betterElsewhere(Milliseconds stopLimit) const;
 
 private:
+    /// A stretch of a run's progress that is still being measured.
+    struct Span
+    {
+        Instant since{};
+        int percent = 0;
+    };
     struct Seen
     {
         RunNumber run = 0;
@@ -51,11 +55,20 @@
         int savedPercent = 0; ///< when its newest checkpoint was first listed
         std::string checkpoint;
         std::uint32_t estimatedMs = 0;
-        std::optional<double> speed; ///< over the last span that was long enough
-        int spanPercent = 0; ///< where that span began
-        Instant spanSince{};
+        Span shortSpan;
+        Span longSpan;
+        double bestRate = 0.0; ///< percent in a millisecond, over the best short span
+        std::optional<double> rate; ///< over the last long span
+
+        bool standsStill() const { return this->rate && *this->rate == 0.0; }
+        bool crawls() const;
+        /// How long the whole task takes at its best.
+        double wholeMs() const;
     };
 
+    void measure(Seen &seen, const RunningTask &row, Instant now) const;
+    bool isBetterElsewhere(const Seen &seen, Milliseconds stopLimit) const;
+
     std::map<TaskAddress, Seen> runs;
 };
 
