--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 /// Questions in a row without an answer after which no lease is renewed: with a path that is cut
-/// one way they would go on renewing it for ever.
-constexpr unsigned blindQuestions = 2;
+/// one way they would go on renewing it for ever. The next question is answered at once, and after
+/// it the lease is renewed again.
+constexpr unsigned blindQuestions = 1;
 constexpr std::int64_t perThousand = 1000;
 
 } // namespace
@@ -54,6 +55,7 @@
     Run run;
     run.run = order.run;
     run.phase = Phase::Sending;
+    run.placedAt = this->clock();
     run.order = std::move(order);
     this->runs[task] = std::move(run);
     this->sendStart(task);
@@ -113,10 +115,20 @@
 {
     const Instant now = this->clock();
     return !this->hasEnded && this->hasLists && !this->isFenced && this->saysReady
-        && this->failures == 0 && this->foreign.empty()
+        && this->failures == 0 && this->foreign.empty() && !this->hasUnansweredStart(now)
         && now < this->answeredAt + this->limits.holdWait + this->limits.orderLimit;
 }
 
+/// Guards against a target that is given work for 1.7 s after it was cut off, until a question that
+/// it may answer late is over: all of that would wait for its lease to run out.
+bool TargetSession::hasUnansweredStart(Instant now) const
+{
+    return std::any_of(this->runs.begin(), this->runs.end(), [&](const auto &run) {
+        return run.second.phase == Phase::Sending && !run.second.isStopWanted
+            && now > run.second.placedAt + this->limits.startPatience;
+    });
+}
+
 bool TargetSession::isForgettable(Milliseconds silence) const
 {
     const Instant now = this->clock();
@@ -170,7 +182,21 @@
     this->lapsesAt =
         std::max(this->lapsesAt,
                  now + this->limits.lease + drift + 2 * sinceDrift + this->limits.leaseMargin);
-    return this->clockMs + since.count() + this->limits.lease.count();
+    this->leaseUntilMs = this->clockMs + since.count() + this->limits.lease.count();
+    this->leaseEndsAt = now + this->limits.lease;
+    return this->leaseUntilMs;
+}
+
+/// Starts do not draw the lease out while half of it is left.
+///
+/// Guards against leases that grow by orders that nobody answers: a target that was cut off one way
+/// kept its lease for two questions longer, 3.5 s, and with it the work that could run elsewhere.
+std::int64_t TargetSession::leaseForStart()
+{
+    const bool isEnough = this->clock() + this->limits.lease / 2 <= this->leaseEndsAt;
+    if (isEnough && this->failures < blindQuestions && this->hooks.isCurrent())
+        return this->leaseUntilMs;
+    return this->grantLease();
 }
 
 void TargetSession::answered(std::int64_t targetClockMs)
@@ -341,7 +367,7 @@
         || found->second.isStopWanted || this->hasEnded)
         return;
     Run &run = found->second;
-    run.order.leaseUntilMs = this->grantLease();
+    run.order.leaseUntilMs = this->leaseForStart();
     if (run.order.leaseUntilMs == 0) { // it does not answer: a lease might never be seen to end
         this->later(this->limits.resendPause, [this, task] { this->sendStart(task); });
         return;
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -27,6 +27,9 @@
     Milliseconds leaseMargin{150};
     Milliseconds holdWait{1000}; ///< how long a target waits for an end before it answers
     Milliseconds orderLimit{700}; ///< for an answer beyond what the target may wait
+    /// A start that is not answered for this long makes its target doubtful: one takes 1 to 5 ms, and
+    /// on a loaded or slowed path ten times that.
+    Milliseconds startPatience{250};
     Milliseconds resendPause{150}; ///< between two sends of one order
     Milliseconds stopLimit{900}; ///< what a stop may take until its run's end is listed
 };
@@ -108,6 +111,7 @@
         Instant confirmedAt{}; ///< when an order for it was last answered
         bool wasListed = false;
         bool wasStarted = false; ///< its start was answered as carried out
+        Instant placedAt{}; ///< when its start was first to be sent; not of adopted runs
         bool wasRefused = false; ///< its start, by a target that is not well
         bool isStopWanted = false;
     };
@@ -125,6 +129,8 @@
     void later(Microseconds delay, std::function<void()> action);
     void answered(std::int64_t clockMs);
     std::int64_t grantLease();
+    std::int64_t leaseForStart();
+    bool hasUnansweredStart(Instant now) const;
     bool takeReply(OrderReply reply);
     RunEnd over(const TaskAddress &task, Run &run, RunOutcome outcome, std::string checkpoint);
     void reportAll(RunOutcome outcome);
@@ -154,6 +160,8 @@
     Instant heardAt{}; ///< last heartbeat
     Instant answeredAt{};
     std::int64_t clockMs = 0; ///< the target's, at answeredAt
+    std::int64_t leaseUntilMs = 0; ///< what was granted last, on the target's clock
+    Instant leaseEndsAt{}; ///< the same on this clock, by its reading of the target's
     Instant lapsesAt{}; ///< every lease that may have been granted is over by then
 };
 
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -172,3 +172,38 @@
     CHECK(this->overAt >= this->port.lastGrantAt + slowest);
     CHECK(this->overAt <= this->port.lastGrantAt + slowest + Milliseconds(1000));
 }
+
+TEST_CASE_METHOD(SessionFixture, "work on a target that falls silent is free one lease later",
+                 "[session]")
+{
+    // A target is cut off. The leases that orders and questions went on granting, to nobody, kept its
+    // work from being begun elsewhere for 3.5 s more than the lease that it could have had.
+    this->startTask();
+    this->tickFor(Milliseconds(1000));
+    this->port.isSilent = true;
+    const Instant silentAt = this->loop.now();
+    for (std::uint16_t index = 1; index < 8; ++index) {
+        StartOrder order;
+        order.task = {this->task.step, index};
+        order.run = 1;
+        this->session->start(order);
+        this->tickFor(Milliseconds(200));
+    }
+    this->tickFor(Milliseconds(9000));
+    REQUIRE(this->over.size() == 8);
+    const Milliseconds drift = this->limits.lease * this->limits.clockDrift / 1000;
+    CHECK(this->overAt <= silentAt + this->limits.lease + drift + this->limits.leaseMargin
+              + this->limits.resendPause + Milliseconds(100)); // the oldest answer, and a tick
+}
+
+TEST_CASE_METHOD(SessionFixture, "a target that leaves a start unanswered is given no more",
+                 "[session]")
+{
+    // For 1.7 s after it was cut off, until a question was over, a target was given new work, all of
+    // which then waited for its lease to run out.
+    REQUIRE(this->session->isUsable());
+    this->port.isSilent = true;
+    this->startTask();
+    this->tickFor(this->limits.startPatience + Milliseconds(20));
+    CHECK_FALSE(this->session->isUsable());
+}
