--- a/src/controller/controllerlink.cpp
+++ b/src/controller/controllerlink.cpp
@@ -144,9 +144,9 @@
 bool ControllerLink::isDoubted(const std::string &address) const
 {
     const Instant now = this->clock();
-    return std::any_of(
-        this->underWay.begin(), this->underWay.end(),
-        [&](const auto &call) { return call->address == address && now >= call->overdueAt; });
+    return std::any_of(this->underWay.begin(), this->underWay.end(), [&](const auto &call) {
+        return call->address == address && now >= call->overdueAt;
+    });
 }
 
 void ControllerLink::askOthers(const std::string &doubted)
--- a/src/journal/posixdisk.cpp
+++ b/src/journal/posixdisk.cpp
@@ -176,8 +176,7 @@
 {
     std::size_t written = 0;
     while (written < bytes.size()) {
-        const ssize_t count =
-            this->writeCall(file, bytes.data() + written, bytes.size() - written);
+        const ssize_t count = this->writeCall(file, bytes.data() + written, bytes.size() - written);
         if (count < 0 && errno == EINTR)
             continue;
         if (count <= 0)
--- a/src/replicas/raftelection.cpp
+++ b/src/replicas/raftelection.cpp
@@ -54,8 +54,8 @@
 /// Asks all voters whether they too follow nobody.
 ///
 /// Guards against a whole election timeout without a leader after all replicas were restarted:
-/// callers saw 0.5 to 1 s more of silence than the restart took. A voter that starts waits, since it
-/// may have promised a leader not to vote for another. If every voter says that it neither leads
+/// callers saw 0.5 to 1 s more of silence than the restart took. A voter that starts waits, since
+/// it may have promised a leader not to vote for another. If every voter says that it neither leads
 /// nor has heard a leader since it started, there is none to whom the promise could matter, and an
 /// election is held at once. Each voter grants this only to a replica that comes after itself, by
 /// the end of its log and then by its identity; so only one is granted it by all.
--- a/src/replicas/raftoptions.h
+++ b/src/replicas/raftoptions.h
@@ -54,15 +54,15 @@
     /// first entry of the term, so everything committed before is in the state; false when it
     /// no longer leads.
     std::function<void(bool leads, std::uint64_t term)> onLeadership;
-    /// Entries that wait for a disk that refuses writes. With half of it a leader hands over; beyond
-    /// it the replica takes part in nothing until the disk takes them. At 250 KB a second, four
-    /// times what the users' cells write, half lasts for 16 s.
+    /// Entries that wait for a disk that refuses writes. With half of it a leader hands over;
+    /// beyond it the replica takes part in nothing until the disk takes them. At 250 KB a second,
+    /// four times what the users' cells write, half lasts for 16 s.
     std::size_t maxUnsavedBytes = 8U << 20U;
     /// Called on the log's thread when the disk begins to refuse writes, and, with nothing, when it
     /// takes them again.
     std::function<void(const std::optional<Error> &refusal)> onDiskRefusal;
-    /// Called when a write or sync failed other than by a refusal. What is on the disk is then unknown and the process
-    /// must end; the default prints the error and aborts.
+    /// Called when a write or sync failed other than by a refusal. What is on the disk is then
+    /// unknown and the process must end; the default prints the error and aborts.
     std::function<void(const Error &)> onStorageFailure;
 };
 
--- a/src/replicas/unsavedoutput.cpp
+++ b/src/replicas/unsavedoutput.cpp
@@ -56,9 +56,8 @@
 
 bool UnsavedOutput::holdsHardState() const
 {
-    return std::any_of(this->queue.begin(), this->queue.end(), [](const RaftOutput &output) {
-        return output.batch.hardState.has_value();
-    });
+    return std::any_of(this->queue.begin(), this->queue.end(),
+                       [](const RaftOutput &output) { return output.batch.hardState.has_value(); });
 }
 
 std::size_t UnsavedOutput::bytesOf(const RaftOutput &output)
--- a/src/workflows/controllerstops.cpp
+++ b/src/workflows/controllerstops.cpp
@@ -86,8 +86,7 @@
         this->stopAll(id, "members of its gang are gone", placed);
 }
 
-std::vector<ExpectedRun>
-Controller::expectedOf(const std::vector<RunningTask> &running) const
+std::vector<ExpectedRun> Controller::expectedOf(const std::vector<RunningTask> &running) const
 {
     std::vector<ExpectedRun> expected;
     this->machine.read([&](const Book &book) {
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -27,8 +27,8 @@
     Milliseconds leaseMargin{150};
     Milliseconds holdWait{1000}; ///< how long a target waits for an end before it answers
     Milliseconds orderLimit{700}; ///< for an answer beyond what the target may wait
-    /// A start that is not answered for this long makes its target doubtful: one takes 1 to 5 ms, and
-    /// on a loaded or slowed path ten times that.
+    /// A start that is not answered for this long makes its target doubtful: one takes 1 to 5 ms,
+    /// and on a loaded or slowed path ten times that.
     Milliseconds startPatience{250};
     Milliseconds resendPause{150}; ///< between two sends of one order
     Milliseconds stopLimit{900}; ///< what a stop may take until its run's end is listed
--- a/test/controller/controllerlinktest.cpp
+++ b/test/controller/controllerlinktest.cpp
@@ -18,12 +18,12 @@
 public:
     LinkFixture()
         : link(std::make_shared<ControllerLink>(
-              *this, std::vector<std::string>{"a", "b", "c"},
-              [this](Milliseconds delay, std::function<void()> action) {
-                  this->after(delay, std::move(action));
-              },
-              ControllerLink::Limits{Milliseconds(400), Milliseconds(40), Milliseconds(80)},
-              [this] { return this->now; }))
+            *this, std::vector<std::string>{"a", "b", "c"},
+            [this](Milliseconds delay, std::function<void()> action) {
+                this->after(delay, std::move(action));
+            },
+            ControllerLink::Limits{Milliseconds(400), Milliseconds(40), Milliseconds(80)},
+            [this] { return this->now; }))
     {}
 
     void handle(Method, Handler) override {}
@@ -89,8 +89,8 @@
 
 } // namespace
 
-// The controller's process is frozen. The replicas have another within 0.6 s; callers at an instance
-// that had a call under way there waited until it was given up, 0.26 to 0.6 s longer.
+// The controller's process is frozen. The replicas have another within 0.6 s; callers at an
+// instance that had a call under way there waited until it was given up, 0.26 to 0.6 s longer.
 TEST_CASE_METHOD(LinkFixture, "a call leaves a silent controller once another leads", "[link]")
 {
     this->ask();
@@ -122,7 +122,8 @@
     CHECK(this->served["a"] == 2);
 }
 
-TEST_CASE_METHOD(LinkFixture, "nobody is asked who leads while calls are answered in time", "[link]")
+TEST_CASE_METHOD(LinkFixture, "nobody is asked who leads while calls are answered in time",
+                 "[link]")
 {
     for (int i = 0; i < 50; ++i) {
         this->ask();
@@ -133,8 +134,8 @@
     CHECK(this->questions == 0);
 }
 
-// Nobody leads at all until the deadline: what may have arrived at the silent controller is not said
-// to have never run.
+// Nobody leads at all until the deadline: what may have arrived at the silent controller is not
+// said to have never run.
 TEST_CASE_METHOD(LinkFixture, "a call that nobody answers ends once, by its deadline", "[link]")
 {
     this->ask();
--- a/test/journal/fulldisktest.cpp
+++ b/test/journal/fulldisktest.cpp
@@ -90,7 +90,8 @@
 
 // A start on a full disk, or one that fills up while the folder is tidied, is told apart from
 // damage: the process waits and does not end.
-TEST_CASE("a journal that cannot be opened on a full disk says so and can be opened later", "[journal]")
+TEST_CASE("a journal that cannot be opened on a full disk says so and can be opened later",
+          "[journal]")
 {
     auto folder = std::make_shared<FakeFolder>();
     folder->isFull = true;
--- a/test/replicas/fulldisktest.cpp
+++ b/test/replicas/fulldisktest.cpp
@@ -66,8 +66,8 @@
     CHECK(simulation.failure() == RaftSimulation::none);
 }
 
-// A replica whose disk is full is asked for its vote. A vote that is not stored could be given again
-// to another after a kill: two would lead in one term.
+// A replica whose disk is full is asked for its vote. A vote that is not stored could be given
+// again to another after a kill: two would lead in one term.
 TEST_CASE("a vote that cannot be stored is not given", "[raft]")
 {
     RaftSimulation simulation(13, 3, 3);
--- a/test/replicas/raftrandomtest.cpp
+++ b/test/replicas/raftrandomtest.cpp
@@ -69,9 +69,9 @@
     runSeeds(1, 60, 20000);
 }
 
-// The same, while disks fill up and have room again, also several at once, at the start of a replica,
-// under a snapshot and under a vote. What a full disk has refused must not be spoken for, and must
-// be there once it was acknowledged.
+// The same, while disks fill up and have room again, also several at once, at the start of a
+// replica, under a snapshot and under a vote. What a full disk has refused must not be spoken for,
+// and must be there once it was acknowledged.
 TEST_CASE("the replicated log holds its promises while disks fill up", "[raft][random]")
 {
     RaftSimulation::Odds odds;
--- a/test/replicas/restarttest.cpp
+++ b/test/replicas/restarttest.cpp
@@ -26,8 +26,8 @@
     }
 }
 
-// One replica alone does not come back: the others cannot know whether it still leads somewhere, and
-// wait as before.
+// One replica alone does not come back: the others cannot know whether it still leads somewhere,
+// and wait as before.
 TEST_CASE("a leader that may still be there is waited for after a restart", "[raft]")
 {
     RaftSimulation simulation(3, 3, 3);
--- a/test/workflows/progresswatchtest.cpp
+++ b/test/workflows/progresswatchtest.cpp
@@ -17,8 +17,8 @@
         return {{static_cast<WorkflowId>(1), 0, 0}, index};
     }
     /// A list \a later than the last one.
-    void list(Milliseconds later, const std::vector<int> &percents, std::uint32_t estimatedMs = 1000,
-              bool isAlone = true)
+    void list(Milliseconds later, const std::vector<int> &percents,
+              std::uint32_t estimatedMs = 1000, bool isAlone = true)
     {
         this->now += later;
         std::vector<RunningTask> running;
@@ -56,8 +56,8 @@
     CHECK_FALSE(this->watch.isStalled());
 }
 
-// A target answers, beats and lists what runs on it, and does nothing. Short work on it came 3 to 7 s
-// late, and new work was sent there since it had room.
+// A target answers, beats and lists what runs on it, and does nothing. Short work on it came 3 to 7
+// s late, and new work was sent there since it had room.
 TEST_CASE_METHOD(WatchFixture, "runs that stand still are better off elsewhere", "[progress]")
 {
     this->list(Milliseconds(0), {30, 0});
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -176,8 +176,8 @@
 TEST_CASE_METHOD(SessionFixture, "work on a target that falls silent is free one lease later",
                  "[session]")
 {
-    // A target is cut off. The leases that orders and questions went on granting, to nobody, kept its
-    // work from being begun elsewhere for 3.5 s more than the lease that it could have had.
+    // A target is cut off. The leases that orders and questions went on granting, to nobody, kept
+    // its work from being begun elsewhere for 3.5 s more than the lease that it could have had.
     this->startTask();
     this->tickFor(Milliseconds(1000));
     this->port.isSilent = true;
@@ -199,8 +199,8 @@
 TEST_CASE_METHOD(SessionFixture, "a target that leaves a start unanswered is given no more",
                  "[session]")
 {
-    // For 1.7 s after it was cut off, until a question was over, a target was given new work, all of
-    // which then waited for its lease to run out.
+    // For 1.7 s after it was cut off, until a question was over, a target was given new work, all
+    // of which then waited for its lease to run out.
     REQUIRE(this->session->isUsable());
     this->port.isSilent = true;
     this->startTask();
