--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -164,36 +164,59 @@
         std::vector<Pending> batch = std::exchange(this->pending, {});
         if (std::exchange(this->needsPlan, false))
             this->plan(batch);
-        std::vector<Done<Nothing>> barriers = std::exchange(this->waitingBarriers, {});
-        if (batch.empty() && barriers.empty())
-            return;
-        CommandBatch commands;
-        commands.reserve(batch.size());
-        for (const Pending &one : batch)
-            commands.push_back(one.command);
-        this->isBatchUnderWay = true;
-        auto stored = [this, alive, inTerm = this->term, now = this->options.clock(),
-                       batch = std::move(batch),
-                       barriers = std::move(barriers)](Result<std::string> outcome) {
-            this->options.post(
-                [this, alive, inTerm, now, batch, barriers, outcome = std::move(outcome)] {
-                    if (*alive)
-                        this->batchStored(inTerm, batch, barriers, now, outcome);
-                });
-        };
-        this->log.propose(encode(commands), std::move(stored));
+        if (!batch.empty() || !this->waitingBarriers.empty())
+            this->propose(std::move(batch));
     });
 }
 
-void Controller::batchStored(std::uint64_t inTerm, const std::vector<Pending> &batch,
-                             const std::vector<Done<Nothing>> &barriers, Instant proposedAt,
-                             const Result<std::string> &outcome)
+void Controller::propose(std::vector<Pending> batch)
+{
+    auto proposed = std::make_shared<Proposed>();
+    proposed->term = this->term;
+    proposed->at = this->options.clock();
+    proposed->barriers = std::exchange(this->waitingBarriers, {});
+    CommandBatch commands;
+    commands.reserve(batch.size());
+    for (Pending &one : batch) {
+        proposed->isPlacement.push_back(std::holds_alternative<PlaceRuns>(one.command));
+        proposed->done.push_back(std::move(one.done));
+        commands.push_back(std::move(one.command));
+    }
+    this->isBatchUnderWay = true;
+    this->log.propose(encode(commands), [this, alive = this->alive, post = this->options.post,
+                                         proposed](Result<std::string> outcome) {
+        post([this, alive, proposed, outcome = std::move(outcome)] {
+            if (*alive)
+                this->batchStored(*proposed, outcome);
+        });
+    });
+}
+
+void Controller::tellOutcomes(const Proposed &proposed, const Result<CommandOutcomes> &outcomes)
+{
+    for (std::size_t i = 0; i < proposed.done.size(); ++i) {
+        if (!proposed.done[i])
+            continue;
+        if (!outcomes)
+            proposed.done[i](outcomes.error());
+        else
+            proposed.done[i](outcomes.value()[i]);
+    }
+    for (const Done<Nothing> &barrier : proposed.barriers) {
+        if (outcomes)
+            barrier(Nothing{});
+        else
+            barrier(outcomes.error());
+    }
+}
+
+void Controller::batchStored(const Proposed &proposed, const Result<std::string> &outcome)
 {
     if (outcome) {
         this->metrics.stored(
-            std::chrono::duration_cast<Milliseconds>(this->options.clock() - proposedAt));
+            std::chrono::duration_cast<Milliseconds>(this->options.clock() - proposed.at));
     }
-    const bool isOurTerm = this->leads && this->term == inTerm;
+    const bool isOurTerm = this->leads && this->term == proposed.term;
     if (isOurTerm)
         this->isBatchUnderWay = false;
     this->countedOver.clear();
@@ -202,29 +225,16 @@
         outcomes = outcome.error();
     else
         outcomes = decode<CommandOutcomes>(outcome.value());
-    if (outcomes && outcomes.value().size() != batch.size())
+    if (outcomes && outcomes.value().size() != proposed.done.size())
         outcomes = failure(ErrorCode::Corrupt, "a batch has other outcomes than commands");
-    for (std::size_t i = 0; i < batch.size(); ++i) {
-        if (!batch[i].done)
-            continue;
-        if (!outcomes)
-            batch[i].done(outcomes.error());
-        else
-            batch[i].done(outcomes.value()[i]);
-    }
-    for (const Done<Nothing> &barrier : barriers) {
-        if (outcomes)
-            barrier(Nothing{});
-        else
-            barrier(outcomes.error());
-    }
+    tellOutcomes(proposed, outcomes);
     if (!isOurTerm)
         return;
     // What has just been stored is what the next plan is made of: accepted steps, and the room
     // and the steps that ends have freed. Without this they would wait for the next tick.
-    for (std::size_t i = 0; outcomes && i < batch.size(); ++i) {
-        this->needsPlan |= outcomes.value()[i] == CommandOutcome::Applied
-            && !std::holds_alternative<PlaceRuns>(batch[i].command);
+    for (std::size_t i = 0; outcomes && i < proposed.done.size(); ++i) {
+        this->needsPlan |=
+            outcomes.value()[i] == CommandOutcome::Applied && !proposed.isPlacement[i];
     }
     if (!this->pending.empty() || !this->waitingBarriers.empty() || this->needsPlan)
         this->flush();
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -97,6 +97,15 @@
         Command command;
         Done<CommandOutcome> done;
     };
+    /// Commands on their way through the log, without their content.
+    struct Proposed
+    {
+        std::uint64_t term = 0;
+        Instant at{};
+        std::vector<Done<CommandOutcome>> done;
+        std::vector<bool> isPlacement;
+        std::vector<Done<Nothing>> barriers;
+    };
     struct LifeState
     {
         std::shared_ptr<TargetSession> session;
@@ -106,9 +115,9 @@
 
     void add(Command command, Done<CommandOutcome> done);
     void flush();
-    void batchStored(std::uint64_t inTerm, const std::vector<Pending> &batch,
-                     const std::vector<Done<Nothing>> &barriers, Instant proposedAt,
-                     const Result<std::string> &outcome);
+    void propose(std::vector<Pending> batch);
+    void batchStored(const Proposed &proposed, const Result<std::string> &outcome);
+    static void tellOutcomes(const Proposed &proposed, const Result<CommandOutcomes> &outcomes);
     void plan(std::vector<Pending> &batch);
     std::vector<OpenTarget> openTargets(const Book &book) const;
     void placed(const PlaceRuns &command, CommandOutcome outcome);
