workflows: a placement that is told after its workflow is over starts nothing

Change: such a placement is dropped. The test crashed before. Sessions are no longer copied with what is watched of their runs at each tick.

--- a/src/replicas/raftdriversend.cpp
+++ b/src/replicas/raftdriversend.cpp
@@ -93,7 +93,8 @@
         this->core->persisted();
     else
         this->nextStore = this->options.clock() + refusalPause;
-    if (std::exchange(this->isRefused, !stored) != this->isRefused && this->options.onDiskRefusal)
+    const bool wasRefused = std::exchange(this->isRefused, !stored);
+    if (wasRefused != this->isRefused && this->options.onDiskRefusal)
         this->options.onDiskRefusal(stored ? std::nullopt : std::optional<Error>(stored.error()));
 }
 
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -183,13 +183,14 @@
         commands.push_back(std::move(one.command));
     }
     this->isBatchUnderWay = true;
-    this->log.propose(encode(commands), [this, alive = this->alive, post = this->options.post,
-                                         proposed](Result<std::string> outcome) {
-        post([this, alive, proposed, outcome = std::move(outcome)] {
-            if (*alive)
-                this->batchStored(*proposed, outcome);
-        });
-    });
+    this->log.propose(encode(commands),
+                      [this, alive = this->alive, post = this->options.post,
+                       proposed](Result<std::string> outcome) {
+                          post([this, alive, proposed, outcome = std::move(outcome)] {
+                              if (*alive)
+                                  this->batchStored(*proposed, outcome);
+                          });
+                      });
 }
 
 void Controller::tellOutcomes(const Proposed &proposed, const Result<CommandOutcomes> &outcomes)
@@ -311,7 +312,9 @@
     std::int64_t ageMs = 0;
     const bool isKnown = this->machine.read([&](const Book &book) {
         const Workflow *workflow = book.find(command.step.workflow);
-        if (workflow == nullptr)
+        // A controller that has lost its lead and not heard of it, as after its disk has stalled,
+        // is told of its placement when a later one has finished the workflow already.
+        if (workflow == nullptr || workflow->occurrences.empty())
             return false;
         order.payload = workflow->spec.payload;
         queue = workflow->spec.queue;
@@ -357,9 +360,12 @@
 {
     if (!this->leads || this->term != inTerm)
         return;
-    const auto all = this->lives; // a session that ends takes itself out
-    for (const auto &[life, state] : all)
-        state.session->tick();
+    std::vector<std::shared_ptr<TargetSession>> all; // a session that ends takes itself out
+    all.reserve(this->lives.size());
+    for (const auto &[life, state] : this->lives)
+        all.push_back(state.session);
+    for (const auto &session : all)
+        session->tick();
     this->stopOrphans();
     this->forgetOld();
     this->needsPlan = true; // tasks come due, and answers are asked for again, with time
