--- a/src/workflows/controllercounts.cpp
+++ b/src/workflows/controllercounts.cpp
@@ -62,10 +62,11 @@
             && life->second.session->hasBegun(address);
     };
     for (std::uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
-        for (std::uint16_t i = 0; i < workflow.occurrences[k].size(); ++i) {
+        for (std::size_t i = 0; i < workflow.occurrences[k].size(); ++i) {
+            const StepAddress address{workflow.spec.id, k, static_cast<std::uint16_t>(i)};
             const StepProgress &step = workflow.occurrences[k][i];
-            for (std::uint16_t index = 0; index < step.tasks.size(); ++index) {
-                if (isBegun(step.tasks[index], {{workflow.spec.id, k, i}, index}))
+            for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+                if (isBegun(step.tasks[index], {address, static_cast<std::uint16_t>(index)}))
                     return true;
             }
             if (step.gangFailures > 0)
--- a/test/workflows/progresswatchtest.cpp
+++ b/test/workflows/progresswatchtest.cpp
@@ -23,9 +23,10 @@
         this->now += later;
         std::vector<RunningTask> running;
         std::vector<ExpectedRun> expected;
-        for (std::uint16_t i = 0; i < percents.size(); ++i) {
-            running.push_back({task(i), 1, "", percents[i]});
-            expected.push_back({task(i), 1, estimatedMs, isAlone});
+        for (const int percent : percents) {
+            const TaskAddress next = task(static_cast<std::uint16_t>(running.size()));
+            running.push_back({next, 1, "", percent});
+            expected.push_back({next, 1, estimatedMs, isAlone});
         }
         this->watch.listed(running, expected, this->now);
     }
