workflows: a gang whose members end in two batches of one millisecond is counted once

Change: what a millisecond has counted is remembered until the next. The new test counted more than 60 before.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -220,7 +220,6 @@
     const bool isOurTerm = this->leads && this->term == proposed.term;
     if (isOurTerm)
         this->isBatchUnderWay = false;
-    this->countedOver.clear();
     Result<CommandOutcomes> outcomes = failure(ErrorCode::Unavailable, "not stored");
     if (!outcome)
         outcomes = outcome.error();
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -161,7 +161,8 @@
     bool isBatchUnderWay = false;
     bool isFlushQueued = false;
     bool needsPlan = false;
-    std::set<WorkflowId> countedOver; ///< by the commands of the batch that was stored last
+    std::set<WorkflowId> countedOver; ///< by the commands of countedAtMs
+    std::int64_t countedAtMs = 0;
     std::vector<Pending> pending;
     std::vector<Done<Nothing>> waitingBarriers;
     std::map<LifeNumber, LifeState> lives;
--- a/src/workflows/controllercounts.cpp
+++ b/src/workflows/controllercounts.cpp
@@ -1,6 +1,7 @@
 #include "workflows/controller.h"
 
 #include <algorithm>
+#include <utility>
 
 // What the controller counts, for metrics and for callers.
 
@@ -22,10 +23,13 @@
 
 /// Those that a command of \a atMs has finished.
 ///
-/// Guards against counting one twice: all commands of a batch see the state after it, and several
-/// of one millisecond may have touched a workflow that one of them has finished.
+/// Guards against counting one twice: several commands of one millisecond may have touched it.
+/// Those of one batch all see the state after it; and once one member of a gang has ended the
+/// workflow, the others' ends are stored with the next batch.
 void Controller::countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs)
 {
+    if (std::exchange(this->countedAtMs, atMs) != atMs)
+        this->countedOver.clear();
     this->machine.read([&](const Book &book) {
         for (const WorkflowId id : touched) {
             const Workflow *workflow = book.find(id);
--- a/test/workflows/countingtest.cpp
+++ b/test/workflows/countingtest.cpp
@@ -45,6 +45,26 @@
     CHECK(this->shows("guavavalve_workflows_total{state=\"cancelled\"} 1"));
 }
 
+// A gang's first end that is heard ends the job; the end of another member is listed in the same
+// millisecond and stored with the next batch. The job was counted again.
+TEST_CASE_METHOD(CountingFixture, "a gang whose members end one by one is counted once",
+                 "[counting]")
+{
+    constexpr unsigned jobs = 60;
+    this->storeTime = Milliseconds(20);
+    this->calendarStepMs = 50; // both ends fall into one step of the calendar, and two batches
+    this->changeController(Milliseconds(0));
+    this->runFor(Milliseconds(500));
+    StepSpec gang = BookFixture::gang(2);
+    gang.maxPerTarget = 1;
+    for (unsigned id = 1; id <= jobs; ++id) {
+        this->submit(static_cast<WorkflowId>(id), {gang});
+        this->runFor(Milliseconds(3500));
+    }
+    REQUIRE(this->isAllOver());
+    CHECK(this->shows("guavavalve_workflows_total{state=\"completed\"} " + std::to_string(jobs)));
+}
+
 // Targets have just gone dark, and a job is placed on one before anybody knows. Its start never
 // arrives. Its team asks how many jobs wait, and was told none.
 TEST_CASE_METHOD(CountingFixture, "a job counts as waiting until a target has begun it",
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -41,14 +41,16 @@
         before->log.setLeads(false);
         this->loop.runAfter(stale, [before] { before->controller->leadershipChanged(false, 0); });
     }
-    auto reign = std::make_unique<Reign>(this->machine);
+    auto reign = std::make_unique<Reign>(this->machine, this->loop, this->storeTime);
     ControllerOptions options;
     options.readPolicy = simplePolicy;
     options.post = [this](std::function<void()> action) { this->loop.post(std::move(action)); };
     options.runAfter = [this](Microseconds delay, std::function<void()> action) {
         this->loop.runAfter(delay, std::move(action));
     };
-    options.calendarMs = [this] { return this->loop.nowMs(); };
+    options.calendarMs = [this] {
+        return this->loop.nowMs() / this->calendarStepMs * this->calendarStepMs;
+    };
     options.metrics = &this->metrics;
     options.clock = [this] { return this->loop.now(); };
     reign->controller = std::make_unique<Controller>(options, reign->log, this->machine,
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -31,6 +31,32 @@
     VirtualLoop &loop;
 };
 
+/// A log of one replica that takes a while to tell that a command is stored and applied.
+class SlowLog : public InMemoryLog
+{
+public:
+    SlowLog(BookMachine &machine, VirtualLoop &loop, Milliseconds storeTime)
+        : InMemoryLog(machine)
+        , loop(loop)
+        , storeTime(storeTime)
+    {}
+    void propose(std::string command, Done<std::string> done) override
+    {
+        if (this->storeTime.count() == 0) {
+            InMemoryLog::propose(std::move(command), std::move(done));
+            return;
+        }
+        InMemoryLog::propose(
+            std::move(command), [this, done = std::move(done)](Result<std::string> outcome) {
+                this->loop.runAfter(this->storeTime, [done, outcome] { done(outcome); });
+            });
+    }
+
+private:
+    VirtualLoop &loop;
+    Milliseconds storeTime;
+};
+
 /// Controllers, one after the other, over one book and one fleet, on a virtual clock.
 class Simulation
 {
@@ -53,6 +79,8 @@
     bool isAllOver() const;
 
     VirtualLoop loop;
+    Milliseconds storeTime{0}; ///< of the next controller's log
+    std::int64_t calendarStepMs = 1; ///< how finely the calendar is read
     Metrics metrics;
     SimulatedFleet fleet;
     BookMachine machine;
@@ -63,11 +91,11 @@
 private:
     struct Reign
     {
-        InMemoryLog log;
+        SlowLog log;
         std::unique_ptr<Controller> controller;
 
-        explicit Reign(BookMachine &machine)
-            : log(machine)
+        Reign(BookMachine &machine, VirtualLoop &loop, Milliseconds storeTime)
+            : log(machine, loop, storeTime)
         {}
     };
 
