controller: a call that is answered before it is noted as under way is not kept

Cause, by reading: an answer may come on the messenger's thread before the caller's thread has noted the call; it was then kept for ever, as one without an answer, and the other replicas were asked who leads every 80 ms for ever. Also read under the lock: whether a call may have run.

--- a/src/controller/controllerlink.cpp
+++ b/src/controller/controllerlink.cpp
@@ -63,7 +63,7 @@
         if (!this->settle(call))
             return;
         Error error = failure(ErrorCode::Unavailable, "no controller answered by the deadline");
-        error.ran = call->mayHaveRun ? Ran::Unknown : Ran::No;
+        error.ran = this->ranOf(call);
         error.retryAfter = Milliseconds(1000);
         call->done(error);
         return;
@@ -88,6 +88,12 @@
         this->watch(call, address, attempt);
 }
 
+Ran ControllerLink::ranOf(const std::shared_ptr<Call> &call) const
+{
+    const std::lock_guard lock(this->mutex);
+    return call->mayHaveRun ? Ran::Unknown : Ran::No;
+}
+
 /// True for the first to settle the call.
 bool ControllerLink::settle(const std::shared_ptr<Call> &call)
 {
@@ -127,6 +133,8 @@
 {
     {
         const std::lock_guard lock(this->mutex);
+        if (call->isSettled)
+            return; // the answer was faster
         this->underWay.insert(call);
     }
     this->delay(this->limits.doubtAfter, [self = this->shared_from_this(), call, address, attempt] {
--- a/src/controller/controllerlink.h
+++ b/src/controller/controllerlink.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/done.h"
+#include "core/error.h"
 #include "replicas/messenger.h"
 
 #include <functional>
@@ -55,6 +56,7 @@
     void answered(const std::shared_ptr<Call> &call, const std::string &address, unsigned attempt,
                   Result<std::string> reply);
     bool settle(const std::shared_ptr<Call> &call);
+    Ran ranOf(const std::shared_ptr<Call> &call) const;
     void watch(const std::shared_ptr<Call> &call, const std::string &address, unsigned attempt);
     void askOthers(const std::string &doubted);
     void told(const std::string &doubted, const Result<std::string> &leads);
--- a/test/controller/controllerlinktest.cpp
+++ b/test/controller/controllerlinktest.cpp
@@ -39,7 +39,7 @@
                         });
             return;
         }
-        this->after(this->latency, [this, address, method, done = std::move(done)] {
+        auto answer = [this, address, method, done = std::move(done)] {
             if (method == Method::WhoLeads) {
                 ++this->questions;
                 done(this->leader);
@@ -49,7 +49,11 @@
             } else {
                 done(failure(ErrorCode::NotLeader, this->leader));
             }
-        });
+        };
+        if (this->latency.count() == 0)
+            answer();
+        else
+            this->after(this->latency, std::move(answer));
     }
 
     void after(Milliseconds delay, std::function<void()> action)
@@ -77,7 +81,7 @@
     }
 
     Instant now{std::chrono::seconds(100)};
-    Milliseconds latency{1};
+    Milliseconds latency{1}; ///< zero: answered before the call returns
     std::multimap<Instant, std::function<void()>> due;
     std::set<std::string> frozen;
     std::string leader = "a";
@@ -146,3 +150,20 @@
     REQUIRE(this->answers.size() == 2);
     CHECK(this->answers.back() == "error");
 }
+
+// An answer comes on the messenger's thread before the caller's has noted that the call is under
+// way. The call was kept for ever as one without an answer, and the replicas were asked for ever.
+TEST_CASE_METHOD(LinkFixture, "a call that is answered at once is not doubted later", "[link]")
+{
+    this->latency = Milliseconds(0);
+    this->ask();
+    REQUIRE(this->answers.size() == 1);
+    this->latency = Milliseconds(300);
+    this->ask();
+    this->runFor(Milliseconds(700));
+    REQUIRE(this->answers.size() == 2);
+    const int asked = this->questions;
+    CHECK(asked > 0);
+    this->runFor(Milliseconds(2000));
+    CHECK(this->questions == asked);
+}
