--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -47,7 +47,7 @@
             return;
         }
         InMemoryLog::propose(
-            std::move(command), [this, done = std::move(done)](Result<std::string> outcome) {
+            std::move(command), [this, done = std::move(done)](const Result<std::string> &outcome) {
                 this->loop.runAfter(this->storeTime, [done, outcome] { done(outcome); });
             });
     }
