--- a/test/journal/fulldisktest.cpp
+++ b/test/journal/fulldisktest.cpp
@@ -2,38 +2,15 @@
 
 #include "journal/posixdisk.h"
 #include "journalfixture.h"
+#include "replicas/temporaryfolder.h"
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
-#include <cstdlib>
-#include <filesystem>
 
 using namespace guavavalve;
 
-namespace {
-
-/// A folder of its own, gone at the end of the test.
-class ScratchFolder
-{
-public:
-    ScratchFolder()
-    {
-        char pattern[] = "/tmp/guavavalve-XXXXXX";
-        this->folder = ::mkdtemp(pattern);
-    }
-    ~ScratchFolder() { std::filesystem::remove_all(this->folder); }
-    ScratchFolder(const ScratchFolder &) = delete;
-    ScratchFolder &operator=(const ScratchFolder &) = delete;
-
-    const std::string &path() const { return this->folder; }
-
-private:
-    std::string folder;
-};
-
-} // namespace
-
 // The disk of a replica is full for five seconds. Its process ended at the first write, and what it
 // did for the group with it. Nothing has been lost by a refusal: the write is tried again.
 TEST_CASE("a journal goes on where a full disk has refused it", "[journal]")
@@ -106,7 +83,7 @@
 // behind that half, everything after it would be cut off at the next start as a torn tail.
 TEST_CASE("half a record that a full disk took is cut off again", "[disk]")
 {
-    const ScratchFolder scratch;
+    const TemporaryFolder scratch;
     std::size_t room = 10;
     PosixDisk disk(scratch.path(), [&](int file, const char *bytes, std::size_t count) -> ssize_t {
         if (room == 0) {
@@ -130,7 +107,7 @@
 
 TEST_CASE("an error other than a full disk is no refusal", "[disk]")
 {
-    const ScratchFolder scratch;
+    const TemporaryFolder scratch;
     PosixDisk disk(scratch.path(), [](int, const char *, std::size_t) -> ssize_t {
         errno = EIO;
         return -1;
