runtime, workflows: connections are a budget, and a start that never left is settled at once

The HTTP client opened a connection for every call that was under way.

A process divides its descriptors among files, peers, callers, targets and admissions at its start, and says so if they are too few. The client opens a few connections a peer, one of them for the long poll; further calls wait in line by urgency, with a bound and an end; the connection that has been idle longest makes room for a peer without any. A call that was never written fails with Ran::No, LimitExceeded when the shortage is this side's own, and the run is over as NeverStarted: no lease is waited for. A start that may have left is given up after 2 s and settled by a stop. Doubt of a target follows the lag of the controller's own loop, which is measured, logged and shown. After a plan the next one waits three times as long as it took.

Ruled out: a larger limit (it is the machine's), and fewer idle connections alone (nine starts at once would still be nine connections).

--- a/src/journal/posixdisk.cpp
+++ b/src/journal/posixdisk.cpp
@@ -37,6 +37,12 @@
     return systemCode == ENOSPC || systemCode == EDQUOT || systemCode == EFBIG;
 }
 
+/// Errors that say that no file could be opened, for want of descriptors.
+bool isNoDescriptor(int systemCode)
+{
+    return systemCode == EMFILE || systemCode == ENFILE;
+}
+
 } // namespace
 
 PosixDisk::PosixDisk(std::string path, WriteCall write)
@@ -78,10 +84,11 @@
 }
 
 /// Of a call that changes files, other than a sync: such a call has done nothing if there was no
-/// room for it. A sync that finds no room may have lost what was written before it.
+/// room for it, or no descriptor. A sync that finds no room may have lost what was written before
+/// it.
 Error PosixDisk::changeError(const std::string &what, const std::string &name) const
 {
-    const bool isRefusal = isNoRoom(errno);
+    const bool isRefusal = isNoRoom(errno) || isNoDescriptor(errno);
     Error error = this->systemError(what, name);
     if (isRefusal)
         error.code = ErrorCode::WriteRefused;
--- /dev/null
+++ b/src/runtime/httpclientconnection.cpp
@@ -0,0 +1,193 @@
+#include "runtime/httpclientconnection.h"
+
+#include "runtime/ioloop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/tcp.h>
+
+#include <cerrno>
+#include <cstdlib>
+#include <utility>
+
+namespace guavavalve::internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+HttpClientConnection::HttpClientConnection(std::shared_ptr<HttpClientConnectionOwner> owner,
+                                           const HttpClientOptions &options, IoLoop &loop,
+                                           std::string peer, bool isForLongPolls)
+    : owner(std::move(owner))
+    , options(options)
+    , address(std::move(peer))
+    , forLongPolls(isForLongPolls)
+    , socket(loop.context())
+    , timer(loop.context())
+{}
+
+void HttpClientConnection::start(HttpClient::Call call, Instant deadline,
+                                 Done<HttpResponse> whenDone)
+{
+    this->done = std::move(whenDone);
+    this->request = {};
+    this->request.version(11);
+    this->request.method_string(call.method);
+    this->request.target(call.target);
+    this->request.set(http::field::host, this->address);
+    for (const auto &[name, value] : call.headers)
+        this->request.set(name, value);
+    if (!call.body.empty())
+        this->request.set(http::field::content_type, "application/json");
+    this->request.body() = std::move(call.body);
+    this->request.prepare_payload();
+    this->awaitDeadline(deadline);
+    if (this->isConnected)
+        this->write();
+    else
+        this->connect();
+}
+
+bool HttpClientConnection::isAlive()
+{
+    char byte = 0;
+    const ssize_t got = recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpClientConnection::awaitDeadline(Instant deadline)
+{
+    this->overdueAt = deadline;
+    this->timer.expires_after(untilDeadline(deadline));
+    this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        // A wait that was over before its call was answered may be told only now, when the
+        // connection has its next call: that one has a deadline of its own.
+        if (error || !self->done || monotonicNow() < self->overdueAt)
+            return;
+        self->fail(ErrorCode::DeadlineExceeded, "no answer by the deadline");
+    });
+}
+
+void HttpClientConnection::connect()
+{
+    const std::size_t colon = this->address.rfind(':');
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(this->address.substr(0, colon), error);
+    const std::string port =
+        colon == std::string::npos ? std::string() : this->address.substr(colon + 1);
+    char *end = nullptr;
+    const unsigned long number = std::strtoul(port.c_str(), &end, 10);
+    if (error || port.empty() || *end != '\0' || number > UINT16_MAX) {
+        this->fail(ErrorCode::InvalidArgument, "not an address: " + this->address);
+        return;
+    }
+    this->socket.async_connect({ip, static_cast<std::uint16_t>(number)},
+                               [self = this->shared_from_this()](boost::system::error_code failed) {
+                                   self->onConnect(failed);
+                               });
+}
+
+void HttpClientConnection::onConnect(boost::system::error_code error)
+{
+    if (!this->done)
+        return;
+    if (error) {
+        const bool isShortage = error == asio::error::no_descriptors;
+        this->fail(isShortage ? ErrorCode::LimitExceeded : ErrorCode::Unavailable,
+                   "cannot connect: " + error.message());
+        return;
+    }
+    this->isConnected = true;
+    this->protectFromSilence();
+    this->write();
+}
+
+/// Guards against a connection that goes silent without a reset, which shows as every call on it
+/// waiting for its deadline: unacknowledged bytes and unanswered probes end it.
+void HttpClientConnection::protectFromSilence()
+{
+    const auto limit = static_cast<unsigned>(this->options.unacknowledgedLimit.count());
+    const int handle = this->socket.native_handle();
+    const int probeSeconds = 1;
+    const int probes = 3;
+    boost::system::error_code ignored;
+    this->socket.set_option(tcp::no_delay(true), ignored);
+    this->socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof probeSeconds);
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof probeSeconds);
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
+/// Goes on with \a next, or ends the call if the connection broke.
+auto HttpClientConnection::whenSettled(void (HttpClientConnection::*next)())
+{
+    return [self = this->shared_from_this(), next](boost::system::error_code error, std::size_t) {
+        if (!self->done)
+            return;
+        if (error)
+            self->fail(ErrorCode::Unavailable, "the connection broke: " + error.message());
+        else
+            (self.get()->*next)();
+    };
+}
+
+void HttpClientConnection::write()
+{
+    this->isSent = true;
+    http::async_write(this->socket, this->request, this->whenSettled(&HttpClientConnection::read));
+}
+
+void HttpClientConnection::read()
+{
+    this->parser.emplace();
+    this->parser->body_limit(this->options.maxResponseBytes);
+    http::async_read(this->socket, this->buffer, *this->parser,
+                     this->whenSettled(&HttpClientConnection::succeed));
+}
+
+void HttpClientConnection::succeed()
+{
+    auto message = this->parser->release();
+    HttpResponse response;
+    response.status = static_cast<int>(message.result_int());
+    for (const auto &field : message) {
+        response.headers.emplace(
+            std::string(field.name_string().data(), field.name_string().size()),
+            std::string(field.value().data(), field.value().size()));
+    }
+    response.body = std::move(message.body());
+    this->timer.cancel();
+    this->isSent = false;
+    const Done<HttpResponse> answered = std::exchange(this->done, nullptr);
+    if (message.keep_alive()) {
+        this->owner->settled(this->shared_from_this());
+    } else {
+        this->close();
+        this->owner->closed(this->shared_from_this(), false);
+    }
+    answered(std::move(response));
+}
+
+void HttpClientConnection::fail(ErrorCode code, const std::string &message)
+{
+    Error error = failure(code, this->address + ": " + message);
+    error.ran = this->isSent ? Ran::Unknown : Ran::No;
+    this->timer.cancel();
+    this->close();
+    const Done<HttpResponse> answered = std::exchange(this->done, nullptr);
+    this->owner->closed(this->shared_from_this(), code == ErrorCode::DeadlineExceeded);
+    answered(std::move(error));
+}
+
+void HttpClientConnection::close()
+{
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+    this->isConnected = false;
+}
+
+} // namespace guavavalve::internal
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -71,6 +71,7 @@
     std::unique_ptr<tcp::acceptor> acceptor;
     std::unique_ptr<asio::steady_timer> sweepTimer;
     std::set<std::shared_ptr<internal::HttpConnection>> connections;
+    std::uint64_t turnedAway = 0;
     std::uint16_t port = 0;
 
     std::mutex mutex;
@@ -169,6 +170,8 @@
                 std::make_shared<internal::HttpConnection>(std::move(socket), self, self->loop);
             self->connections.insert(connection);
             connection->start();
+        } else if (!error) {
+            ++self->turnedAway;
         }
         if (error)
             self->acceptLater();
@@ -294,6 +297,16 @@
     return this->d->inFlight;
 }
 
+std::size_t HttpServer::connections() const
+{
+    return this->d->connections.size();
+}
+
+std::uint64_t HttpServer::turnedAway() const
+{
+    return this->d->turnedAway;
+}
+
 bool HttpServer::waitUntilIdle(Instant deadline)
 {
     std::unique_lock lock(this->d->mutex);
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -102,6 +102,11 @@
     /// Requests taken and not yet answered.
     std::size_t inFlight() const;
 
+    /// Connections that are open. On the loop, or while it is stopped.
+    std::size_t connections() const;
+    /// Connections closed at once because there were as many as may be. On the loop, as above.
+    std::uint64_t turnedAway() const;
+
     /// Waits until inFlight() is zero; false if \a deadline passes first. Not on the loop.
     bool waitUntilIdle(Instant deadline);
 
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -85,6 +85,18 @@
     {Metric::SeriesDroppedTotal, "guavavalve_series_dropped_total", MetricType::Counter,
      "observations", "",
      "Observations counted under the label \"other\" because their metric had its most series."},
+    {Metric::DescriptorBudget, "guavavalve_descriptor_budget", MetricType::Gauge, "descriptors",
+     "use", "File descriptors that each use may take at most."},
+    {Metric::Connections, "guavavalve_connections", MetricType::Gauge, "connections", "use",
+     "Open connections by use: callers (accepted), targets, admissions."},
+    {Metric::ConnectionsOpenedTotal, "guavavalve_connections_opened_total", MetricType::Counter,
+     "connections", "use", "Connections opened by use: targets, admissions."},
+    {Metric::CallsWaiting, "guavavalve_calls_waiting", MetricType::Gauge, "calls", "use",
+     "Calls in line for a connection by use: targets, admissions."},
+    {Metric::CallsRefusedTotal, "guavavalve_calls_refused_total", MetricType::Counter, "calls",
+     "use", "Calls and connections turned away because the budget of their use was spent."},
+    {Metric::LoopLagSeconds, "guavavalve_loop_lag_seconds", MetricType::Gauge, "seconds", "",
+     "How late the controller's loop ran its newest periodic action."},
 }};
 
 constexpr bool inOrder()
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -39,9 +39,15 @@
     FramesRejectedTotal,
     LogLinesDroppedTotal,
     SeriesDroppedTotal,
+    DescriptorBudget,
+    Connections,
+    ConnectionsOpenedTotal,
+    CallsWaiting,
+    CallsRefusedTotal,
+    LoopLagSeconds,
 };
 
-inline constexpr std::size_t metricCount = 28;
+inline constexpr std::size_t metricCount = 34;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -16,6 +16,11 @@
 constexpr Milliseconds planLogInterval{1000};
 /// One target in so many may be suspended at a time: if more fail, something else is wrong.
 constexpr std::size_t partSuspended = 4;
+/// After a plan the next one waits for this many times as long as it took, so that planning never
+/// takes more than a quarter of the loop's time.
+constexpr int pausePerPlan = 3;
+/// A loop that is later than this is logged: orders and answers wait as long.
+constexpr Milliseconds lagToLog{100};
 
 } // namespace
 
@@ -73,6 +78,7 @@
     for (const auto &[life, record] : known)
         this->openSession(life, record);
     this->needsPlan = true;
+    this->nextTickAt = this->options.clock();
     this->tick(newTerm);
 }
 
@@ -156,16 +162,38 @@
         return;
     this->isFlushQueued = true;
     this->options.post([this, alive = this->alive] {
+        if (*alive)
+            this->flushNow();
+    });
+}
+
+void Controller::flushNow()
+{
+    this->isFlushQueued = false;
+    if (this->isBatchUnderWay || !this->leads)
+        return;
+    std::vector<Pending> batch = std::exchange(this->pending, {});
+    const Instant now = this->options.clock();
+    if (this->needsPlan && now < this->nextPlanAt) {
+        this->planLater();
+    } else if (std::exchange(this->needsPlan, false)) {
+        this->plan(batch);
+        const Instant planned = this->options.clock();
+        this->nextPlanAt = planned + pausePerPlan * (planned - now);
+    }
+    if (!batch.empty() || !this->waitingBarriers.empty())
+        this->propose(std::move(batch));
+}
+
+void Controller::planLater()
+{
+    if (std::exchange(this->isPlanQueued, true))
+        return;
+    this->options.runAfter(this->nextPlanAt - this->options.clock(), [this, alive = this->alive] {
         if (!*alive)
             return;
-        this->isFlushQueued = false;
-        if (this->isBatchUnderWay || !this->leads)
-            return;
-        std::vector<Pending> batch = std::exchange(this->pending, {});
-        if (std::exchange(this->needsPlan, false))
-            this->plan(batch);
-        if (!batch.empty() || !this->waitingBarriers.empty())
-            this->propose(std::move(batch));
+        this->isPlanQueued = false;
+        this->flush();
     });
 }
 
@@ -317,6 +345,8 @@
             return false;
         order.payload = workflow->spec.payload;
         queue = workflow->spec.queue;
+        if (const QueuePolicy *policy = this->inForce.queue(queue))
+            order.priority = policy->priority;
         account = workflow->spec.account;
         ageMs = this->options.calendarMs() - workflow->spec.dueAtMs(command.step.occurrence);
         this->countFirstStart(command, book);
@@ -359,6 +389,11 @@
 {
     if (!this->leads || this->term != inTerm)
         return;
+    const Instant now = this->options.clock();
+    this->lag = std::max(Microseconds(0), now - this->nextTickAt);
+    this->nextTickAt = now + this->options.tick;
+    if (this->lag > lagToLog)
+        logLoopLag(std::chrono::duration_cast<Milliseconds>(this->lag));
     std::vector<std::shared_ptr<TargetSession>> all; // a session that ends takes itself out
     all.reserve(this->lives.size());
     for (const auto &[life, state] : this->lives)
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -87,6 +87,8 @@
     /// Targets that new work may go to.
     std::size_t usableTargets() const;
     std::size_t knownTargets() const { return this->lives.size(); }
+    /// How late the newest periodic action ran: what waits in the loop waits at least that long.
+    Microseconds loopLag() const { return this->lag; }
     /// Workflows of \a queue that are not over and of which, as far as is known here, no task has
     /// begun on a target.
     std::size_t waitingIn(const std::string &queue) const;
@@ -115,6 +117,8 @@
 
     void add(Command command, Done<CommandOutcome> done);
     void flush();
+    void flushNow();
+    void planLater();
     void propose(std::vector<Pending> batch);
     void batchStored(const Proposed &proposed, const Result<std::string> &outcome);
     static void tellOutcomes(const Proposed &proposed, const Result<CommandOutcomes> &outcomes);
@@ -161,6 +165,10 @@
     bool isBatchUnderWay = false;
     bool isFlushQueued = false;
     bool needsPlan = false;
+    bool isPlanQueued = false;
+    Instant nextPlanAt{};
+    Instant nextTickAt{};
+    Microseconds lag{0};
     std::set<WorkflowId> countedOver; ///< by the commands of countedAtMs
     std::int64_t countedAtMs = 0;
     std::vector<Pending> pending;
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -32,6 +32,7 @@
     hooks.lifeOver = [this, life] { this->lifeOver(life); };
     hooks.runAfter = this->options.runAfter;
     hooks.isCurrent = [this] { return this->isCurrent(); };
+    hooks.ownLag = [this] { return this->lag; };
     auto session =
         std::make_shared<TargetSession>(life, record.identity, this->term, this->options.session,
                                         this->targets, std::move(hooks), this->options.clock);
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -79,6 +79,11 @@
                {"live", std::to_string(live)}});
 }
 
+void logLoopLag(Milliseconds lag)
+{
+    logChange(LogLevel::Warning, "loop-late", {{"lagMs", std::to_string(lag.count())}});
+}
+
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome)
 {
     logChange(LogLevel::Warning, "placement-dropped",
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/error.h"
 #include "workflows/command.h"
 #include "workflows/commandoutcome.h"
@@ -30,6 +31,8 @@
 void logUsable(const TargetIdentity &target, bool isUsable, const TargetStanding &standing);
 /// What binds at the moment: written at most once a second.
 void logPlan(const PlanSummary &summary, std::size_t questions, std::size_t live);
+/// The controller's loop runs late, so that orders and answers wait for it.
+void logLoopLag(Milliseconds lag);
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome);
 void logRunsOver(LifeNumber life, const std::vector<RunEnd> &ends);
 /// A run is stopped, to be begun elsewhere, since its target has stalled.
--- a/src/workflows/targetport.h
+++ b/src/workflows/targetport.h
@@ -23,6 +23,8 @@
     std::string ticket; ///< empty: the queue needs none
     std::int64_t leaseUntilMs = 0; ///< on the target's clock
     std::uint64_t term = 0; ///< fences off earlier controllers
+    std::uint32_t priority = 0; ///< its queue's: orders in line go out lowest first, stops before
+    Instant leaveBy = Instant::max(); ///< if it is still in line then, it is not sent at all
 };
 
 struct StopOrder
@@ -97,7 +99,9 @@
 };
 
 /// Carries orders to targets. Answers come on the controller's loop. An order without an answer
-/// may have been carried out, or may yet be.
+/// may have been carried out, or may yet be, unless its error says Ran::No: then nothing of it was
+/// sent. LimitExceeded says that the instance itself had no connection to spare; other errors tell
+/// of the target.
 class TargetPort
 {
 public:
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -57,7 +57,9 @@
     run.phase = Phase::Sending;
     run.placedAt = this->clock();
     run.order = std::move(order);
+    run.order.leaveBy = run.placedAt + this->limits.startPatience;
     this->runs[task] = std::move(run);
+    ++this->unansweredStarts;
     this->sendStart(task);
 }
 
@@ -115,17 +117,26 @@
 {
     const Instant now = this->clock();
     return !this->hasEnded && this->hasLists && !this->isFenced && this->saysReady
-        && this->failures == 0 && this->foreign.empty() && !this->hasUnansweredStart(now)
-        && now < this->answeredAt + this->limits.holdWait + this->limits.orderLimit;
+        && this->failures == 0 && this->foreign.empty() && now >= this->unreachableUntil
+        && now < this->answeredAt + this->limits.holdWait + this->limits.orderLimit + this->ownLag()
+        && !this->hasUnansweredStart(now);
+}
+
+Microseconds TargetSession::ownLag() const
+{
+    return this->hooks.ownLag ? this->hooks.ownLag() : Microseconds(0);
 }
 
 /// Guards against a target that is given work for 1.7 s after it was cut off, until a question that
 /// it may answer late is over: all of that would wait for its lease to run out.
 bool TargetSession::hasUnansweredStart(Instant now) const
 {
+    if (this->unansweredStarts == 0)
+        return false;
+    const Instant since = now - this->limits.startPatience - this->ownLag();
     return std::any_of(this->runs.begin(), this->runs.end(), [&](const auto &run) {
         return run.second.phase == Phase::Sending && !run.second.isStopWanted
-            && now > run.second.placedAt + this->limits.startPatience;
+            && since > run.second.placedAt;
     });
 }
 
@@ -338,7 +349,8 @@
 RunEnd TargetSession::over(const TaskAddress &task, Run &run, RunOutcome outcome,
                            std::string checkpoint)
 {
-    run.phase = Phase::Over;
+    if (std::exchange(run.phase, Phase::Over) == Phase::Sending)
+        --this->unansweredStarts;
     RunEnd end;
     end.task = task;
     end.run = run.run;
@@ -369,7 +381,10 @@
     Run &run = found->second;
     run.order.leaseUntilMs = this->leaseForStart();
     if (run.order.leaseUntilMs == 0) { // it does not answer: a lease might never be seen to end
-        this->later(this->limits.resendPause, [this, task] { this->sendStart(task); });
+        if (!run.mayHaveLeft && this->failures >= blindQuestions)
+            this->giveUpUnsent(task, run);
+        else
+            this->later(this->limits.resendPause, [this, task] { this->sendStart(task); });
         return;
     }
     this->port.start(
@@ -390,28 +405,68 @@
     if (found == this->runs.end() || found->second.run != number
         || found->second.phase != Phase::Sending)
         return;
-    if (!answer || answer.value().reply == OrderReply::Late) {
-        this->later(this->limits.resendPause, [this, task] { this->sendStart(task); });
+    Run &run = found->second;
+    if (!answer) {
+        this->startFailed(task, run, answer.error());
+        return;
+    }
+    if (answer.value().reply == OrderReply::Late) {
+        this->sendAgain(task, run);
         return;
     }
     if (!this->takeReply(answer.value().reply))
         return;
-    Run &run = found->second;
     switch (answer.value().reply) {
     case OrderReply::Done:
     case OrderReply::Settled:
         run.phase = Phase::Confirmed;
+        --this->unansweredStarts;
         run.wasStarted = answer.value().reply == OrderReply::Done;
         run.confirmedAt = this->clock();
         return;
     default:
         // An earlier send of the order may still be carried out: the stop settles it first.
-        run.isStopWanted = true;
         run.wasRefused = answer.value().reply == OrderReply::Refused;
-        this->sendStop(task, number);
+        this->settleByStop(task, run);
     }
 }
 
+/// Sends the start again if an earlier send may have arrived, and else gives the run up: its task
+/// can be placed elsewhere at once, where waiting for the target would cost a lease.
+void TargetSession::startFailed(const TaskAddress &task, Run &run, const Error &error)
+{
+    const Instant now = this->clock();
+    if (error.ran != Ran::No)
+        run.mayHaveLeft = true;
+    else if (error.code != ErrorCode::LimitExceeded) // not for want of connections on this side
+        this->unreachableUntil = now + this->limits.startPatience;
+    if (!run.mayHaveLeft)
+        this->giveUpUnsent(task, run);
+    else
+        this->sendAgain(task, run);
+    this->noteUsable();
+}
+
+void TargetSession::sendAgain(const TaskAddress &task, Run &run)
+{
+    if (this->clock() > run.placedAt + this->limits.startLimit && !run.isStopWanted)
+        this->settleByStop(task, run);
+    else
+        this->later(this->limits.resendPause, [this, task] { this->sendStart(task); });
+}
+
+void TargetSession::giveUpUnsent(const TaskAddress &task, Run &run)
+{
+    ++this->reportsUnderWay;
+    this->hooks.runsOver({this->over(task, run, RunOutcome::NeverStarted, {})});
+}
+
+void TargetSession::settleByStop(const TaskAddress &task, Run &run)
+{
+    run.isStopWanted = true;
+    this->sendStop(task, run.run);
+}
+
 void TargetSession::sendStop(const TaskAddress &task, RunNumber run)
 {
     StopOrder order;
@@ -447,7 +502,8 @@
         return;
     }
     this->answered(answer.value().clockMs);
-    found->second.phase = Phase::Confirmed;
+    if (std::exchange(found->second.phase, Phase::Confirmed) == Phase::Sending)
+        --this->unansweredStarts;
     found->second.confirmedAt = this->clock();
 }
 
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -30,6 +30,8 @@
     /// A start that is not answered for this long makes its target doubtful: one takes 1 to 5 ms,
     /// and on a loaded or slowed path ten times that.
     Milliseconds startPatience{250};
+    /// A start that is not answered for this long is given up: a stop settles whether it began.
+    Milliseconds startLimit{2000};
     Milliseconds resendPause{150}; ///< between two sends of one order
     Milliseconds stopLimit{900}; ///< what a stop may take until its run's end is listed
 };
@@ -56,6 +58,8 @@
         std::function<void(Microseconds delay, std::function<void()>)> runAfter;
         /// No later controller can have decided yet: leases may be granted.
         std::function<bool()> isCurrent;
+        /// How late this controller's own loop runs: answers may have come that it has not read.
+        std::function<Microseconds()> ownLag;
     };
 
     TargetSession(LifeNumber life, TargetIdentity identity, std::uint64_t term,
@@ -111,6 +115,7 @@
         Instant confirmedAt{}; ///< when an order for it was last answered
         bool wasListed = false;
         bool wasStarted = false; ///< its start was answered as carried out
+        bool mayHaveLeft = false; ///< a send of its start has failed after something was written
         Instant placedAt{}; ///< when its start was first to be sent; not of adopted runs
         bool wasRefused = false; ///< its start, by a target that is not well
         bool isStopWanted = false;
@@ -124,6 +129,10 @@
     void findMissing(const HoldAnswer &answer, Instant sentAt, std::vector<RunEnd> &over);
     void sendStart(const TaskAddress &task);
     void onStart(const TaskAddress &task, RunNumber run, const Result<OrderAnswer> &answer);
+    void startFailed(const TaskAddress &task, Run &run, const Error &error);
+    void sendAgain(const TaskAddress &task, Run &run);
+    void giveUpUnsent(const TaskAddress &task, Run &run);
+    void settleByStop(const TaskAddress &task, Run &run);
     void sendStop(const TaskAddress &task, RunNumber run);
     void onStop(const TaskAddress &task, RunNumber run, const Result<OrderAnswer> &answer);
     void later(Microseconds delay, std::function<void()> action);
@@ -131,6 +140,7 @@
     std::int64_t grantLease();
     std::int64_t leaseForStart();
     bool hasUnansweredStart(Instant now) const;
+    Microseconds ownLag() const;
     bool takeReply(OrderReply reply);
     RunEnd over(const TaskAddress &task, Run &run, RunOutcome outcome, std::string checkpoint);
     void reportAll(RunOutcome outcome);
@@ -157,6 +167,8 @@
     bool saysReady = false;
     bool wasUsable = false;
     unsigned failures = 0; ///< questions in a row without an answer
+    std::size_t unansweredStarts = 0; ///< runs in phase Sending
+    Instant unreachableUntil{}; ///< no connection came about; it is given nothing before
     Instant heardAt{}; ///< last heartbeat
     Instant answeredAt{};
     std::int64_t clockMs = 0; ///< the target's, at answeredAt
--- a/test/platform/wholepathtest.cpp
+++ b/test/platform/wholepathtest.cpp
@@ -2,6 +2,7 @@
 
 #include "fakes/eventually.h"
 #include "platform/node.h"
+#include "platform/nodedescriptors.h"
 #include "platform/standinplatform.h"
 #include "replicas/temporaryfolder.h"
 #include "runtime/httpclient.h"
@@ -102,7 +103,9 @@
 
     void start(const NodeSettings &settings)
     {
-        this->nodes.push_back(std::make_unique<Node>(settings, "/nowhere"));
+        const auto descriptors = nodeDescriptors(settings);
+        REQUIRE(descriptors);
+        this->nodes.push_back(std::make_unique<Node>(settings, "/nowhere", descriptors.value()));
         REQUIRE(this->nodes.back()->start());
     }
 
--- a/test/runtime/httpclienttest.cpp
+++ b/test/runtime/httpclienttest.cpp
@@ -9,8 +9,13 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <future>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace guavavalve;
+using fakes::eventually;
 
 namespace {
 
@@ -18,9 +23,9 @@
 class ClientFixture
 {
 public:
-    ClientFixture()
+    explicit ClientFixture(HttpClientOptions options = {})
         : loop(std::make_shared<IoLoop>())
-        , client(std::make_unique<HttpClient>(this->loop, HttpClientOptions()))
+        , client(std::make_unique<HttpClient>(this->loop, options))
     {}
     ~ClientFixture()
     {
@@ -46,10 +51,93 @@
         return answer.get();
     }
 
+    /// The same, without waiting for the answer.
+    std::future<Result<HttpResponse>> send(std::uint16_t port, HttpClient::Call call,
+                                           Milliseconds limit = Milliseconds(10000))
+    {
+        auto answered = std::make_shared<std::promise<Result<HttpResponse>>>();
+        auto answer = answered->get_future();
+        call.method = "POST";
+        this->loop->post([this, port, call, limit, answered] {
+            this->client->call("127.0.0.1:" + std::to_string(port), call, monotonicNow() + limit,
+                               [answered](Result<HttpResponse> response) {
+                                   answered->set_value(std::move(response));
+                               });
+        });
+        return answer;
+    }
+
+    HttpClientStatistics statistics()
+    {
+        std::promise<HttpClientStatistics> read;
+        this->loop->post([&] { read.set_value(this->client->statistics()); });
+        return read.get_future().get();
+    }
+
     std::shared_ptr<IoLoop> loop;
     std::unique_ptr<HttpClient> client;
 };
 
+/// Two connections to a peer and three in all.
+class NarrowClientFixture : public ClientFixture
+{
+public:
+    NarrowClientFixture()
+        : ClientFixture(options())
+    {}
+
+    static HttpClientOptions options()
+    {
+        HttpClientOptions narrow;
+        narrow.maxPerPeer = 2;
+        narrow.maxConnections = 3;
+        narrow.maxWaitingPerPeer = 8;
+        return narrow;
+    }
+};
+
+/// Keeps its answers until it is told to give them, and remembers what came in which order.
+class HoldingServer
+{
+public:
+    HoldingServer()
+        : server({})
+    {
+        this->server.route("*", "/", [this](const HttpRequest &request, HttpReply reply) {
+            const std::lock_guard lock(this->mutex);
+            this->paths.push_back(request.path);
+            this->held.push_back(std::move(reply));
+        });
+        REQUIRE(this->server.start());
+    }
+
+    std::size_t taken()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->paths.size();
+    }
+    /// Answers everything that has come.
+    void answerAll()
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const HttpReply &reply : std::exchange(this->held, {}))
+            reply({});
+    }
+
+    HttpServer server;
+    std::mutex mutex;
+    std::vector<std::string> paths;
+    std::vector<HttpReply> held;
+};
+
+HttpClient::Call callOf(const std::string &target, std::uint32_t urgency = 0)
+{
+    HttpClient::Call call;
+    call.target = target;
+    call.urgency = urgency;
+    return call;
+}
+
 HttpServerOptions shortIdle()
 {
     HttpServerOptions options;
@@ -73,7 +161,7 @@
         CHECK(answer.value().body == "{}");
         CHECK(answer.value().headers.at("x-echo") == "/a");
     }
-    CHECK(this->client->connectionsOpened() == 1);
+    CHECK(this->client->statistics().opened == 1);
 }
 
 TEST_CASE_METHOD(ClientFixture, "a connection that the server has closed is not used again",
@@ -87,7 +175,7 @@
     REQUIRE(this->call(server.port(), "/"));
     std::this_thread::sleep_for(std::chrono::milliseconds(1200));
     CHECK(this->call(server.port(), "/"));
-    CHECK(this->client->connectionsOpened() == 2);
+    CHECK(this->client->statistics().opened == 2);
 }
 
 TEST_CASE_METHOD(ClientFixture, "a call without an answer ends at its deadline, its run unknown",
@@ -133,3 +221,138 @@
     REQUIRE(!broken);
     CHECK(broken.error().ran == Ran::Unknown);
 }
+
+// Guards against a client that opens a connection for every call until no descriptor is left.
+TEST_CASE_METHOD(NarrowClientFixture, "calls beyond a peer's connections wait in line",
+                 "[httpclient]")
+{
+    HoldingServer peer;
+    std::vector<std::future<Result<HttpResponse>>> answers;
+    for (int i = 0; i < 9; ++i)
+        answers.push_back(this->send(peer.server.port(), callOf("/" + std::to_string(i))));
+    REQUIRE(eventually([&] { return this->statistics().waiting == 7; }));
+    CHECK(this->statistics().open == 2);
+    REQUIRE(eventually([&] {
+        peer.answerAll();
+        return peer.taken() == 9;
+    }));
+    peer.answerAll();
+    for (auto &answer : answers)
+        CHECK(answer.get());
+    CHECK(this->statistics().opened == 2);
+    CHECK(this->statistics().waiting == 0);
+}
+
+TEST_CASE_METHOD(NarrowClientFixture, "the most urgent call in line leaves first", "[httpclient]")
+{
+    HoldingServer peer;
+    std::vector<std::future<Result<HttpResponse>>> answers;
+    answers.push_back(this->send(peer.server.port(), callOf("/first")));
+    answers.push_back(this->send(peer.server.port(), callOf("/second")));
+    answers.push_back(this->send(peer.server.port(), callOf("/late", 3)));
+    answers.push_back(this->send(peer.server.port(), callOf("/soon", 1)));
+    answers.push_back(this->send(peer.server.port(), callOf("/now", 0)));
+    REQUIRE(eventually([&] { return peer.taken() == 2 && this->statistics().waiting == 3; }));
+    for (std::size_t more = 3; more <= 5; ++more) {
+        {
+            const std::lock_guard lock(peer.mutex);
+            peer.held.front()({});
+            peer.held.erase(peer.held.begin());
+        }
+        REQUIRE(eventually([&] { return peer.taken() == more; }));
+    }
+    const std::lock_guard lock(peer.mutex);
+    const std::vector<std::string> order(peer.paths.begin() + 2, peer.paths.end());
+    CHECK(order == std::vector<std::string>{"/now", "/soon", "/late"});
+    for (const HttpReply &reply : peer.held)
+        reply({});
+}
+
+TEST_CASE_METHOD(NarrowClientFixture, "a call whose turn has not come by its deadline has not run",
+                 "[httpclient]")
+{
+    HoldingServer peer;
+    auto first = this->send(peer.server.port(), callOf("/"));
+    auto second = this->send(peer.server.port(), callOf("/"));
+    HttpClient::Call brief = callOf("/");
+    brief.leaveBy = monotonicNow() + Milliseconds(100);
+    const auto late = this->send(peer.server.port(), brief).get();
+    REQUIRE(!late);
+    CHECK(late.error().code == ErrorCode::LimitExceeded);
+    CHECK(late.error().ran == Ran::No);
+    CHECK(peer.taken() == 2);
+    peer.answerAll();
+    CHECK(first.get());
+    CHECK(second.get());
+}
+
+TEST_CASE_METHOD(NarrowClientFixture, "a line that is full refuses at once", "[httpclient]")
+{
+    HoldingServer peer;
+    std::vector<std::future<Result<HttpResponse>>> answers;
+    for (int i = 0; i < 10; ++i)
+        answers.push_back(this->send(peer.server.port(), callOf("/")));
+    const auto refused = this->send(peer.server.port(), callOf("/")).get();
+    REQUIRE(!refused);
+    CHECK(refused.error().code == ErrorCode::LimitExceeded);
+    CHECK(refused.error().ran == Ran::No);
+    CHECK(this->statistics().refused == 1);
+    while (peer.taken() < 10 || this->statistics().waiting > 0)
+        peer.answerAll();
+    peer.answerAll();
+}
+
+// Guards against orders that wait behind a question that a target answers only when something ends.
+TEST_CASE_METHOD(NarrowClientFixture, "a long poll holds up no other call", "[httpclient]")
+{
+    HoldingServer peer;
+    HttpClient::Call poll = callOf("/poll");
+    poll.isLongPoll = true;
+    auto polled = this->send(peer.server.port(), poll);
+    REQUIRE(eventually([&] { return peer.taken() == 1; }));
+    auto ordered = this->send(peer.server.port(), callOf("/order"));
+    auto another = this->send(peer.server.port(), callOf("/order"));
+    REQUIRE(eventually([&] { return peer.taken() == 3; }));
+    peer.answerAll();
+    CHECK(polled.get());
+    CHECK(ordered.get());
+    CHECK(another.get());
+}
+
+// Guards against peers that never get a connection while others keep idle ones.
+TEST_CASE_METHOD(NarrowClientFixture, "an idle connection makes room for another peer",
+                 "[httpclient]")
+{
+    std::vector<std::unique_ptr<HttpServer>> peers;
+    for (int i = 0; i < 6; ++i) {
+        peers.push_back(std::make_unique<HttpServer>(HttpServerOptions()));
+        peers.back()->route("*", "/",
+                            [](const HttpRequest &, const HttpReply &reply) { reply({}); });
+        REQUIRE(peers.back()->start());
+    }
+    for (const auto &peer : peers)
+        REQUIRE(this->call(peer->port(), "/"));
+    CHECK(this->statistics().open == 3);
+    CHECK(this->statistics().evicted == 3);
+}
+
+TEST_CASE_METHOD(NarrowClientFixture, "a peer without a connection gets the next one that is free",
+                 "[httpclient]")
+{
+    HoldingServer busy;
+    HoldingServer other;
+    HoldingServer third;
+    auto first = this->send(busy.server.port(), callOf("/"));
+    auto second = this->send(busy.server.port(), callOf("/"));
+    auto blocking = this->send(other.server.port(), callOf("/"));
+    REQUIRE(eventually([&] { return busy.taken() == 2 && other.taken() == 1; }));
+    auto starved = this->send(third.server.port(), callOf("/"));
+    REQUIRE(eventually([&] { return this->statistics().waiting == 1; }));
+    busy.answerAll();
+    REQUIRE(eventually([&] { return third.taken() == 1; }));
+    CHECK(this->statistics().open <= 3);
+    third.answerAll();
+    other.answerAll();
+    CHECK(starved.get());
+    CHECK(blocking.get());
+}
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -5,6 +5,7 @@
 #include "workflows/virtualloop.h"
 
 #include <memory>
+#include <optional>
 
 using namespace guavavalve;
 using namespace guavavalve::workflows;
@@ -22,6 +23,12 @@
                Done<OrderAnswer> done) override
     {
         ++this->starts;
+        if (this->unsentStart) {
+            this->loop.runAfter(
+                Milliseconds(100),
+                [done = std::move(done), error = *this->unsentStart] { done(error); });
+            return;
+        }
         this->answer(deadline, std::move(done), OrderAnswer{this->startReply, this->clockMs});
     }
     void stop(const TargetIdentity &, const StopOrder &, Instant deadline,
@@ -47,7 +54,9 @@
     {
         if (this->isSilent) {
             this->loop.runAfter(deadline - this->loop.now(), [done = std::move(done)] {
-                done(failure(ErrorCode::DeadlineExceeded, "no answer"));
+                Error error = failure(ErrorCode::DeadlineExceeded, "no answer");
+                error.ran = Ran::Unknown;
+                done(error);
             });
             return;
         }
@@ -61,6 +70,7 @@
     Instant lastGrantAt{};
     int starts = 0;
     OrderReply startReply = OrderReply::Done;
+    std::optional<Error> unsentStart; ///< no start leaves: what its sender is told
     std::vector<RunningTask> running;
 };
 
@@ -79,6 +89,7 @@
             this->loop.runAfter(delay, std::move(action));
         };
         hooks.isCurrent = [this] { return this->isCurrent; };
+        hooks.ownLag = [this] { return this->ownLag; };
         TargetIdentity identity;
         identity.name = "t1";
         this->session = std::make_shared<TargetSession>(static_cast<LifeNumber>(1), identity, 3,
@@ -111,6 +122,7 @@
     RecordingPort port{this->loop};
     SessionLimits limits;
     bool isCurrent = true;
+    Microseconds ownLag{0};
     std::vector<RunEnd> over;
     Instant overAt{};
     std::shared_ptr<TargetSession> session;
@@ -207,3 +219,73 @@
     this->tickFor(this->limits.startPatience + Milliseconds(20));
     CHECK_FALSE(this->session->isUsable());
 }
+
+// Guards against a task that waits for a lease to run out although its start was never sent.
+TEST_CASE_METHOD(SessionFixture, "a run whose start never left is over at once", "[session]")
+{
+    this->port.unsentStart = failure(ErrorCode::LimitExceeded, "no connection came free");
+    this->startTask();
+    this->port.running.clear();
+    this->tickFor(Milliseconds(200));
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].outcome == RunOutcome::NeverStarted);
+    CHECK(this->port.starts == 1);
+}
+
+// Guards against a leader that runs short of connections and holds its targets for lost.
+TEST_CASE_METHOD(SessionFixture, "a start held up on this side says nothing of its target",
+                 "[session]")
+{
+    this->port.unsentStart = failure(ErrorCode::LimitExceeded, "no connection came free");
+    this->startTask();
+    this->port.running.clear();
+    this->tickFor(Milliseconds(200));
+    CHECK(this->session->isUsable());
+}
+
+// Guards against work that is placed again and again on a target that takes no connection.
+TEST_CASE_METHOD(SessionFixture, "a target that takes no connection is given nothing for a while",
+                 "[session]")
+{
+    this->port.unsentStart = failure(ErrorCode::Unavailable, "cannot connect");
+    this->startTask();
+    this->port.running.clear();
+    this->tickFor(Milliseconds(110));
+    CHECK_FALSE(this->session->isUsable());
+    this->tickFor(this->limits.startPatience);
+    CHECK(this->session->isUsable());
+}
+
+// Guards against a second run beside a first one whose start did arrive.
+TEST_CASE_METHOD(SessionFixture, "a start that may have left once keeps its lease", "[session]")
+{
+    this->port.isSilent = true;
+    this->startTask();
+    this->tickFor(Milliseconds(900));
+    this->port.unsentStart = failure(ErrorCode::Unavailable, "cannot connect");
+    this->tickFor(Milliseconds(800));
+    CHECK(this->over.empty());
+}
+
+// Guards against a run that stays unsettled while its target answers all but its start.
+TEST_CASE_METHOD(SessionFixture, "a start that is never answered is given up and stopped",
+                 "[session]")
+{
+    this->port.startReply = OrderReply::Late;
+    this->startTask();
+    this->port.running.clear();
+    this->tickFor(this->limits.startLimit + Milliseconds(1500));
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].outcome == RunOutcome::NeverStarted);
+}
+
+// Guards against a busy leader that takes sound targets out because it reads their answers late.
+TEST_CASE_METHOD(SessionFixture, "patience with a target follows the lag of the own loop",
+                 "[session]")
+{
+    this->ownLag = Milliseconds(600);
+    this->port.isSilent = true;
+    this->startTask();
+    this->tickFor(this->limits.startPatience + Milliseconds(20));
+    CHECK(this->session->isUsable());
+}
