--- a/src/workflows/targetlife.h
+++ b/src/workflows/targetlife.h
@@ -32,6 +32,14 @@
             || std::find(this->labels.begin(), this->labels.end(), label) != this->labels.end();
     }
 
+    bool operator==(const TargetIdentity &other) const
+    {
+        return this->name == other.name && this->bornAtMs == other.bornAtMs
+            && this->address == other.address && this->service == other.service
+            && this->failureDomain == other.failureDomain && this->labels == other.labels
+            && this->rack == other.rack && this->capacity.amounts == other.capacity.amounts;
+    }
+
     template<typename Archive>
     void serialize(Archive &archive)
     {
