workflows: a plan looks only at targets that a step is admitted to

Each batch planned all waiting steps against all open targets, with a look-up of the admission for each pair: half a million look-ups a plan at 700 workflows and 690 targets.

A step's admissions are looked up once; its tasks choose among the targets that it holds a valid ticket of, or all of its service where none is needed. Workflows with nothing ready are passed over before their chains are worked out. Questions order only as many targets as they name.

--- a/src/workflows/internal/planroom.cpp
+++ b/src/workflows/internal/planroom.cpp
@@ -28,7 +28,7 @@
     for (const auto &[address, claim] : input.claims) {
         const Workflow *workflow = input.book.find(address.workflow);
         if (workflow != nullptr && !workflow->isOver())
-            this->addClaim({address, workflow, nullptr, 0, false}, -1);
+            this->addClaim({address, workflow, nullptr, 0, false, nullptr}, -1);
     }
 }
 
@@ -107,25 +107,39 @@
 
 bool PlanRoom::mayStart(const ReadyStep &step, const OpenTarget &target) const
 {
-    const StepAdmissions *known = this->admissions(step);
-    const bool isGood =
-        !step.queue->needsAdvice || (known != nullptr && known->admitted.count(target.life) != 0);
+    const bool isGood = !step.queue->needsAdvice
+        || (step.admissions != nullptr && step.admissions->admitted.count(target.life) != 0);
     return isGood && PlanRoom::mayRun(step, target)
         && step.spec().reserved().fitsInto(target.identity->capacity);
 }
 
-const StepAdmissions *PlanRoom::admissions(const ReadyStep &step) const
+std::vector<OpenTarget *> PlanRoom::admittedTargets(const ReadyStep &step)
 {
-    const auto known = this->input.admissions.find(step.address);
-    return known == this->input.admissions.end() ? nullptr : &known->second;
+    std::vector<OpenTarget *> found;
+    if (!step.queue->needsAdvice) {
+        for (OpenTarget &target : this->open) {
+            if (PlanRoom::mayRun(step, target))
+                found.push_back(&target);
+        }
+        return found;
+    }
+    if (step.admissions == nullptr)
+        return found;
+    const Instant until = this->input.now + ticketReserve;
+    for (const auto &[life, admission] : step.admissions->admitted) {
+        OpenTarget *target = admission.validUntil > until ? this->find(life) : nullptr;
+        if (target != nullptr && PlanRoom::mayRun(step, *target))
+            found.push_back(target);
+    }
+    return found;
 }
 
 bool PlanRoom::isAdmitted(const ReadyStep &step, LifeNumber life) const
 {
     if (!step.queue->needsAdvice)
         return true;
-    const StepAdmissions *known = this->admissions(step);
-    return known != nullptr && known->valid(life, this->input.now + ticketReserve) != nullptr;
+    return step.admissions != nullptr
+        && step.admissions->valid(life, this->input.now + ticketReserve) != nullptr;
 }
 
 } // namespace guavavalve::workflows::internal
--- a/src/workflows/internal/planroom.h
+++ b/src/workflows/internal/planroom.h
@@ -35,12 +35,14 @@
     /// Service and label allow it, and a target on probation is given no member of a gang: one that
     /// fails ends all others.
     static bool mayRun(const ReadyStep &step, const OpenTarget &target);
+    /// The targets that the step may be started on now, as far as room is not asked about: its
+    /// admissions there are still good, or it needs none.
+    std::vector<OpenTarget *> admittedTargets(const ReadyStep &step);
     /// The step has an admission there that is still good, or needs none.
     bool isAdmitted(const ReadyStep &step, LifeNumber life) const;
     /// Its tasks may be started there once there is room, for all that is known: their tickets may
     /// have to be renewed first.
     bool mayStart(const ReadyStep &step, const OpenTarget &target) const;
-    const StepAdmissions *admissions(const ReadyStep &step) const;
 
 private:
     void addClaim(const ReadyStep &step, std::int64_t sign);
--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -23,8 +23,10 @@
 std::vector<LifeNumber> firstTargets(std::vector<std::pair<std::int64_t, LifeNumber>> keyed,
                                      std::size_t most)
 {
-    std::sort(keyed.begin(), keyed.end());
-    keyed.resize(std::min(keyed.size(), most));
+    most = std::min(most, keyed.size());
+    std::partial_sort(keyed.begin(), keyed.begin() + static_cast<std::ptrdiff_t>(most),
+                      keyed.end());
+    keyed.resize(most);
     std::vector<LifeNumber> lives;
     lives.reserve(keyed.size());
     for (const auto &[key, life] : keyed)
@@ -59,7 +61,7 @@
 
 std::vector<AdmissionQuestion> QuestionMaker::make(const ReadyStep &step) const
 {
-    const StepAdmissions *known = this->room.admissions(step);
+    const StepAdmissions *known = step.admissions;
     if (known != nullptr && (!known->asked.empty() || this->input.now < known->nextQuestionAt))
         return {};
     if (known != nullptr) {
@@ -80,10 +82,12 @@
                                                           const StepAdmissions &known) const
 {
     std::vector<std::pair<std::uint16_t, LifeNumber>> withRoom;
-    for (const OpenTarget &target : this->room.targets()) {
-        const std::uint16_t slots = slotsOn(step, target);
-        if (slots > 0 && known.admitted.count(target.life) != 0 && PlanRoom::mayRun(step, target))
-            withRoom.emplace_back(slots, target.life);
+    for (const auto &[life, admission] : known.admitted) {
+        const OpenTarget *target = this->room.find(life);
+        if (target == nullptr || !PlanRoom::mayRun(step, *target))
+            continue;
+        if (const std::uint16_t slots = slotsOn(step, *target); slots > 0)
+            withRoom.emplace_back(slots, life);
     }
     std::sort(withRoom.rbegin(), withRoom.rend());
     AdmissionQuestion question;
@@ -106,10 +110,11 @@
                                                              const StepAdmissions &known) const
 {
     std::vector<std::pair<std::int64_t, LifeNumber>> expired;
-    for (const OpenTarget &target : this->room.targets()) {
-        if (known.admitted.count(target.life) != 0 && PlanRoom::mayRun(step, target)
-            && !this->room.isAdmitted(step, target.life) && slotsOn(step, target) > 0)
-            expired.emplace_back(-target.free[ResourceKind::MilliCores], target.life);
+    for (const auto &[life, admission] : known.admitted) {
+        const OpenTarget *target = this->room.find(life);
+        if (target != nullptr && PlanRoom::mayRun(step, *target)
+            && !this->room.isAdmitted(step, life) && slotsOn(step, *target) > 0)
+            expired.emplace_back(-target->free[ResourceKind::MilliCores], life);
     }
     if (expired.empty())
         return std::nullopt;
@@ -120,7 +125,7 @@
 /// stays true, so full ones are named too while nothing at all is known.
 std::vector<AdmissionQuestion> QuestionMaker::explore(const ReadyStep &step) const
 {
-    const StepAdmissions *known = this->room.admissions(step);
+    const StepAdmissions *known = step.admissions;
     std::vector<std::pair<std::int64_t, LifeNumber>> unknown;
     for (const OpenTarget &target : this->room.targets()) {
         const bool isKnown = known != nullptr
--- a/src/workflows/internal/readystep.h
+++ b/src/workflows/internal/readystep.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "workflows/admissions.h"
 #include "workflows/policy.h"
 #include "workflows/workflow.h"
 
@@ -21,6 +22,7 @@
     /// Guards against a cell where everybody is late: in the order of objectives alone the oldest
     /// come first, and each that is late already makes one late that could still be in time.
     bool isLate = false;
+    const StepAdmissions *admissions = nullptr; ///< null: nothing is known yet
 
     const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
     const StepProgress &progress() const { return this->workflow->step(this->address); }
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -84,9 +84,30 @@
         return steps;
     }
 
+    /// Most workflows that are not over have all that is ready under way.
+    static bool hasReadyStep(const Workflow &workflow)
+    {
+        for (std::uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
+            for (std::size_t i = 0; i < workflow.spec.steps.size(); ++i) {
+                if (hasWaiting(workflow.spec.steps[i], workflow.occurrences[k][i])
+                    && workflow.isReady({workflow.spec.id, k, static_cast<std::uint16_t>(i)}))
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    const StepAdmissions *admissionsOf(const StepAddress &address) const
+    {
+        const auto known = this->input.admissions.find(address);
+        return known == this->input.admissions.end() ? nullptr : &known->second;
+    }
+
     void addReadySteps(const Workflow &workflow, const QueuePolicy &queue,
                        std::vector<ReadyStep> &steps) const
     {
+        if (!hasReadyStep(workflow))
+            return;
         const std::vector<std::int64_t> chains = chainsFrom(workflow.spec);
         const auto longest = static_cast<double>(*std::max_element(chains.begin(), chains.end()));
         for (std::uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
@@ -100,7 +121,8 @@
                 const StepProgress &progress = workflow.step(address);
                 if (hasWaiting(workflow.spec.steps[i], progress) && workflow.isReady(address))
                     steps.push_back({address, &workflow, &queue, objectiveMs,
-                                     this->input.calendarMs + chains[i] > objectiveMs});
+                                     this->input.calendarMs + chains[i] > objectiveMs,
+                                     this->admissionsOf(address)});
             }
         }
     }
@@ -108,6 +130,7 @@
     void place(const ReadyStep &step)
     {
         this->room.openClaim(step);
+        this->candidates = this->room.admittedTargets(step);
         const bool isPlaced = step.spec().gang ? this->placeGang(step) : this->placeSingles(step);
         if (isPlaced)
             return; // its claim is spent
@@ -286,21 +309,20 @@
         const Resources need = step.spec().reserved();
         OpenTarget *best = nullptr;
         std::tuple<bool, bool, std::int64_t> bestScore;
-        for (OpenTarget &target : this->room.targets()) {
-            if (!need.fitsInto(target.free) || !PlanRoom::mayRun(step, target)
-                || (rack != nullptr && target.identity->rack != *rack)
-                || !this->room.isAdmitted(step, target.life))
+        for (OpenTarget *target : this->candidates) {
+            if (!need.fitsInto(target->free)
+                || (rack != nullptr && target->identity->rack != *rack))
                 continue;
-            const auto here = onTarget.find(target.life);
+            const auto here = onTarget.find(target->life);
             const std::uint16_t count = here == onTarget.end() ? 0 : here->second;
             if (step.spec().maxPerTarget != 0 && count >= step.spec().maxPerTarget)
                 continue;
             const bool isFar =
-                !step.spec().dataRack.empty() && target.identity->rack != step.spec().dataRack;
-            const bool wasThere = task.run > 0 && task.life == target.life; // in vain
-            const std::tuple score{wasThere, isFar, target.free[ResourceKind::MilliCores]};
+                !step.spec().dataRack.empty() && target->identity->rack != step.spec().dataRack;
+            const bool wasThere = task.run > 0 && task.life == target->life; // in vain
+            const std::tuple score{wasThere, isFar, target->free[ResourceKind::MilliCores]};
             if (best == nullptr || score < bestScore) {
-                best = &target;
+                best = target;
                 bestScore = score;
             }
         }
@@ -310,6 +332,7 @@
     const PlanInput &input;
     PlanRoom room;
     QuestionMaker questions;
+    std::vector<OpenTarget *> candidates; ///< where the step that is being placed is admitted
     std::size_t placedOfStep = 0; ///< by the last placeSingles()
     std::int64_t allMilliCores = 0; ///< of all open targets
     std::int64_t savedMilliCores = 0; ///< let gather for gangs
