--- a/src/runtime/httpclientpool.cpp
+++ b/src/runtime/httpclientpool.cpp
@@ -42,7 +42,7 @@
 std::shared_ptr<HttpClientConnection> HttpClientPool::takeIdle(Lane &lane)
 {
     while (!lane.idle.empty()) {
-        const std::shared_ptr<HttpClientConnection> connection = lane.idle.back();
+        std::shared_ptr<HttpClientConnection> connection = lane.idle.back();
         lane.idle.pop_back();
         this->idle.erase(connection->idlePlace);
         if (connection->isAlive())
@@ -71,18 +71,18 @@
     if (this->idle.empty())
         return false;
     ++this->counted.evicted;
-    this->forget(this->idle.front());
+    this->forget(*this->idle.front());
     return true;
 }
 
 /// Closes an idle connection.
-void HttpClientPool::forget(const std::shared_ptr<HttpClientConnection> &connection)
+void HttpClientPool::forget(HttpClientConnection &connection)
 {
-    const std::shared_ptr<HttpClientConnection> kept = connection; // the lists held it
-    Lane &lane = this->lane({kept->peer(), kept->isForLongPolls()});
-    lane.idle.erase(std::remove(lane.idle.begin(), lane.idle.end(), kept), lane.idle.end());
-    this->idle.erase(kept->idlePlace);
-    kept->close();
+    Lane &lane = this->lane({connection.peer(), connection.isForLongPolls()});
+    connection.close();
+    const auto place = connection.idlePlace;
+    lane.idle.erase(std::remove(lane.idle.begin(), lane.idle.end(), *place), lane.idle.end());
+    this->idle.erase(place); // the last to hold it
     --lane.open;
     --this->counted.open;
 }
@@ -199,7 +199,7 @@
 {
     for (Lane &lane : this->peers[peer]) {
         while (!lane.idle.empty())
-            this->forget(lane.idle.back());
+            this->forget(*lane.idle.back());
     }
 }
 
--- a/src/runtime/httpclientpool.h
+++ b/src/runtime/httpclientpool.h
@@ -69,7 +69,7 @@
     void overdue(const LaneAddress &address, const std::shared_ptr<WaitingCall> &waiting);
     void startNext(Lane &lane, const std::shared_ptr<HttpClientConnection> &connection);
     void serveStarved();
-    void forget(const std::shared_ptr<HttpClientConnection> &connection);
+    void forget(HttpClientConnection &connection);
     void dropIdle(const std::string &peer);
     void forgetUnused(const std::string &peer);
 
--- a/test/runtime/httpclienttest.cpp
+++ b/test/runtime/httpclienttest.cpp
@@ -228,6 +228,7 @@
 {
     HoldingServer peer;
     std::vector<std::future<Result<HttpResponse>>> answers;
+    answers.reserve(9);
     for (int i = 0; i < 9; ++i)
         answers.push_back(this->send(peer.server.port(), callOf("/" + std::to_string(i))));
     REQUIRE(eventually([&] { return this->statistics().waiting == 7; }));
@@ -290,6 +291,7 @@
 {
     HoldingServer peer;
     std::vector<std::future<Result<HttpResponse>>> answers;
+    answers.reserve(10);
     for (int i = 0; i < 10; ++i)
         answers.push_back(this->send(peer.server.port(), callOf("/")));
     const auto refused = this->send(peer.server.port(), callOf("/")).get();
