workflows: claims yield to more urgent work; questions of gangs are bounded by what they can gain

After all core machines had been dark for 4.8 s the cell never recovered: up to 1,600 of the most urgent tasks waited with up to 900 questions under way. Room claimed for questions about less urgent gangs was out of reach for urgent work; each gang in the full cell asked about all 1,100 targets, eleven questions of 1.1 s, since full targets counted as no room; and a gang that renewed more than 100 tickets sent a question that the service refuses (400).

Claims are held back only from work of the same or less urgency. A gang has at most four questions under way, and none once it is admitted to targets that, empty, would hold it five times. Renewals are split at the longest question. The part of targets that is admitted is learned for each queue in place of a constant.

Ruled out: processor time (the leader was at 0.36 of 0.6 cores in its busiest second) and descriptors (2,772 of 4,324).

--- a/src/workflows/admissions.h
+++ b/src/workflows/admissions.h
@@ -3,6 +3,8 @@
 #include "core/clock.h"
 #include "workflows/ids.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -35,4 +37,29 @@
 
 using AdmissionTable = std::map<StepAddress, StepAdmissions>;
 
+/// Part of the targets asked about that were admitted, over the newest questions.
+class AdmittedPart
+{
+public:
+    void answered(std::size_t asked, std::size_t admitted)
+    {
+        if (asked == 0)
+            return;
+        const double part = static_cast<double>(admitted) / static_cast<double>(asked);
+        this->value = this->hasAny ? this->value + weightOfNewest * (part - this->value) : part;
+        this->hasAny = true;
+    }
+    /// At least a small part, so that what is asked about stays bounded.
+    double mean() const { return std::max(this->value, leastPart); }
+
+private:
+    static constexpr double weightOfNewest = 0.05;
+    static constexpr double leastPart = 0.02;
+
+    double value = 0.0;
+    bool hasAny = false;
+};
+
+using AdmittedParts = std::map<std::string, AdmittedPart>; ///< by queue
+
 } // namespace guavavalve::workflows
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -59,6 +59,7 @@
     this->health.clear();
     this->movesOf.clear();
     this->admissions.clear();
+    this->admittedParts.clear();
     this->claims.clear();
     this->orphansSince.clear();
     this->openQuestions = 0;
@@ -304,7 +305,7 @@
     const Plan made = this->machine.read([&](const Book &book) {
         return makePlan({book, this->inForce, this->admissions, this->claims,
                          this->openTargets(book), this->options.clock(),
-                         this->options.calendarMs()});
+                         this->options.calendarMs(), &this->admittedParts});
     });
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -177,6 +177,7 @@
     TargetHealth health;
     std::map<TaskAddress, unsigned> movesOf; ///< runs stopped because their target had stalled
     AdmissionTable admissions;
+    AdmittedParts admittedParts;
     ClaimTable claims;
     std::map<StepAddress, Instant> orphansSince; ///< gangs that have lost members
     Policy inForce;
--- a/src/workflows/controlleradmissions.cpp
+++ b/src/workflows/controlleradmissions.cpp
@@ -2,7 +2,9 @@
 
 #include "workflows/decisionlog.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,9 +39,15 @@
                 names.push_back(record->identity.name);
         }
     });
-    this->admissions[question.step].asked.insert(question.targets.begin(), question.targets.end());
-    if (!question.claim.empty())
-        this->claims[question.step] = {question.claim, this->options.clock() + claimLimit};
+    std::set<LifeNumber> &asked = this->admissions[question.step].asked;
+    if (asked.empty())
+        this->claims.erase(question.step); // of an earlier round
+    asked.insert(question.targets.begin(), question.targets.end());
+    if (!question.claim.empty()) {
+        Claim &claim = this->claims[question.step];
+        claim.tasks.insert(question.claim.begin(), question.claim.end());
+        claim.until = this->options.clock() + claimLimit;
+    }
     ++this->openQuestions;
     this->admissionPort.ask(
         question.step, names, Milliseconds(static_cast<std::int64_t>(expectedMs)),
@@ -62,6 +70,9 @@
     if (found == this->admissions.end())
         return;
     StepAdmissions &known = found->second;
+    const bool isExploring = std::none_of(
+        question.targets.begin(), question.targets.end(),
+        [&known](LifeNumber life) { return known.admitted.count(life) != 0; });
     for (const LifeNumber life : question.targets)
         known.asked.erase(life);
     if (!answer) {
@@ -76,6 +87,10 @@
             return;
         const std::map<std::string, std::string> tickets(answer.value().begin(),
                                                          answer.value().end());
+        if (isExploring) {
+            const std::string &name = book.find(question.step.workflow)->spec.queue;
+            this->admittedParts[name].answered(question.targets.size(), tickets.size());
+        }
         for (const LifeNumber life : question.targets) {
             const LifeRecord *record = book.find(life);
             const auto ticket =
--- a/src/workflows/internal/planroom.cpp
+++ b/src/workflows/internal/planroom.cpp
@@ -27,8 +27,20 @@
               [](const OpenTarget &a, const OpenTarget &b) { return a.life < b.life; });
     for (const auto &[address, claim] : input.claims) {
         const Workflow *workflow = input.book.find(address.workflow);
-        if (workflow != nullptr && !workflow->isOver())
-            this->addClaim({address, workflow, nullptr, 0, false, nullptr}, -1);
+        const QueuePolicy *queue =
+            workflow == nullptr ? nullptr : input.policy.queue(workflow->spec.queue);
+        if (queue != nullptr && !workflow->isOver()) {
+            this->claiming.emplace(queue->priority,
+                                   ReadyStep{address, workflow, queue, 0, false, nullptr});
+        }
+    }
+}
+
+void PlanRoom::holdClaims(std::uint32_t priority)
+{
+    while (!this->claiming.empty() && this->claiming.begin()->first <= priority) {
+        this->addClaim(this->claiming.begin()->second, -1);
+        this->claiming.erase(this->claiming.begin());
     }
 }
 
--- a/src/workflows/internal/planroom.h
+++ b/src/workflows/internal/planroom.h
@@ -21,6 +21,9 @@
     const std::vector<OpenTarget> &targets() const { return this->open; }
     OpenTarget *find(LifeNumber life);
 
+    /// Takes the room out that steps of \a priority and of more urgent ones claim. To be called
+    /// with rising priorities: a step may use what less urgent ones claim.
+    void holdClaims(std::uint32_t priority);
     /// Hands a step the room that it claims, and takes it back.
     void openClaim(const ReadyStep &step);
     void closeClaim(const ReadyStep &step);
@@ -51,6 +54,7 @@
 
     const PlanInput &input;
     std::vector<OpenTarget> open; ///< by life
+    std::multimap<std::uint32_t, ReadyStep> claiming; ///< by priority; not held yet
     std::map<std::string, Resources> accounts;
 };
 
--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -13,8 +13,13 @@
 constexpr std::size_t maxNamedTargets = 30;
 /// The most that the service lets one question name.
 constexpr std::size_t longestQuestion = 100;
-/// Part of the targets that a gang's step may run on: 0.3 in both users' services.
-constexpr double admittedPart = 0.3;
+/// Part of the targets that a step may run on, where nothing has been observed yet.
+constexpr double usualPart = 0.3;
+/// A gang names no more targets at a time than these questions hold, however full the cell is.
+constexpr std::size_t mostQuestionsAtOnce = 4;
+/// A gang that may run on targets which, empty, hold this many times its tasks asks about no more:
+/// it waits for room on these.
+constexpr std::size_t enoughCapacity = 5;
 /// A gang is asked about for this many times the room that it needs: of ten targets with three
 /// admitted on average, one question in seven would find too few at once.
 constexpr double spareRoom = 2.5;
@@ -67,8 +72,10 @@
     if (known != nullptr) {
         auto renewal =
             step.spec().gang ? this->renewGang(step, *known) : this->renewSingles(step, *known);
-        if (renewal)
-            return {std::move(*renewal)};
+        if (!renewal.empty())
+            return renewal;
+        if (step.spec().gang && this->knowsEnough(step))
+            return {};
     }
     return this->explore(step);
 }
@@ -78,8 +85,8 @@
 ///
 /// Guards against questions that cannot help: one costs half a second and more, and gangs that
 /// asked whenever their tickets ran out kept two thirds of the service's time for themselves.
-std::optional<AdmissionQuestion> QuestionMaker::renewGang(const ReadyStep &step,
-                                                          const StepAdmissions &known) const
+std::vector<AdmissionQuestion> QuestionMaker::renewGang(const ReadyStep &step,
+                                                        const StepAdmissions &known) const
 {
     std::vector<std::pair<std::uint16_t, LifeNumber>> withRoom;
     for (const auto &[life, admission] : known.admitted) {
@@ -90,24 +97,51 @@
             withRoom.emplace_back(slots, life);
     }
     std::sort(withRoom.rbegin(), withRoom.rend());
-    AdmissionQuestion question;
-    question.step = step.address;
+    std::vector<AdmissionQuestion> made;
     std::size_t found = 0;
     const std::size_t wanted = step.progress().tasks.size();
     for (const auto &[slots, life] : withRoom) {
         if (found >= wanted)
             break;
+        if (made.empty() || made.back().targets.size() >= longestQuestion)
+            made.push_back({step.address, {}, {}});
         const auto taken = static_cast<std::uint16_t>(std::min<std::size_t>(slots, wanted - found));
-        question.targets.push_back(life);
-        question.claim[life] = taken;
+        made.back().targets.push_back(life);
+        made.back().claim[life] = taken;
         found += taken;
     }
-    return found >= wanted ? std::optional(std::move(question)) : std::nullopt;
+    if (found < wanted)
+        return {};
+    return made;
+}
+
+/// True if the targets that are known to be admitted, were they empty, held the gang several times
+/// over.
+///
+/// Guards against gangs that ask about a whole cell while it is full: what they lack is room.
+bool QuestionMaker::knowsEnough(const ReadyStep &step) const
+{
+    std::size_t slots = 0;
+    for (const auto &[life, admission] : step.admissions->admitted) {
+        const OpenTarget *target = this->room.find(life);
+        if (target != nullptr && PlanRoom::mayRun(step, *target))
+            slots += slotsIn(step, target->identity->capacity);
+    }
+    return slots >= enoughCapacity * step.progress().tasks.size();
+}
+
+/// Part of the targets that steps of this queue may run on, as observed.
+double QuestionMaker::admittedPart(const ReadyStep &step) const
+{
+    if (this->input.admittedParts == nullptr)
+        return usualPart;
+    const auto observed = this->input.admittedParts->find(step.workflow->spec.queue);
+    return observed == this->input.admittedParts->end() ? usualPart : observed->second.mean();
 }
 
 /// For single tasks each ticket on a target with room helps.
-std::optional<AdmissionQuestion> QuestionMaker::renewSingles(const ReadyStep &step,
-                                                             const StepAdmissions &known) const
+std::vector<AdmissionQuestion> QuestionMaker::renewSingles(const ReadyStep &step,
+                                                           const StepAdmissions &known) const
 {
     std::vector<std::pair<std::int64_t, LifeNumber>> expired;
     for (const auto &[life, admission] : known.admitted) {
@@ -117,8 +151,8 @@
             expired.emplace_back(-target->free[ResourceKind::MilliCores], life);
     }
     if (expired.empty())
-        return std::nullopt;
-    return AdmissionQuestion{step.address, firstTargets(expired, maxNamedTargets), {}};
+        return {};
+    return {{step.address, firstTargets(expired, maxNamedTargets), {}}};
 }
 
 /// Asks about targets that nothing is known of: those with the most room first. What is learned
@@ -155,15 +189,19 @@
 QuestionMaker::exploreForGang(const ReadyStep &step, const std::vector<LifeNumber> &unknown) const
 {
     const double wanted = spareRoom * static_cast<double>(step.progress().tasks.size());
+    const double part = this->admittedPart(step);
     double expected = 0.0;
     std::vector<AdmissionQuestion> made;
     for (const LifeNumber life : unknown) {
         if (expected >= wanted)
             break;
-        if (made.empty() || made.back().targets.size() >= longestQuestion)
+        const bool isFull = made.empty() || made.back().targets.size() >= longestQuestion;
+        if (isFull && made.size() == mostQuestionsAtOnce)
+            break;
+        if (isFull)
             made.push_back({step.address, {}, {}});
         made.back().targets.push_back(life);
-        expected += admittedPart * slotsOn(step, *this->room.find(life));
+        expected += part * slotsOn(step, *this->room.find(life));
     }
     return made;
 }
--- a/src/workflows/internal/questionmaker.h
+++ b/src/workflows/internal/questionmaker.h
@@ -2,7 +2,6 @@
 
 #include "workflows/internal/planroom.h"
 
-#include <optional>
 #include <vector>
 
 namespace guavavalve::workflows::internal {
@@ -17,13 +16,15 @@
     std::vector<AdmissionQuestion> make(const ReadyStep &step) const;
 
 private:
-    std::optional<AdmissionQuestion> renewGang(const ReadyStep &step,
-                                               const StepAdmissions &known) const;
-    std::optional<AdmissionQuestion> renewSingles(const ReadyStep &step,
-                                                  const StepAdmissions &known) const;
+    std::vector<AdmissionQuestion> renewGang(const ReadyStep &step,
+                                             const StepAdmissions &known) const;
+    std::vector<AdmissionQuestion> renewSingles(const ReadyStep &step,
+                                                const StepAdmissions &known) const;
     std::vector<AdmissionQuestion> explore(const ReadyStep &step) const;
     std::vector<AdmissionQuestion> exploreForGang(const ReadyStep &step,
                                                   const std::vector<LifeNumber> &unknown) const;
+    bool knowsEnough(const ReadyStep &step) const;
+    double admittedPart(const ReadyStep &step) const;
 
     const PlanInput &input;
     PlanRoom &room;
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -129,6 +129,7 @@
 
     void place(const ReadyStep &step)
     {
+        this->room.holdClaims(step.queue->priority);
         this->room.openClaim(step);
         this->candidates = this->room.admittedTargets(step);
         const bool isPlaced = step.spec().gang ? this->placeGang(step) : this->placeSingles(step);
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -55,6 +55,7 @@
     std::vector<OpenTarget> targets;
     Instant now;
     std::int64_t calendarMs = 0;
+    const AdmittedParts *admittedParts = nullptr; ///< null: nothing has been observed
 };
 
 /// Decides which ready tasks go where. Pure.
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -34,7 +34,7 @@
                                 this->onProbation.count(life) != 0});
         }
         return makePlan({this->book, this->policy, this->admissions, this->claims, open, this->now,
-                         this->calendarMs});
+                         this->calendarMs, this->admittedParts});
     }
 
     /// Plans, and carries the placements out.
@@ -77,6 +77,7 @@
     std::set<LifeNumber> closed;
     std::set<LifeNumber> onProbation;
     std::int64_t calendarMs = 1000;
+    const AdmittedParts *admittedParts = nullptr;
     Instant now{std::chrono::seconds(100)};
 };
 
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -177,6 +177,22 @@
     CHECK(this->plan().placements.size() == 1); // a claim that has run out keeps nothing
 }
 
+// Guards against urgent work that waits while room stands empty for the questions of other work.
+TEST_CASE_METHOD(PlanFixture, "room that less urgent work claims may be used", "[planner]")
+{
+    this->policy.queues["urgent"] = this->policy.queues["q"];
+    this->policy.queues["q"].priority = 1;
+    this->needAdvice();
+    this->accept({gang(12)});
+    this->claims[at(0)] = {{{life(1), 4}, {life(2), 4}, {life(3), 4}},
+                           this->now + Milliseconds(500)};
+    this->add(3, "urgent", step(4));
+    const Plan made = this->plan();
+    REQUIRE(made.placements.size() == 1);
+    CHECK(made.placements[0].step.workflow == static_cast<WorkflowId>(3));
+    CHECK(made.placements[0].placements.size() == 4);
+}
+
 TEST_CASE_METHOD(PlanFixture, "room is let gather for a gang that waits", "[planner]")
 {
     // The cell is full, and small tasks end one by one. Each gap went to the next small task, and
--- a/test/workflows/questionmakertest.cpp
+++ b/test/workflows/questionmakertest.cpp
@@ -67,3 +67,49 @@
     REQUIRE(made.questions.size() == 1);
     CHECK(made.questions[0].targets.size() == 42);
 }
+
+// Guards against a question that the service refuses because it names too many targets.
+TEST_CASE_METHOD(LargeCell, "a large gang renews its tickets in several questions", "[questions]")
+{
+    this->accept({gang(600)});
+    for (unsigned i = 1; i <= targets; ++i)
+        this->admissions[at(0)].admitted[life(i)] = {"ticket", this->now};
+    const Plan made = this->plan();
+    REQUIRE(made.questions.size() == 2);
+    std::size_t claimed = 0;
+    std::set<LifeNumber> named;
+    for (const AdmissionQuestion &question : made.questions) {
+        CHECK(question.targets.size() <= 100);
+        named.insert(question.targets.begin(), question.targets.end());
+        for (const auto &[target, tasks] : question.claim)
+            claimed += tasks;
+    }
+    CHECK(named.size() == 150);
+    CHECK(claimed == 600);
+}
+
+// Guards against gangs that take up the admission service while what they lack is room.
+TEST_CASE_METHOD(LargeCell, "a gang that knows enough targets asks about no more", "[questions]")
+{
+    this->fill();
+    this->accept({gang(20)});
+    for (unsigned i = 1; i <= 25; ++i)
+        this->admissions[at(0)].admitted[life(i)] = {"ticket", this->now};
+    CHECK(this->plan().questions.empty());
+    this->admissions[at(0)].admitted.erase(life(25));
+    CHECK_FALSE(this->plan().questions.empty());
+}
+
+// Guards against a figure of one deployment that decides how much is asked on another.
+TEST_CASE_METHOD(LargeCell, "how many targets a gang names follows what was admitted",
+                 "[questions]")
+{
+    this->accept({gang(20)});
+    AdmittedParts observed;
+    for (int i = 0; i < 100; ++i)
+        observed["q"].answered(10, 7);
+    this->admittedParts = &observed;
+    const Plan made = this->plan();
+    REQUIRE(made.questions.size() == 1);
+    CHECK(made.questions[0].targets.size() == 18);
+}
