workflows: tickets of gangs whose turn is near are kept fresh; the plan line says what room is kept

In a cell short of room a gang renewed its tickets only once all its room was there, and that room then stood empty for the 0.5 to 1.1 s of the question; or its tickets ran out while room gathered. The plan line did not tell room that is booked from room that is kept ahead of need.

The first gangs in order, up to a third of the cell, renew tickets that are about to run out on targets that, empty, hold five times the gang. Room gathers only on targets with a ticket, or one asked for. The plan line shows capacity, idle, claimed and saved processors.

--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -75,6 +75,10 @@
                {"openTargets", std::to_string(summary.openTargets)},
                {"freeMilliCores", std::to_string(summary.free[ResourceKind::MilliCores])},
                {"freeMemoryMb", std::to_string(summary.free[ResourceKind::MemoryMb])},
+               {"capacityMilliCores", std::to_string(summary.capacityMilliCores)},
+               {"idleMilliCores", std::to_string(summary.idleMilliCores)},
+               {"claimedMilliCores", std::to_string(summary.claimedMilliCores)},
+               {"savedMilliCores", std::to_string(summary.savedMilliCores)},
                {"questions", std::to_string(questions)},
                {"live", std::to_string(live)}});
 }
--- a/src/workflows/internal/planroom.cpp
+++ b/src/workflows/internal/planroom.cpp
@@ -39,7 +39,9 @@
 void PlanRoom::holdClaims(std::uint32_t priority)
 {
     while (!this->claiming.empty() && this->claiming.begin()->first <= priority) {
-        this->addClaim(this->claiming.begin()->second, -1);
+        const ReadyStep &step = this->claiming.begin()->second;
+        this->addClaim(step, -1);
+        this->claimed += this->claimOf(step);
         this->claiming.erase(this->claiming.begin());
     }
 }
@@ -60,6 +62,18 @@
     this->addRoom(step, claim->second.tasks, sign);
 }
 
+/// In milli-cores.
+std::int64_t PlanRoom::claimOf(const ReadyStep &step) const
+{
+    const auto claim = this->input.claims.find(step.address);
+    if (claim == this->input.claims.end() || claim->second.until <= this->input.now)
+        return 0;
+    std::int64_t tasks = 0;
+    for (const auto &[life, count] : claim->second.tasks)
+        tasks += count;
+    return tasks * step.spec().reserved()[ResourceKind::MilliCores];
+}
+
 void PlanRoom::addRoom(const ReadyStep &step, const std::map<LifeNumber, std::uint16_t> &tasks,
                        std::int64_t sign)
 {
--- a/src/workflows/internal/planroom.h
+++ b/src/workflows/internal/planroom.h
@@ -24,6 +24,8 @@
     /// Takes the room out that steps of \a priority and of more urgent ones claim. To be called
     /// with rising priorities: a step may use what less urgent ones claim.
     void holdClaims(std::uint32_t priority);
+    /// What steps claim, of those that holdClaims() has come to.
+    std::int64_t claimedMilliCores() const { return this->claimed; }
     /// Hands a step the room that it claims, and takes it back.
     void openClaim(const ReadyStep &step);
     void closeClaim(const ReadyStep &step);
@@ -49,12 +51,14 @@
 
 private:
     void addClaim(const ReadyStep &step, std::int64_t sign);
+    std::int64_t claimOf(const ReadyStep &step) const;
     void addRoom(const ReadyStep &step, const std::map<LifeNumber, std::uint16_t> &tasks,
                  std::int64_t sign);
 
     const PlanInput &input;
     std::vector<OpenTarget> open; ///< by life
     std::multimap<std::uint32_t, ReadyStep> claiming; ///< by priority; not held yet
+    std::int64_t claimed = 0;
     std::map<std::string, Resources> accounts;
 };
 
--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -20,6 +20,9 @@
 /// A gang that may run on targets which, empty, hold this many times its tasks asks about no more:
 /// it waits for room on these.
 constexpr std::size_t enoughCapacity = 5;
+/// Tickets that run out sooner are renewed for a gang whose turn is near: about as long as the
+/// answer takes.
+constexpr Milliseconds refreshAhead{600};
 /// A gang is asked about for this many times the room that it needs: of ten targets with three
 /// admitted on average, one question in seven would find too few at once.
 constexpr double spareRoom = 2.5;
@@ -64,7 +67,7 @@
     , room(room)
 {}
 
-std::vector<AdmissionQuestion> QuestionMaker::make(const ReadyStep &step) const
+std::vector<AdmissionQuestion> QuestionMaker::make(const ReadyStep &step, bool isNearTurn) const
 {
     const StepAdmissions *known = step.admissions;
     if (known != nullptr && (!known->asked.empty() || this->input.now < known->nextQuestionAt))
@@ -75,7 +78,7 @@
         if (!renewal.empty())
             return renewal;
         if (step.spec().gang && this->knowsEnough(step))
-            return {};
+            return isNearTurn ? this->refreshGang(step, *known) : std::vector<AdmissionQuestion>();
     }
     return this->explore(step);
 }
@@ -115,6 +118,37 @@
     return made;
 }
 
+/// Tickets on more targets than the gang needs, where room may come free while they are good.
+///
+/// Guards against room that has gathered and stands empty while the tickets for it are renewed.
+std::vector<AdmissionQuestion> QuestionMaker::refreshGang(const ReadyStep &step,
+                                                          const StepAdmissions &known) const
+{
+    const std::size_t wanted = enoughCapacity * step.progress().tasks.size();
+    const Instant goodUntil = this->input.now + refreshAhead;
+    std::vector<std::pair<std::int64_t, LifeNumber>> expiring;
+    std::size_t slots = 0;
+    for (const auto &[life, admission] : known.admitted) {
+        const OpenTarget *target = this->room.find(life);
+        if (target == nullptr || !PlanRoom::mayRun(step, *target))
+            continue;
+        if (admission.validUntil > goodUntil)
+            slots += slotsIn(step, target->identity->capacity);
+        else
+            expiring.emplace_back(-target->free[ResourceKind::MilliCores], life);
+    }
+    std::vector<AdmissionQuestion> made;
+    for (const LifeNumber life : firstTargets(expiring, longestQuestion)) {
+        if (slots >= wanted)
+            break;
+        if (made.empty())
+            made.push_back({step.address, {}, {}});
+        made.back().targets.push_back(life);
+        slots += slotsIn(step, this->room.find(life)->identity->capacity);
+    }
+    return made;
+}
+
 /// True if the targets that are known to be admitted, were they empty, held the gang several times
 /// over.
 ///
--- a/src/workflows/internal/questionmaker.h
+++ b/src/workflows/internal/questionmaker.h
@@ -13,7 +13,8 @@
     QuestionMaker(const PlanInput &input, PlanRoom &room);
 
     /// None: answers are awaited, or a question would not help now.
-    std::vector<AdmissionQuestion> make(const ReadyStep &step) const;
+    /// \a isNearTurn: the step is a gang that room is let gather for, now or soon.
+    std::vector<AdmissionQuestion> make(const ReadyStep &step, bool isNearTurn) const;
 
 private:
     std::vector<AdmissionQuestion> renewGang(const ReadyStep &step,
@@ -23,6 +24,8 @@
     std::vector<AdmissionQuestion> explore(const ReadyStep &step) const;
     std::vector<AdmissionQuestion> exploreForGang(const ReadyStep &step,
                                                   const std::vector<LifeNumber> &unknown) const;
+    std::vector<AdmissionQuestion> refreshGang(const ReadyStep &step,
+                                               const StepAdmissions &known) const;
     bool knowsEnough(const ReadyStep &step) const;
     double admittedPart(const ReadyStep &step) const;
 
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -22,6 +22,8 @@
 /// enough has ended. In cells of 48 targets that are two to four gangs of six tasks, and in cells
 /// of 350 about ten of twenty.
 constexpr std::int64_t partSavedForGangs = 6;
+/// Gangs that together need this part of all targets' processors have their tickets kept fresh.
+constexpr std::int64_t partNearTurn = 3;
 
 /// The longest chain of work that begins with each step, by the callers' estimates, in
 /// milliseconds.
@@ -51,8 +53,11 @@
         , room(planInput)
         , questions(planInput, this->room)
     {
-        for (const OpenTarget &target : this->room.targets())
+        for (const OpenTarget &target : this->room.targets()) {
             this->allMilliCores += target.identity->capacity[ResourceKind::MilliCores];
+            this->plan.summary.idleMilliCores +=
+                std::max<std::int64_t>(0, target.free[ResourceKind::MilliCores]);
+        }
     }
 
     Plan run()
@@ -67,6 +72,9 @@
         this->plan.summary.openTargets = this->room.targets().size();
         for (const OpenTarget &target : this->room.targets())
             this->plan.summary.free += target.free;
+        this->plan.summary.capacityMilliCores = this->allMilliCores;
+        this->plan.summary.claimedMilliCores = this->room.claimedMilliCores();
+        this->plan.summary.savedMilliCores = this->savedMilliCores;
         return std::move(this->plan);
     }
 
@@ -142,15 +150,31 @@
             return;
         }
         if (step.queue->needsAdvice)
-            this->ask(step);
+            this->ask(step, step.spec().gang && this->isNearTurn(step));
         this->room.closeClaim(step);
         if (step.spec().gang)
             this->saveRoomFor(step);
     }
 
-    void ask(const ReadyStep &step)
+    /// True for the first gangs in order, up to a part of the cell.
+    bool isNearTurn(const ReadyStep &step)
+    {
+        if (this->nearTurnMilliCores * partNearTurn >= this->allMilliCores)
+            return false;
+        this->nearTurnMilliCores += needOf(step);
+        return true;
+    }
+
+    /// Of the whole gang, in milli-cores.
+    static std::int64_t needOf(const ReadyStep &step)
     {
-        for (AdmissionQuestion &question : this->questions.make(step)) {
+        return static_cast<std::int64_t>(step.progress().tasks.size())
+            * step.spec().reserved()[ResourceKind::MilliCores];
+    }
+
+    void ask(const ReadyStep &step, bool isNearTurn)
+    {
+        for (AdmissionQuestion &question : this->questions.make(step, isNearTurn)) {
             this->room.keep(step, question.claim);
             this->plan.questions.push_back(std::move(question));
         }
@@ -171,19 +195,25 @@
         std::vector<std::pair<std::int64_t, LifeNumber>> byRoom;
         std::size_t holds = 0; // of its tasks, all these targets when they are empty
         for (const OpenTarget &target : this->room.targets()) {
-            if (!this->room.mayStart(step, target))
+            if (!this->room.mayStart(step, target) || !this->isTicketNear(step, target.life))
                 continue;
             byRoom.emplace_back(-target.free[ResourceKind::MilliCores], target.life);
             holds += internal::slotsIn(step, target.identity->capacity);
         }
         if (holds < step.progress().tasks.size())
             return;
-        this->savedMilliCores += static_cast<std::int64_t>(step.progress().tasks.size())
-            * step.spec().reserved()[ResourceKind::MilliCores];
+        this->savedMilliCores += needOf(step);
         std::sort(byRoom.begin(), byRoom.end());
         this->room.keep(step, this->firstSlots(step, byRoom));
     }
 
+    /// The step has a ticket there, or one has been asked for.
+    bool isTicketNear(const ReadyStep &step, LifeNumber life) const
+    {
+        return this->room.isAdmitted(step, life)
+            || (step.admissions != nullptr && step.admissions->asked.count(life) != 0);
+    }
+
     /// One task and more on each of the targets, in their order, until all have a place.
     std::map<LifeNumber, std::uint16_t>
     firstSlots(const ReadyStep &step,
@@ -337,6 +367,7 @@
     std::size_t placedOfStep = 0; ///< by the last placeSingles()
     std::int64_t allMilliCores = 0; ///< of all open targets
     std::int64_t savedMilliCores = 0; ///< let gather for gangs
+    std::int64_t nearTurnMilliCores = 0; ///< needed by gangs whose tickets are kept fresh
     Plan plan;
 };
 
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -35,6 +35,10 @@
 {
     std::map<std::uint32_t, std::size_t> waitingTasks; ///< ready tasks without a place, by priority
     std::size_t openTargets = 0;
+    std::int64_t capacityMilliCores = 0; ///< of open targets
+    std::int64_t idleMilliCores = 0; ///< of these, booked by nothing that is placed
+    std::int64_t claimedMilliCores = 0; ///< kept for steps with questions under way
+    std::int64_t savedMilliCores = 0; ///< let gather for gangs
     Resources free; ///< on open targets, after the plan's placements
 };
 
