workflows: a large gang keeps its tickets fresh in several questions; waiting tasks are counted right

Tickets on one question's targets hold a gang of 240 only when two thirds of them are empty. The count of waiting tasks of a gang took off what the step before it had placed.

--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -138,10 +138,10 @@
             expiring.emplace_back(-target->free[ResourceKind::MilliCores], life);
     }
     std::vector<AdmissionQuestion> made;
-    for (const LifeNumber life : firstTargets(expiring, longestQuestion)) {
+    for (const LifeNumber life : firstTargets(expiring, mostQuestionsAtOnce * longestQuestion)) {
         if (slots >= wanted)
             break;
-        if (made.empty())
+        if (made.empty() || made.back().targets.size() >= longestQuestion)
             made.push_back({step.address, {}, {}});
         made.back().targets.push_back(life);
         slots += slotsIn(step, this->room.find(life)->identity->capacity);
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -140,11 +140,12 @@
         this->room.holdClaims(step.queue->priority);
         this->room.openClaim(step);
         this->candidates = this->room.admittedTargets(step);
+        this->placedOfStep = 0;
         const bool isPlaced = step.spec().gang ? this->placeGang(step) : this->placeSingles(step);
         if (isPlaced)
             return; // its claim is spent
-        const std::size_t placedNow = std::exchange(this->placedOfStep, 0);
-        this->plan.summary.waitingTasks[step.queue->priority] += step.waiting() - placedNow;
+        this->plan.summary.waitingTasks[step.queue->priority] +=
+            step.waiting() - this->placedOfStep;
         if (this->room.isOverLimit(step, step.spec().gang ? step.progress().tasks.size() : 1)) {
             this->room.closeClaim(step);
             return;
@@ -240,7 +241,6 @@
         const StepProgress &progress = step.progress();
         std::map<LifeNumber, std::uint16_t> onTarget = placedByTarget(step);
         bool isWhole = true;
-        this->placedOfStep = 0;
         for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
             if (progress.tasks[i].phase != TaskPhase::Waiting)
                 continue;
@@ -364,7 +364,7 @@
     PlanRoom room;
     QuestionMaker questions;
     std::vector<OpenTarget *> candidates; ///< where the step that is being placed is admitted
-    std::size_t placedOfStep = 0; ///< by the last placeSingles()
+    std::size_t placedOfStep = 0; ///< of the step that is being placed, if it is no gang
     std::int64_t allMilliCores = 0; ///< of all open targets
     std::int64_t savedMilliCores = 0; ///< let gather for gangs
     std::int64_t nearTurnMilliCores = 0; ///< needed by gangs whose tickets are kept fresh
