workflows: tickets are refreshed as long ahead as the question takes

A fixed 0.6 s left gangs without tickets for 0.6 s of each 2 s, as their questions take 0.7 to 1.1 s: the time now follows the queue's own figures.

--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -20,9 +20,8 @@
 /// A gang that may run on targets which, empty, hold this many times its tasks asks about no more:
 /// it waits for room on these.
 constexpr std::size_t enoughCapacity = 5;
-/// Tickets that run out sooner are renewed for a gang whose turn is near: about as long as the
-/// answer takes.
-constexpr Milliseconds refreshAhead{600};
+/// Tickets that would run out this soon after the answer are renewed for a gang whose turn is near.
+constexpr Milliseconds refreshMargin{200};
 /// A gang is asked about for this many times the room that it needs: of ten targets with three
 /// admitted on average, one question in seven would find too few at once.
 constexpr double spareRoom = 2.5;
@@ -42,6 +41,14 @@
     return lives;
 }
 
+/// How long the service takes for a question that names \a targets, or the most that one may.
+Milliseconds askingTime(const ReadyStep &step, std::size_t targets)
+{
+    const double named = static_cast<double>(std::min(targets, longestQuestion));
+    return Milliseconds(static_cast<std::int64_t>(step.queue->adviceMs
+                                                  + named * step.queue->adviceMsPerTarget));
+}
+
 } // namespace
 
 std::uint16_t slotsIn(const ReadyStep &step, const Resources &room)
@@ -125,7 +132,8 @@
                                                           const StepAdmissions &known) const
 {
     const std::size_t wanted = enoughCapacity * step.progress().tasks.size();
-    const Instant goodUntil = this->input.now + refreshAhead;
+    const Instant goodUntil =
+        this->input.now + askingTime(step, known.admitted.size()) + refreshMargin;
     std::vector<std::pair<std::int64_t, LifeNumber>> expiring;
     std::size_t slots = 0;
     for (const auto &[life, admission] : known.admitted) {
--- a/test/workflows/questionmakertest.cpp
+++ b/test/workflows/questionmakertest.cpp
@@ -104,10 +104,12 @@
 TEST_CASE_METHOD(LargeCell, "a gang whose turn is near renews its tickets before it has room",
                  "[questions]")
 {
+    this->policy.queues["q"].adviceMs = 500;
+    this->policy.queues["q"].adviceMsPerTarget = 10;
     this->fill();
     this->accept({gang(20)});
     for (unsigned i = 1; i <= 25; ++i)
-        this->admissions[at(0)].admitted[life(i)] = {"ticket", this->now + Milliseconds(300)};
+        this->admissions[at(0)].admitted[life(i)] = {"ticket", this->now + Milliseconds(900)};
     const Plan made = this->plan();
     REQUIRE(made.questions.size() == 1);
     CHECK(made.questions[0].targets.size() == 25);
