test: a large fleet under controllers that are slow, short of connections and replaced

1,000 simulated targets, with starts that find no connection (Ran::No), orders and answers lost, targets cut and reborn, slow logs and changes of controller; and a controller with no connection at all, which must keep every target usable and lose nothing.

--- a/src/workflows/controlleradmissions.cpp
+++ b/src/workflows/controlleradmissions.cpp
@@ -70,9 +70,9 @@
     if (found == this->admissions.end())
         return;
     StepAdmissions &known = found->second;
-    const bool isExploring = std::none_of(
-        question.targets.begin(), question.targets.end(),
-        [&known](LifeNumber life) { return known.admitted.count(life) != 0; });
+    const bool isExploring =
+        std::none_of(question.targets.begin(), question.targets.end(),
+                     [&known](LifeNumber life) { return known.admitted.count(life) != 0; });
     for (const LifeNumber life : question.targets)
         known.asked.erase(life);
     if (!answer) {
--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -45,8 +45,8 @@
 Milliseconds askingTime(const ReadyStep &step, std::size_t targets)
 {
     const double named = static_cast<double>(std::min(targets, longestQuestion));
-    return Milliseconds(static_cast<std::int64_t>(step.queue->adviceMs
-                                                  + named * step.queue->adviceMsPerTarget));
+    return Milliseconds(
+        static_cast<std::int64_t>(step.queue->adviceMs + named * step.queue->adviceMsPerTarget));
 }
 
 } // namespace
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -303,6 +303,12 @@
 void SimulatedFleet::start(const TargetIdentity &target, const StartOrder &order, Instant deadline,
                            Done<OrderAnswer> done)
 {
+    if (this->faults.unsentStart > 0 && this->chance(this->faults.unsentStart)) {
+        this->loop.runAfter(this->between(1, 250), [done = std::move(done)] {
+            done(failure(ErrorCode::LimitExceeded, "no connection came free"));
+        });
+        return;
+    }
     this->carry<OrderAnswer>(target.name, true, deadline, std::move(done),
                              [this, order, born = target.bornAtMs](Target &at) {
                                  if (at.identity.bornAtMs != born)
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -22,6 +22,8 @@
     double lostAnswer = 0.0;
     double lateOrder = 0.0; ///< no answer, and carried out 2 to 12 s later
     double failedTask = 0.0;
+    /// Starts that find no connection on the controller's side, so that nothing is sent.
+    double unsentStart = 0.0;
 };
 
 /// Targets that keep the contract of leases, fences and run numbers, on a virtual clock. They check
