workflows: instances that ask bound how many gangs keep their tickets fresh; docs

On small sites a third of the cell is seven gangs, whose questions would keep five of eleven instances busy. One gang for each eight instances now, and one at least.

--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -24,6 +24,8 @@
 constexpr std::int64_t partSavedForGangs = 6;
 /// Gangs that together need this part of all targets' processors have their tickets kept fresh.
 constexpr std::int64_t partNearTurn = 3;
+/// So many instances for each of these gangs, which keeps one busy nearly all the time.
+constexpr std::size_t askersPerGang = 8;
 
 /// The longest chain of work that begins with each step, by the callers' estimates, in
 /// milliseconds.
@@ -157,11 +159,14 @@
             this->saveRoomFor(step);
     }
 
-    /// True for the first gangs in order, up to a part of the cell.
+    /// True for the first gangs in order, up to a part of the cell and of the instances that ask.
     bool isNearTurn(const ReadyStep &step)
     {
-        if (this->nearTurnMilliCores * partNearTurn >= this->allMilliCores)
+        const std::size_t most = std::max<std::size_t>(1, this->input.askers / askersPerGang);
+        if (this->nearTurnGangs >= most
+            || this->nearTurnMilliCores * partNearTurn >= this->allMilliCores)
             return false;
+        ++this->nearTurnGangs;
         this->nearTurnMilliCores += needOf(step);
         return true;
     }
@@ -368,6 +373,7 @@
     std::int64_t allMilliCores = 0; ///< of all open targets
     std::int64_t savedMilliCores = 0; ///< let gather for gangs
     std::int64_t nearTurnMilliCores = 0; ///< needed by gangs whose tickets are kept fresh
+    std::size_t nearTurnGangs = 0;
     Plan plan;
 };
 
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -60,6 +60,7 @@
     Instant now;
     std::int64_t calendarMs = 0;
     const AdmittedParts *admittedParts = nullptr; ///< null: nothing has been observed
+    std::size_t askers = 1; ///< instances that can put questions to the admission service
 };
 
 /// Decides which ready tasks go where. Pure.
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -34,7 +34,7 @@
                                 this->onProbation.count(life) != 0});
         }
         return makePlan({this->book, this->policy, this->admissions, this->claims, open, this->now,
-                         this->calendarMs, this->admittedParts});
+                         this->calendarMs, this->admittedParts, this->askers});
     }
 
     /// Plans, and carries the placements out.
@@ -78,6 +78,7 @@
     std::set<LifeNumber> onProbation;
     std::int64_t calendarMs = 1000;
     const AdmittedParts *admittedParts = nullptr;
+    std::size_t askers = 1;
     Instant now{std::chrono::seconds(100)};
 };
 
--- a/test/workflows/questionmakertest.cpp
+++ b/test/workflows/questionmakertest.cpp
@@ -131,3 +131,19 @@
     REQUIRE(made.questions.size() == 1);
     CHECK(made.questions[0].targets.size() == 18);
 }
+
+// Guards against a few gangs that keep the instances of a small cell busy with their tickets.
+TEST_CASE_METHOD(LargeCell, "few instances keep the tickets of few gangs fresh", "[questions]")
+{
+    this->fill();
+    for (unsigned id = 10; id < 14; ++id) {
+        this->add(id, "q", gang(20));
+        const StepAddress step{static_cast<WorkflowId>(id), 0, 0};
+        for (unsigned i = 1; i <= 25; ++i)
+            this->admissions[step].admitted[life(i)] = {"ticket", this->now + Milliseconds(100)};
+    }
+    this->askers = 11;
+    CHECK(this->plan().questions.size() == 1);
+    this->askers = 24;
+    CHECK(this->plan().questions.size() == 3);
+}
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -18,6 +18,7 @@
     explicit GenerousAdmissions(VirtualLoop &loop)
         : loop(loop)
     {}
+    std::size_t askers() const override { return 8; }
     void ask(const StepAddress &, const std::vector<std::string> &targets, Milliseconds expected,
              Instant, Done<Admitted> done) override
     {
