workflows: ends that a leaving target lists in its last answer count

A target says goodbye and answers its last question at the same time.

After a goodbye the session sends nothing more, waits up to 0.3 s for the answer under way, takes the ends that it lists, and reports the rest as lost.

--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -206,8 +206,10 @@
     const auto known = this->lives.find(newest);
     const bool isThisLife = known != this->lives.end()
         && (bornAtMs == 0 || known->second.session->identity().bornAtMs == bornAtMs);
-    if (isThisLife)
-        this->lifeOver(newest);
+    if (isThisLife && !known->second.session->isOver()) {
+        logLifeOver(known->second.session->identity());
+        known->second.session->leave([this, newest] { this->forgetLife(newest); });
+    }
     done(Nothing{});
 }
 
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -152,11 +152,12 @@
             this->room.closeClaim(step);
             return;
         }
+        const bool nearTurn = step.spec().gang && this->isNearTurn(step);
         if (step.queue->needsAdvice)
-            this->ask(step, step.spec().gang && this->isNearTurn(step));
+            this->ask(step, nearTurn);
         this->room.closeClaim(step);
         if (step.spec().gang)
-            this->saveRoomFor(step);
+            this->saveRoomFor(step, nearTurn);
     }
 
     /// True for the first gangs in order, up to a part of the cell and of the instances that ask.
@@ -191,7 +192,8 @@
     /// for none that would not start in an empty cell either.
     ///
     /// Guards against gangs that never start in a full cell: small tasks take each gap as it comes.
-    void saveRoomFor(const ReadyStep &step)
+    /// \a nearTurn: its tickets are kept fresh, so room on other targets would be of no use.
+    void saveRoomFor(const ReadyStep &step, bool nearTurn)
     {
         const auto claim = this->input.claims.find(step.address);
         const bool isClaimed =
@@ -201,7 +203,8 @@
         std::vector<std::pair<std::int64_t, LifeNumber>> byRoom;
         std::size_t holds = 0; // of its tasks, all these targets when they are empty
         for (const OpenTarget &target : this->room.targets()) {
-            if (!this->room.mayStart(step, target) || !this->isTicketNear(step, target.life))
+            if (!this->room.mayStart(step, target)
+                || (nearTurn && !this->isTicketNear(step, target.life)))
                 continue;
             byRoom.emplace_back(-target.free[ResourceKind::MilliCores], target.life);
             holds += internal::slotsIn(step, target.identity->capacity);
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -100,6 +100,40 @@
     this->end();
 }
 
+/// Guards against a task that is run again although its end was listed: a target answers its last
+/// question as it says goodbye.
+void TargetSession::leave(std::function<void()> gone)
+{
+    if (this->hasEnded || this->isLeaving)
+        return;
+    this->isLeaving = true;
+    this->whenGone = std::move(gone);
+    this->noteUsable();
+    if (this->isHolding)
+        this->later(this->limits.farewellLimit, [this] { this->finishLeaving(); });
+    else
+        this->finishLeaving();
+}
+
+void TargetSession::takeFarewell(const Result<HoldAnswer> &answer)
+{
+    std::vector<RunEnd> over;
+    if (answer && answer.value().reply == OrderReply::Done)
+        this->takeEnds(answer.value(), over);
+    if (!over.empty()) {
+        ++this->reportsUnderWay;
+        this->hooks.runsOver(std::move(over));
+    }
+    this->finishLeaving();
+}
+
+void TargetSession::finishLeaving()
+{
+    this->declareOver();
+    if (const auto gone = std::exchange(this->whenGone, nullptr))
+        gone();
+}
+
 void TargetSession::tick()
 {
     if (this->hasEnded)
@@ -116,7 +150,7 @@
 bool TargetSession::isUsable() const
 {
     const Instant now = this->clock();
-    return !this->hasEnded && this->hasLists && !this->isFenced && this->saysReady
+    return !this->isOver() && this->hasLists && !this->isFenced && this->saysReady
         && this->failures == 0 && this->foreign.empty() && now >= this->unreachableUntil
         && now < this->answeredAt + this->limits.holdWait + this->limits.orderLimit + this->ownLag()
         && !this->hasUnansweredStart(now);
@@ -254,6 +288,10 @@
     this->isHolding = false;
     if (this->hasEnded)
         return;
+    if (this->isLeaving) {
+        this->takeFarewell(answer);
+        return;
+    }
     if (!answer) {
         ++this->failures;
         this->noteUsable();
@@ -376,7 +414,7 @@
 {
     const auto found = this->runs.find(task);
     if (found == this->runs.end() || found->second.phase != Phase::Sending
-        || found->second.isStopWanted || this->hasEnded)
+        || found->second.isStopWanted || this->isOver())
         return;
     Run &run = found->second;
     run.order.leaseUntilMs = this->leaseForStart();
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -34,6 +34,7 @@
     Milliseconds startLimit{2000};
     Milliseconds resendPause{150}; ///< between two sends of one order
     Milliseconds stopLimit{900}; ///< what a stop may take until its run's end is listed
+    Milliseconds farewellLimit{300}; ///< for the last answer of a target that has said goodbye
 };
 
 /// What one controller, in one term, knows of one life of a target, and the orders that it has
@@ -87,6 +88,9 @@
     void heard(bool isReady);
     /// The target's life is over: everything on it is.
     void declareOver();
+    /// The target has said goodbye. What ends it lists in an answer that is under way still count;
+    /// all else there is over then. \a gone: all of it has been reported.
+    void leave(std::function<void()> gone);
     /// To be called often: lets leases lapse.
     void tick();
 
@@ -94,7 +98,7 @@
     bool isUsable() const;
     /// Nothing has been heard of it for long and nothing is placed on it.
     bool isForgettable(Milliseconds silence) const;
-    bool isOver() const { return this->hasEnded; }
+    bool isOver() const { return this->hasEnded || this->isLeaving; }
     /// The target has said that it began the run that is placed here, or listed it.
     bool hasBegun(const TaskAddress &task) const;
     std::size_t orders() const { return this->runs.size(); }
@@ -122,6 +126,8 @@
     };
 
     void hold();
+    void takeFarewell(const Result<HoldAnswer> &answer);
+    void finishLeaving();
     void onHold(Instant sentAt, Result<HoldAnswer> answer);
     void takeLists(const HoldAnswer &answer, Instant sentAt);
     void takeEnds(const HoldAnswer &answer, std::vector<RunEnd> &over);
@@ -164,6 +170,8 @@
     bool hasLists = false; ///< asked in this term, and since a lapse
     bool isFenced = false;
     bool hasEnded = false;
+    bool isLeaving = false;
+    std::function<void()> whenGone;
     bool saysReady = false;
     bool wasUsable = false;
     unsigned failures = 0; ///< questions in a row without an answer
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -46,6 +46,7 @@
         lists.reply = OrderReply::Done;
         lists.clockMs = this->clockMs;
         lists.running = this->running;
+        lists.ends = this->ends;
         this->answer(deadline, std::move(done), lists);
     }
 
@@ -72,6 +73,7 @@
     OrderReply startReply = OrderReply::Done;
     std::optional<Error> unsentStart; ///< no start leaves: what its sender is told
     std::vector<RunningTask> running;
+    std::vector<ListedEnd> ends;
 };
 
 struct SessionFixture
@@ -289,3 +291,37 @@
     this->tickFor(this->limits.startPatience + Milliseconds(20));
     CHECK(this->session->isUsable());
 }
+
+// Guards against a task that runs again after a target listed its end in the moment it left.
+TEST_CASE_METHOD(SessionFixture, "an end that a leaving target still lists counts", "[session]")
+{
+    this->startTask();
+    this->tickFor(Milliseconds(510)); // a question is under way
+    this->port.running.clear();
+    this->port.ends = {{1, this->task, 1, RunOutcome::Succeeded, ""}};
+    this->tickFor(Milliseconds(100)); // the next one will be answered with the end
+    bool isGone = false;
+    this->over.clear();
+    this->session->leave([&isGone] { isGone = true; });
+    CHECK_FALSE(this->session->isUsable());
+    CHECK(this->over.empty());
+    this->tickFor(Milliseconds(200));
+    CHECK(isGone);
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].outcome == RunOutcome::Succeeded);
+}
+
+TEST_CASE_METHOD(SessionFixture, "a target that leaves without a last answer takes its runs along",
+                 "[session]")
+{
+    this->startTask();
+    this->tickFor(Milliseconds(500));
+    this->port.isSilent = true;
+    this->tickFor(Milliseconds(150));
+    bool isGone = false;
+    this->session->leave([&isGone] { isGone = true; });
+    this->tickFor(this->limits.farewellLimit + Milliseconds(20));
+    CHECK(isGone);
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].outcome == RunOutcome::Lost);
+}
