workflows: room gathers only where there is a ticket; gangs learn of more targets while instances are idle

Two things had come in between: gangs without fresh tickets let room gather again, which stood empty; and no more than one gang for eight instances kept its tickets fresh.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -305,7 +305,7 @@
     const Plan made = this->machine.read([&](const Book &book) {
         return makePlan({book, this->inForce, this->admissions, this->claims,
                          this->openTargets(book), this->options.clock(), this->options.calendarMs(),
-                         &this->admittedParts, this->admissionPort.askers()});
+                         &this->admittedParts, this->admissionPort.askers(), this->openQuestions});
     });
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
--- a/src/workflows/internal/questionmaker.cpp
+++ b/src/workflows/internal/questionmaker.cpp
@@ -20,6 +20,8 @@
 /// A gang that may run on targets which, empty, hold this many times its tasks asks about no more:
 /// it waits for room on these.
 constexpr std::size_t enoughCapacity = 5;
+/// While no more than one in so many instances has a question, gangs ask about all targets.
+constexpr std::size_t partIdle = 2;
 /// Tickets that would run out this soon after the answer are renewed for a gang whose turn is near.
 constexpr Milliseconds refreshMargin{200};
 /// A gang is asked about for this many times the room that it needs: of ten targets with three
@@ -72,9 +74,23 @@
 QuestionMaker::QuestionMaker(const PlanInput &input, PlanRoom &room)
     : input(input)
     , room(room)
+    , open(input.openQuestions)
 {}
 
-std::vector<AdmissionQuestion> QuestionMaker::make(const ReadyStep &step, bool isNearTurn) const
+std::vector<AdmissionQuestion> QuestionMaker::make(const ReadyStep &step, bool isNearTurn)
+{
+    std::vector<AdmissionQuestion> made = this->decide(step, isNearTurn);
+    this->open += made.size();
+    return made;
+}
+
+/// With so few questions under way a further one keeps no other waiting.
+bool QuestionMaker::hasIdleAskers() const
+{
+    return this->open < this->input.askers / partIdle;
+}
+
+std::vector<AdmissionQuestion> QuestionMaker::decide(const ReadyStep &step, bool isNearTurn) const
 {
     const StepAdmissions *known = step.admissions;
     if (known != nullptr && (!known->asked.empty() || this->input.now < known->nextQuestionAt))
@@ -84,8 +100,11 @@
             step.spec().gang ? this->renewGang(step, *known) : this->renewSingles(step, *known);
         if (!renewal.empty())
             return renewal;
-        if (step.spec().gang && this->knowsEnough(step))
-            return isNearTurn ? this->refreshGang(step, *known) : std::vector<AdmissionQuestion>();
+        const bool isEnough = step.spec().gang && this->knowsEnough(step);
+        if (isEnough && isNearTurn)
+            return this->refreshGang(step, *known);
+        if (isEnough && !this->hasIdleAskers())
+            return {};
     }
     return this->explore(step);
 }
@@ -238,7 +257,7 @@
         if (expected >= wanted)
             break;
         const bool isFull = made.empty() || made.back().targets.size() >= longestQuestion;
-        if (isFull && made.size() == mostQuestionsAtOnce)
+        if (isFull && made.size() >= mostQuestionsAtOnce && !this->hasIdleAskers())
             break;
         if (isFull)
             made.push_back({step.address, {}, {}});
--- a/src/workflows/internal/questionmaker.h
+++ b/src/workflows/internal/questionmaker.h
@@ -14,9 +14,10 @@
 
     /// None: answers are awaited, or a question would not help now.
     /// \a isNearTurn: the step is a gang that room is let gather for, now or soon.
-    std::vector<AdmissionQuestion> make(const ReadyStep &step, bool isNearTurn) const;
+    std::vector<AdmissionQuestion> make(const ReadyStep &step, bool isNearTurn);
 
 private:
+    std::vector<AdmissionQuestion> decide(const ReadyStep &step, bool isNearTurn) const;
     std::vector<AdmissionQuestion> renewGang(const ReadyStep &step,
                                              const StepAdmissions &known) const;
     std::vector<AdmissionQuestion> renewSingles(const ReadyStep &step,
@@ -27,10 +28,12 @@
     std::vector<AdmissionQuestion> refreshGang(const ReadyStep &step,
                                                const StepAdmissions &known) const;
     bool knowsEnough(const ReadyStep &step) const;
+    bool hasIdleAskers() const;
     double admittedPart(const ReadyStep &step) const;
 
     const PlanInput &input;
     PlanRoom &room;
+    std::size_t open = 0; ///< questions that wait for their answers, with those of this plan
 };
 
 /// How many tasks of the step fit into the room.
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -25,7 +25,7 @@
 /// Gangs that together need this part of all targets' processors have their tickets kept fresh.
 constexpr std::int64_t partNearTurn = 3;
 /// So many instances for each of these gangs, which keeps one busy nearly all the time.
-constexpr std::size_t askersPerGang = 8;
+constexpr std::size_t askersPerGang = 4;
 
 /// The longest chain of work that begins with each step, by the callers' estimates, in
 /// milliseconds.
@@ -152,12 +152,11 @@
             this->room.closeClaim(step);
             return;
         }
-        const bool nearTurn = step.spec().gang && this->isNearTurn(step);
         if (step.queue->needsAdvice)
-            this->ask(step, nearTurn);
+            this->ask(step, step.spec().gang && this->isNearTurn(step));
         this->room.closeClaim(step);
         if (step.spec().gang)
-            this->saveRoomFor(step, nearTurn);
+            this->saveRoomFor(step);
     }
 
     /// True for the first gangs in order, up to a part of the cell and of the instances that ask.
@@ -192,8 +191,7 @@
     /// for none that would not start in an empty cell either.
     ///
     /// Guards against gangs that never start in a full cell: small tasks take each gap as it comes.
-    /// \a nearTurn: its tickets are kept fresh, so room on other targets would be of no use.
-    void saveRoomFor(const ReadyStep &step, bool nearTurn)
+    void saveRoomFor(const ReadyStep &step)
     {
         const auto claim = this->input.claims.find(step.address);
         const bool isClaimed =
@@ -203,8 +201,7 @@
         std::vector<std::pair<std::int64_t, LifeNumber>> byRoom;
         std::size_t holds = 0; // of its tasks, all these targets when they are empty
         for (const OpenTarget &target : this->room.targets()) {
-            if (!this->room.mayStart(step, target)
-                || (nearTurn && !this->isTicketNear(step, target.life)))
+            if (!this->room.mayStart(step, target) || !this->isTicketNear(step, target.life))
                 continue;
             byRoom.emplace_back(-target.free[ResourceKind::MilliCores], target.life);
             holds += internal::slotsIn(step, target.identity->capacity);
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -61,6 +61,7 @@
     std::int64_t calendarMs = 0;
     const AdmittedParts *admittedParts = nullptr; ///< null: nothing has been observed
     std::size_t askers = 1; ///< instances that can put questions to the admission service
+    std::size_t openQuestions = 0; ///< that wait for their answers
 };
 
 /// Decides which ready tasks go where. Pure.
