--- a/src/controller/cellcontroller.cpp
+++ b/src/controller/cellcontroller.cpp
@@ -138,19 +138,33 @@
     this->post<CommandValue>(
         std::move(done), [this, command = std::move(command)](const Done<CommandValue> &reply) {
             this->add(command, [this, command, reply](const Result<CommandValue> &outcome) {
-                if (const auto *drain = std::get_if<SetTargetDraining>(&command);
-                    drain != nullptr && outcome) {
-                    const Instant now = this->options.clock();
-                    const TargetInfo info = this->state.read([&](const ClusterState &cluster) {
-                        return this->feed.targetInfo(*cluster.target(drain->target));
-                    });
-                    this->scheduler->targetChanged(info, now);
-                }
+                if (outcome)
+                    this->tellClosedTargets(command);
                 reply(outcome);
             });
         });
 }
 
+/// The scheduler learns which targets an operator has closed to new work or opened.
+void CellController::tellClosedTargets(const Command &command)
+{
+    const auto *drain = std::get_if<SetTargetDraining>(&command);
+    const auto *evacuate = std::get_if<SetDomainEvacuated>(&command);
+    if ((drain == nullptr && evacuate == nullptr) || !this->scheduler)
+        return;
+    std::vector<TargetInfo> changed;
+    this->state.read([&](const ClusterState &cluster) {
+        for (const auto &[id, target] : cluster.targets()) {
+            const bool isMeant = drain != nullptr ? id == drain->target
+                                                  : target.failureDomain == evacuate->failureDomain;
+            if (isMeant)
+                changed.push_back(this->feed.targetInfo(target));
+        }
+    });
+    for (const TargetInfo &info : changed)
+        this->scheduler->targetChanged(info, this->options.clock());
+}
+
 Explanation CellController::explain(TaskId task)
 {
     Explanation explanation;
--- a/src/controller/cellcontroller.h
+++ b/src/controller/cellcontroller.h
@@ -143,6 +143,7 @@
     void targetRegistered(const std::string &name, const std::vector<TaskId> &before);
     void lapseTargets(Instant now);
     void quietenTargets(Instant now);
+    void tellClosedTargets(const Command &command);
     void targetHeard(TargetId target, Instant now);
     void releaseTasks(const std::vector<TaskId> &tasks);
     void loseEntry(const InstanceId &entry);
--- a/src/controller/operatorpermissions.cpp
+++ b/src/controller/operatorpermissions.cpp
@@ -9,11 +9,13 @@
 
 constexpr std::string_view teamSectionPrefix = "team.";
 
+template<typename Question, typename... Questions>
+constexpr bool isOneOf = (std::is_same_v<Question, Questions> || ...);
+
 template<typename Question>
 constexpr bool isForOperatorsOnly =
-    std::is_same_v<
-        Question,
-        GrantKeyRequest> || std::is_same_v<Question, WithdrawKeyRequest> || std::is_same_v<Question, DrainTargetRequest> || std::is_same_v<Question, AddReplicaRequest> || std::is_same_v<Question, RemoveReplicaRequest>;
+    isOneOf<Question, GrantKeyRequest, WithdrawKeyRequest, DrainTargetRequest,
+            EvacuateDomainRequest, AddReplicaRequest, RemoveReplicaRequest>;
 
 Error denied(const std::string &why)
 {
--- a/src/controller/operatorrequest.h
+++ b/src/controller/operatorrequest.h
@@ -20,13 +20,13 @@
                  SectionHistoryRequest, InForceRequest, GrantKeyRequest, ListKeysRequest,
                  WithdrawKeyRequest, ListTargetsRequest, DrainTargetRequest, ReplicaStatusRequest,
                  AddReplicaRequest, RemoveReplicaRequest, ListJobsRequest, ExplainJobRequest,
-                 ListTeamsRequest, CellStatusRequest>;
+                 ListTeamsRequest, CellStatusRequest, ListDomainsRequest, EvacuateDomainRequest>;
 
 /// The answer: always the question's Reply.
-using OperatorReply =
-    std::variant<ConfigurationDocument, ConfigurationCheck, SectionWritten, SectionHistory,
-                 ConfigurationInForce, KeyGranted, KeyList, KeySummary, TargetList, TargetSummary,
-                 ReplicaStatus, JobList, JobExplanation, TeamList, CellStatus>;
+using OperatorReply = std::variant<ConfigurationDocument, ConfigurationCheck, SectionWritten,
+                                   SectionHistory, ConfigurationInForce, KeyGranted, KeyList,
+                                   KeySummary, TargetList, TargetSummary, ReplicaStatus, JobList,
+                                   JobExplanation, TeamList, CellStatus, DomainList, DomainSummary>;
 
 /// A question and who asks it: the payload of Method::Operate.
 struct OperatorRequest
--- a/src/controller/operatorservice.h
+++ b/src/controller/operatorservice.h
@@ -39,6 +39,8 @@
     void answer(const OperatorIdentity &, const WithdrawKeyRequest &, const Reply &);
     void answer(const OperatorIdentity &, const ListTargetsRequest &, const Reply &);
     void answer(const OperatorIdentity &, const DrainTargetRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const ListDomainsRequest &, const Reply &);
+    void answer(const OperatorIdentity &, const EvacuateDomainRequest &, const Reply &);
     void answer(const OperatorIdentity &, const ReplicaStatusRequest &, const Reply &);
     void answer(const OperatorIdentity &, const AddReplicaRequest &, const Reply &);
     void answer(const OperatorIdentity &, const RemoveReplicaRequest &, const Reply &);
@@ -50,6 +52,7 @@
     void read(const OperatorHooks::StateReader &reader) const { this->hooks.readState(reader); }
     ConfigurationInForce inForce() const;
     TargetList targetList() const;
+    DomainList domainList() const;
     TeamList teamList() const;
     std::vector<WaitingSummary> waitingList() const;
     Done<Nothing> replyWithStatus(const Reply &reply) const;
--- a/src/controller/operatorviews.cpp
+++ b/src/controller/operatorviews.cpp
@@ -26,6 +26,8 @@
         return "departing";
     if (target.draining)
         return "draining";
+    if (target.evacuated)
+        return "evacuated";
     return quarantined.count(target.name) > 0 ? "quarantined" : "ready";
 }
 
@@ -147,6 +149,53 @@
     });
 }
 
+DomainList OperatorService::domainList() const
+{
+    std::map<std::string, DomainSummary> domains;
+    this->read([&](const ClusterState &state) {
+        for (const std::string &domain : state.evacuatedDomains())
+            domains[domain].evacuated = true;
+        for (const auto &[id, target] : state.targets()) {
+            DomainSummary &summary = domains[target.failureDomain];
+            ++summary.targets;
+            summary.tasks += static_cast<std::uint32_t>(target.tasks.size());
+        }
+    });
+    DomainList list;
+    for (auto &[name, summary] : domains) {
+        summary.failureDomain = name;
+        list.domains.push_back(std::move(summary));
+    }
+    return list;
+}
+
+void OperatorService::answer(const OperatorIdentity &, const ListDomainsRequest &,
+                             const Reply &reply)
+{
+    reply(OperatorReply(this->domainList()));
+}
+
+void OperatorService::answer(const OperatorIdentity &, const EvacuateDomainRequest &question,
+                             const Reply &reply)
+{
+    SetDomainEvacuated command;
+    command.failureDomain = question.failureDomain;
+    command.evacuated = question.evacuate;
+    this->hooks.propose(command,
+                        [this, reply, name = question.failureDomain](Result<CommandValue> outcome) {
+                            if (!outcome) {
+                                reply(outcome.error());
+                                return;
+                            }
+                            DomainSummary found;
+                            for (const DomainSummary &summary : this->domainList().domains) {
+                                if (summary.failureDomain == name)
+                                    found = summary;
+                            }
+                            reply(OperatorReply(std::move(found)));
+                        });
+}
+
 TeamList OperatorService::teamList() const
 {
     const Statistics statistics = this->hooks.statistics();
--- a/src/controller/targetrequests.h
+++ b/src/controller/targetrequests.h
@@ -20,7 +20,7 @@
     std::string rack;
     std::string address;
     Incarnation incarnation = 0;
-    std::string state; ///< "ready", "draining", "departing", "quarantined" or "lost"
+    std::string state; ///< "ready", "draining", "evacuated", "departing", "quarantined" or "lost"
     Resources total;
     Resources placed; ///< given to attempts that are not known to be over
     std::uint32_t tasks = 0;
@@ -68,4 +68,54 @@
     }
 };
 
+/// A failure domain as operators see it.
+struct DomainSummary
+{
+    std::string failureDomain;
+    bool evacuated = false;
+    std::uint32_t targets = 0;
+    std::uint32_t tasks = 0; ///< given to its targets and not known to be over
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->failureDomain, this->evacuated, this->targets, this->tasks);
+    }
+};
+
+struct DomainList
+{
+    std::vector<DomainSummary> domains;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->domains);
+    }
+};
+
+struct ListDomainsRequest
+{
+    using Reply = DomainList;
+
+    template<typename Archive>
+    void serialize(Archive &)
+    {}
+};
+
+/// Closes all targets of a failure domain to new work, or opens them again. What runs there goes
+/// on. Of contrary wishes the one acknowledged last holds.
+struct EvacuateDomainRequest
+{
+    using Reply = DomainSummary;
+    std::string failureDomain;
+    bool evacuate = true;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->failureDomain, this->evacuate);
+    }
+};
+
 } // namespace guavavalve
--- a/src/daemon/controllermetrics.cpp
+++ b/src/daemon/controllermetrics.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::array<const char *, 5> targetStates{"ready", "draining", "departing", "lost",
-                                                   "quarantined"};
+constexpr std::array<const char *, 6> targetStates{"ready",     "draining", "evacuated",
+                                                   "departing", "lost",     "quarantined"};
 
 const char *stateOf(const TargetRecord &target)
 {
@@ -21,7 +21,9 @@
         return "lost";
     if (target.departing)
         return "departing";
-    return target.draining ? "draining" : "ready";
+    if (target.draining)
+        return "draining";
+    return target.evacuated ? "evacuated" : "ready";
 }
 
 void showTargets(ReplicaPart &replica, const Statistics &statistics, Metrics &into)
@@ -33,6 +35,9 @@
         for (const auto &[id, target] : state.targets())
             ++counts[stateOf(target)];
     });
+    into.set(Metric::EvacuatedDomains,
+             static_cast<double>(replica.state().read(
+                 [](const ClusterState &state) { return state.evacuatedDomains().size(); })));
     counts["quarantined"] = statistics.quarantined;
     for (const auto &[state, targets] : counts)
         into.set(Metric::Targets, targets, {state});
@@ -76,6 +81,7 @@
 void ControllerMetrics::showZeros(Metrics &into) const
 {
     into.set(Metric::PackingRatio, 0.0);
+    into.set(Metric::EvacuatedDomains, 0.0);
     for (const char *state : targetStates)
         into.set(Metric::Targets, 0.0, {state});
     for (const std::string &name : this->teams) {
--- a/src/operators/operatorjson.cpp
+++ b/src/operators/operatorjson.cpp
@@ -126,6 +126,19 @@
     return {{"targets", listOf(list.targets)}};
 }
 
+json toJson(const DomainSummary &domain)
+{
+    return {{"failureDomain", domain.failureDomain},
+            {"state", domain.evacuated ? "evacuated" : "open"},
+            {"targets", domain.targets},
+            {"tasks", domain.tasks}};
+}
+
+json toJson(const DomainList &list)
+{
+    return {{"domains", listOf(list.domains)}};
+}
+
 json toJson(const ReplicaMember &member)
 {
     return {{"instance", member.instance},
--- a/src/operators/questionparsing.cpp
+++ b/src/operators/questionparsing.cpp
@@ -96,6 +96,15 @@
     return body.outcome<OperatorQuestion>(std::move(question));
 }
 
+Result<OperatorQuestion> parseEvacuate(const HttpRequest &request)
+{
+    BodyFields body(request);
+    EvacuateDomainRequest question;
+    question.failureDomain = body.text("failureDomain");
+    question.evacuate = body.boolean("evacuate", true);
+    return body.outcome<OperatorQuestion>(std::move(question));
+}
+
 ReplicaMember memberOf(BodyFields &fields)
 {
     ReplicaMember member;
@@ -152,6 +161,8 @@
         {"GET", "/v1/operators/teams", parsePlain<ListTeamsRequest>},
         {"GET", "/v1/operators/targets", parsePlain<ListTargetsRequest>},
         {"POST", "/v1/operators/targets/drain", parseDrain},
+        {"GET", "/v1/operators/domains", parsePlain<ListDomainsRequest>},
+        {"POST", "/v1/operators/domains/evacuate", parseEvacuate},
         {"GET", "/v1/operators/replicas", parsePlain<ReplicaStatusRequest>},
         {"POST", "/v1/operators/replicas/add", parseAddReplica},
         {"POST", "/v1/operators/replicas/remove", parseRemoveReplica},
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -64,7 +64,8 @@
     {Metric::ControlReceivedBytes, "guavavalve_control_received_bytes_total", MetricType::Counter,
      "bytes", "", "Bytes received from other instances of the system."},
     {Metric::Targets, "guavavalve_targets", MetricType::Gauge, "targets", "state",
-     "Targets by state: ready, draining, departing, lost; and quarantined, which are counted as "
+     "Targets by state: ready, draining, evacuated, departing, lost; and quarantined, which are "
+     "counted as "
      "ready too. Shown by the controller, 0 elsewhere."},
     {Metric::ReplicaRoleInfo, "guavavalve_replica_role", MetricType::Gauge, "", "role",
      "1 for the role that this replica has now, 0 for the others."},
@@ -76,6 +77,10 @@
      "Newest log entry that this replica has applied."},
     {Metric::ConfigurationVersion, "guavavalve_configuration_version", MetricType::Gauge, "", "",
      "Version of the configuration document in force on this instance."},
+    {Metric::EvacuatedDomains, "guavavalve_evacuated_domains", MetricType::Gauge, "domains", "",
+     "Failure domains whose targets are given nothing new by an operator's wish."},
+    {Metric::SharedTargets, "guavavalve_shared_targets", MetricType::Gauge, "targets", "",
+     "Targets whose orders other instances carry for the controller; 0 elsewhere."},
     {Metric::Ready, "guavavalve_ready", MetricType::Gauge, "", "",
      "1 while /readyz says ready, else 0."},
     {Metric::FramesRejectedTotal, "guavavalve_frames_rejected_total", MetricType::Counter, "frames",
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -35,6 +35,8 @@
     ReplicaCommittedIndex,
     ReplicaAppliedIndex,
     ConfigurationVersion,
+    EvacuatedDomains,
+    SharedTargets,
     Ready,
     FramesRejectedTotal,
     LogLinesDroppedTotal,
@@ -47,7 +49,7 @@
     LoopLagSeconds,
 };
 
-inline constexpr std::size_t metricCount = 34;
+inline constexpr std::size_t metricCount = 36;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/state/clusterstate.h
+++ b/src/state/clusterstate.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +40,8 @@
     const std::map<JobId, JobRecord> &jobs() const { return this->jobTable; }
     const std::map<TargetId, TargetRecord> &targets() const { return this->targetTable; }
     const std::map<TeamId, TeamRecord> &teams() const { return this->teamTable; }
+    /// Failure domains whose targets receive no new work.
+    const std::set<std::string> &evacuatedDomains() const { return this->evacuated; }
 
     /// Each of these gives null if there is no such record.
     const JobRecord *job(JobId id) const;
@@ -75,6 +78,7 @@
     CommandOutcome applyOne(const LapseTarget &command);
     CommandOutcome applyOne(const RetireTarget &command);
     CommandOutcome applyOne(const SetTargetDraining &command);
+    CommandOutcome applyOne(const SetDomainEvacuated &command);
     CommandOutcome applyOne(const AcceptJob &command);
     CommandOutcome applyOne(const PlaceTask &command);
     CommandOutcome applyOne(const PlaceGang &command);
@@ -111,7 +115,7 @@
     void indexRecords();
 
     template<typename Archive>
-    void serializeRecords(Archive &archive);
+    void serializeRecords(Archive &archive, std::uint16_t format);
 
     std::uint8_t shardNumber;
     TaskId next;
@@ -121,6 +125,7 @@
     std::map<JobId, JobRecord> jobTable;
     std::map<TargetId, TargetRecord> targetTable;
     std::map<TeamId, TeamRecord> teamTable;
+    std::set<std::string> evacuated; ///< failure domains
     // Found again from the tables by indexRecords().
     std::map<std::string, TargetId> targetsByName;
     std::map<std::string, TeamId> teamsByName;
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -12,6 +12,7 @@
 #include "state/commands/refusejob.h"
 #include "state/commands/registertarget.h"
 #include "state/commands/retiretarget.h"
+#include "state/commands/setdomainevacuated.h"
 #include "state/commands/settargetdraining.h"
 #include "state/commands/withdrawkey.h"
 #include "state/commands/writesection.h"
@@ -22,8 +23,9 @@
 
 /// One change of the replicated state. The order of the alternatives is part of the format of
 /// the log: new ones go to the end.
-using Command = std::variant<GrantKey, WithdrawKey, WriteSection, RegisterTarget, LapseTarget,
-                             RetireTarget, SetTargetDraining, AcceptJob, PlaceTask, PlaceGang,
-                             EndAttempt, ReassignDispatcher, CancelJob, ForgetJobs, RefuseJob>;
+using Command =
+    std::variant<GrantKey, WithdrawKey, WriteSection, RegisterTarget, LapseTarget, RetireTarget,
+                 SetTargetDraining, AcceptJob, PlaceTask, PlaceGang, EndAttempt, ReassignDispatcher,
+                 CancelJob, ForgetJobs, RefuseJob, SetDomainEvacuated>;
 
 } // namespace guavavalve
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -4,6 +4,7 @@
 #include "state/requestlogarchive.h"
 
 #include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -17,7 +18,9 @@
 namespace {
 
 constexpr std::uint32_t snapshotMagic = 0x53564755; // "GUVS"
-constexpr std::uint16_t snapshotFormat = 1;
+constexpr std::uint16_t snapshotFormat = 2;
+/// Without evacuated domains; still read.
+constexpr std::uint16_t firstSnapshotFormat = 1;
 constexpr std::size_t checksumBytes = sizeof(std::uint64_t);
 
 std::uint64_t checksumOf(const char *bytes, std::size_t size)
@@ -62,10 +65,12 @@
 } // namespace internal
 
 template<typename Archive>
-void ClusterState::serializeRecords(Archive &archive)
+void ClusterState::serializeRecords(Archive &archive, std::uint16_t format)
 {
     archive(this->next, this->nextTarget, this->document, this->requests, this->jobTable,
             this->targetTable, this->teamTable);
+    if (format > internal::firstSnapshotFormat)
+        archive(this->evacuated);
 }
 
 std::string ClusterState::snapshot() const
@@ -74,7 +79,7 @@
     MemoryOutputArchive writer(bytes);
     writer(internal::snapshotMagic, internal::snapshotFormat, this->shardNumber);
     // cereal's serialize() functions serve both ways and so are not const; writing changes nothing.
-    const_cast<ClusterState *>(this)->serializeRecords(writer);
+    const_cast<ClusterState *>(this)->serializeRecords(writer, internal::snapshotFormat);
     const std::uint64_t checksum = internal::checksumOf(bytes.data(), bytes.size());
     writer(checksum);
     return bytes;
@@ -99,12 +104,14 @@
         std::uint16_t format = 0;
         std::uint8_t shard = 0;
         reader(magic, format, shard);
-        if (magic != internal::snapshotMagic || format != internal::snapshotFormat)
+        const bool isKnown =
+            format == internal::snapshotFormat || format == internal::firstSnapshotFormat;
+        if (magic != internal::snapshotMagic || !isKnown)
             return internal::corrupt("a snapshot is not of the format that this version reads");
         if (shard != this->shardNumber)
             return internal::corrupt("a snapshot is of shard " + std::to_string(shard)
                                      + " and not of " + std::to_string(this->shardNumber));
-        restored.serializeRecords(reader);
+        restored.serializeRecords(reader, format);
         if (reader.bytesLeft() != 0)
             return internal::corrupt("a snapshot has bytes left over");
     } catch (const std::exception &error) {
@@ -121,8 +128,10 @@
 
 void ClusterState::indexRecords()
 {
-    for (const auto &[id, target] : this->targetTable)
+    for (auto &[id, target] : this->targetTable) {
         this->targetsByName[target.name] = id;
+        target.evacuated = this->evacuated.count(target.failureDomain) != 0;
+    }
     for (const auto &[id, team] : this->teamTable)
         this->teamsByName[team.name] = id;
     for (const auto &[id, job] : this->jobTable)
--- a/src/state/targetcommands.cpp
+++ b/src/state/targetcommands.cpp
@@ -73,6 +73,7 @@
     target.rack = command.rack;
     target.total = command.total;
     target.departing = command.departing;
+    target.evacuated = this->evacuated.count(command.failureDomain) != 0;
     target.lapsed = false;
     TargetRegistered registered;
     registered.target = id;
@@ -119,6 +120,26 @@
     return CommandValue(Nothing());
 }
 
+CommandOutcome ClusterState::applyOne(const SetDomainEvacuated &command)
+{
+    bool isKnown = this->evacuated.count(command.failureDomain) != 0;
+    for (const auto &[id, target] : this->targetTable)
+        isKnown = isKnown || target.failureDomain == command.failureDomain;
+    if (!isKnown)
+        return failure(ErrorCode::NotFound,
+                       "no target has announced itself from failure domain "
+                           + internal::quoted(command.failureDomain));
+    if (command.evacuated)
+        this->evacuated.insert(command.failureDomain);
+    else
+        this->evacuated.erase(command.failureDomain);
+    for (auto &[id, target] : this->targetTable) {
+        if (target.failureDomain == command.failureDomain)
+            target.evacuated = command.evacuated;
+    }
+    return CommandValue(Nothing());
+}
+
 void ClusterState::loseAttempts(TargetRecord &target, const std::string &reason)
 {
     const std::vector<TaskId> placed = target.tasks;
--- a/src/state/targetrecord.h
+++ b/src/state/targetrecord.h
@@ -21,10 +21,14 @@
     Resources used; ///< by what is placed there
     bool departing = false; ///< its own word
     bool draining = false; ///< an operator's word
+    bool evacuated = false; ///< its failure domain is; found again from the evacuated domains
     bool lapsed = false; ///< its lease is over; it must come back with a new incarnation
     std::vector<TaskId> tasks; ///< placed there, ascending
 
-    bool takesWork() const { return !this->departing && !this->draining && !this->lapsed; }
+    bool takesWork() const
+    {
+        return !this->departing && !this->draining && !this->evacuated && !this->lapsed;
+    }
 
     template<typename Archive>
     void serialize(Archive &archive)
--- a/src/tool/cellcommands.cpp
+++ b/src/tool/cellcommands.cpp
@@ -58,6 +58,36 @@
     return drainOrOpen(context, arguments[0], false);
 }
 
+ExitCode listDomains(const ToolContext &context, const std::vector<std::string> &)
+{
+    return context.showTable(getRequest("/v1/operators/domains"), "domains",
+                             {{"DOMAIN", "/failureDomain"},
+                              {"STATE", "/state"},
+                              {"TARGETS", "/targets"},
+                              {"TASKS", "/tasks"}});
+}
+
+ExitCode evacuateOrOpen(const ToolContext &context, const std::string &domain, bool evacuate)
+{
+    const json body{{"failureDomain", domain}, {"evacuate", evacuate}};
+    return context.show(jsonRequest("POST", "/v1/operators/domains/evacuate", body),
+                        [&](const json &answer) {
+                            context.print(domain + " is " + formatCell(answer["state"]) + " with "
+                                          + formatCell(answer["tasks"]) + " tasks on "
+                                          + formatCell(answer["targets"]) + " targets\n");
+                        });
+}
+
+ExitCode evacuate(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    return evacuateOrOpen(context, arguments[0], true);
+}
+
+ExitCode openDomain(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    return evacuateOrOpen(context, arguments[0], false);
+}
+
 std::string joined(const json &names)
 {
     std::string text;
@@ -126,6 +156,27 @@
          {},
          drain},
         {"targets undrain", "TARGET", 1, 1, "Opens a drained target again.", {}, undrain},
+        {"domains list",
+         "",
+         0,
+         0,
+         "Lists the failure domains with their targets and what is on them.",
+         {},
+         listDomains},
+        {"domains evacuate",
+         "DOMAIN",
+         1,
+         1,
+         "Closes all targets of a failure domain to new work; what runs there goes on.",
+         {},
+         evacuate},
+        {"domains open",
+         "DOMAIN",
+         1,
+         1,
+         "Opens an evacuated failure domain again.",
+         {},
+         openDomain},
     };
 }
 
--- a/src/workflows/book.cpp
+++ b/src/workflows/book.cpp
@@ -12,6 +12,12 @@
 
 namespace {
 
+/// Snapshots of the first format have no mark. They begin with a count, and no count has so many
+/// bytes with the highest bit set.
+constexpr std::string_view formatMark = "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\x02";
+constexpr unsigned firstFormat = 1;
+constexpr unsigned formatWithEvacuations = 2;
+
 Workflow::Occurrence emptyOccurrence(const WorkflowSpec &spec)
 {
     Workflow::Occurrence occurrence(spec.steps.size());
@@ -34,10 +40,12 @@
 } // namespace
 
 template<typename Archive>
-void Book::serialize(Archive &archive)
+void Book::serialize(Archive &archive, unsigned format)
 {
     archive(this->all, this->liveIds, this->lifeTable, this->newest, this->lastLife, this->used,
             this->version, this->text);
+    if (format >= formatWithEvacuations)
+        archive(this->evacuated);
 }
 
 CommandOutcomes Book::apply(const CommandBatch &batch)
@@ -62,6 +70,11 @@
     return found == this->lifeTable.end() ? nullptr : &found->second;
 }
 
+bool Book::takesWork(const LifeRecord &life) const
+{
+    return !life.isDraining && this->evacuated.count(life.identity.failureDomain) == 0;
+}
+
 LifeNumber Book::newestLife(const std::string &name) const
 {
     const auto found = this->newest.find(name);
@@ -94,6 +107,8 @@
     return CommandOutcome::Applied;
 }
 
+/// Checked again when it is applied: what an earlier controller decided before a target began to
+/// drain or its failure domain was evacuated is rejected.
 bool Book::fits(const Workflow &workflow, const PlaceRuns &command) const
 {
     const StepAddress &step = command.step;
@@ -104,10 +119,11 @@
     const StepProgress &progress = workflow.step(step);
     return std::all_of(command.placements.begin(), command.placements.end(),
                        [&](const Placement &placement) {
+                           const LifeRecord *life = this->find(placement.life);
                            return placement.index < progress.tasks.size()
                                && progress.tasks[placement.index].phase == TaskPhase::Waiting
                                && progress.tasks[placement.index].run < command.run
-                               && this->lifeTable.count(placement.life) != 0;
+                               && life != nullptr && this->takesWork(*life);
                        });
 }
 
@@ -278,6 +294,14 @@
     return CommandOutcome::Applied;
 }
 
+CommandOutcome Book::on(const EvacuateDomain &command)
+{
+    const bool hasChanged = command.isEvacuated
+        ? this->evacuated.insert(command.failureDomain).second
+        : this->evacuated.erase(command.failureDomain) != 0;
+    return hasChanged ? CommandOutcome::Applied : CommandOutcome::Unchanged;
+}
+
 CommandOutcome Book::on(const StoreDocument &command)
 {
     if (command.version <= this->version)
@@ -300,8 +324,9 @@
 std::string Book::snapshot() const
 {
     std::string bytes;
+    bytes.append(formatMark);
     MemoryOutputArchive archive(bytes);
-    const_cast<Book *>(this)->serialize(archive); // writing changes nothing
+    const_cast<Book *>(this)->serialize(archive, formatWithEvacuations); // writing changes nothing
     return bytes;
 }
 
@@ -309,8 +334,9 @@
 {
     try {
         Book read;
-        MemoryInputArchive archive(snapshot);
-        read.serialize(archive);
+        const bool isMarked = snapshot.substr(0, formatMark.size()) == formatMark;
+        MemoryInputArchive archive(isMarked ? snapshot.substr(formatMark.size()) : snapshot);
+        read.serialize(archive, isMarked ? formatWithEvacuations : firstFormat);
         if (archive.bytesLeft() != 0)
             return failure(ErrorCode::Corrupt, "the snapshot has bytes left over");
         *this = std::move(read);
--- a/src/workflows/book.h
+++ b/src/workflows/book.h
@@ -14,8 +14,9 @@
 
 namespace guavavalve::workflows {
 
-/// The replicated state of workflows, targets' lives and the configuration document. Pure: the
-/// same batches in the same order give the same book on every replica.
+/// The replicated state of workflows, targets' lives, evacuated failure domains and the
+/// configuration document. Pure: the same batches in the same order give the same book on every
+/// replica.
 class Book
 {
 public:
@@ -27,6 +28,8 @@
     const LifeTable &lives() const { return this->lifeTable; }
     /// What each client account has placed.
     const std::map<std::string, Resources> &placedByAccount() const { return this->used; }
+    /// Failure domains whose targets are given nothing new.
+    const std::set<std::string> &evacuatedDomains() const { return this->evacuated; }
     std::int64_t documentVersion() const { return this->version; }
     const std::string &document() const { return this->text; }
 
@@ -35,7 +38,12 @@
     /// The newest life of the target called \a name, or None.
     LifeNumber newestLife(const std::string &name) const;
 
+    /// New work may be placed there: the target does not drain, and its failure domain is not
+    /// evacuated.
+    bool takesWork(const LifeRecord &life) const;
+
     std::string snapshot() const;
+    /// Reads snapshots of this format and of the one before it.
     /// \errors Corrupt, and the book is unchanged.
     Result<void> restore(std::string_view snapshot);
 
@@ -47,6 +55,7 @@
     CommandOutcome on(const BeginLife &command);
     CommandOutcome on(const ForgetLife &command);
     CommandOutcome on(const DrainLife &command);
+    CommandOutcome on(const EvacuateDomain &command);
     CommandOutcome on(const StoreDocument &command);
     CommandOutcome on(const ForgetWorkflows &command);
 
@@ -58,7 +67,7 @@
     void settle(Workflow &workflow, std::int64_t atMs);
 
     template<typename Archive>
-    void serialize(Archive &archive);
+    void serialize(Archive &archive, unsigned format);
 
     std::map<WorkflowId, Workflow> all;
     std::set<WorkflowId> liveIds;
@@ -68,6 +77,7 @@
     std::map<std::string, Resources> used;
     std::int64_t version = 0;
     std::string text;
+    std::set<std::string> evacuated; ///< failure domains
 };
 
 } // namespace guavavalve::workflows
--- a/src/workflows/command.h
+++ b/src/workflows/command.h
@@ -5,6 +5,7 @@
 #include "workflows/commands/cancelworkflow.h"
 #include "workflows/commands/drainlife.h"
 #include "workflows/commands/endruns.h"
+#include "workflows/commands/evacuatedomain.h"
 #include "workflows/commands/forgetlife.h"
 #include "workflows/commands/forgetworkflows.h"
 #include "workflows/commands/placeruns.h"
@@ -18,9 +19,10 @@
 
 namespace guavavalve::workflows {
 
-/// One change of the book.
+/// One change of the book. The order of the alternatives is part of the format of the log: new ones
+/// go to the end.
 using Command = std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns, BeginLife,
-                             ForgetLife, StoreDocument, ForgetWorkflows, DrainLife>;
+                             ForgetLife, StoreDocument, ForgetWorkflows, DrainLife, EvacuateDomain>;
 
 /// Commands that go into the log as one entry. An empty batch is a read barrier.
 using CommandBatch = std::vector<Command>;
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -289,13 +289,15 @@
         if (trust == TargetTrust::Suspended && suspended++ < maxSuspended)
             continue;
         const LifeRecord *record = book.find(life);
-        if (record == nullptr || book.newestLife(record->identity.name) != life)
+        if (record == nullptr || book.newestLife(record->identity.name) != life
+            || !book.takesWork(*record))
             continue;
         const bool onProbation = trust == TargetTrust::Probation;
         if (onProbation && !record->placed.empty())
             continue;
         open.push_back({life, &record->identity, record->identity.capacity - record->used,
-                        onProbation && !this->health.hasWaited(life, now)});
+                        onProbation && !this->health.hasWaited(life, now),
+                        state.session->isCold()});
     }
     return open;
 }
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -47,6 +47,9 @@
     });
     this->lives[life].session = session;
     session->heard(!record.isDraining);
+    session->setEvacuated(this->machine.read([&](const Book &book) {
+        return book.evacuatedDomains().count(record.identity.failureDomain) != 0;
+    }));
     session->begin();
     for (const TaskAddress &task : record.placed) {
         const bool isOver = this->machine.read([&](const Book &book) {
@@ -138,7 +141,7 @@
     if (born == report.identity.bornAtMs) {
         if (report.sequence >= known->second.sequence) {
             known->second.sequence = report.sequence;
-            known->second.session->heard(report.isReady);
+            known->second.session->heard(report.isReady, report.coldFor);
             this->setDraining(newest, !report.isReady, done);
             return;
         }
@@ -166,7 +169,7 @@
                       logLifeBegun(record.identity);
                       this->openSession(life, record);
                       this->lives[life].sequence = report.sequence;
-                      this->lives[life].session->heard(report.isReady);
+                      this->lives[life].session->heard(report.isReady, report.coldFor);
                       this->setDraining(life, !report.isReady, done);
                       return;
                   }
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -169,3 +169,12 @@
 }
 
 } // namespace guavavalve::workflows
+void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
+               std::size_t runs)
+{
+    logChange(LogLevel::Warning, isEvacuated ? "domain-evacuated" : "domain-open",
+              {{"failureDomain", failureDomain},
+               {"targets", std::to_string(targets)},
+               {"runs", std::to_string(runs)}});
+}
+
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -47,3 +47,6 @@
 void logDocumentUnreadable(std::int64_t version, const Error &error);
 
 } // namespace guavavalve::workflows
+/// \a runs: under way there, or on their way.
+void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
+               std::size_t runs);
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -344,7 +344,7 @@
     {
         const Resources need = step.spec().reserved();
         OpenTarget *best = nullptr;
-        std::tuple<bool, bool, std::int64_t> bestScore;
+        std::tuple<bool, bool, bool, std::int64_t> bestScore;
         for (OpenTarget *target : this->candidates) {
             if (!need.fitsInto(target->free)
                 || (rack != nullptr && target->identity->rack != *rack))
@@ -356,7 +356,8 @@
             const bool isFar =
                 !step.spec().dataRack.empty() && target->identity->rack != step.spec().dataRack;
             const bool wasThere = task.run > 0 && task.life == target->life; // in vain
-            const std::tuple score{wasThere, isFar, target->free[ResourceKind::MilliCores]};
+            const std::tuple score{wasThere, target->isCold, isFar,
+                                   target->free[ResourceKind::MilliCores]};
             if (best == nullptr || score < bestScore) {
                 best = target;
                 bestScore = score;
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -21,6 +21,7 @@
     Resources free;
     bool onProbation = false; ///< takes one task that is no member of a gang
 };
+    bool isCold = false; ///< slow since its start; used when the others have no room
 
 /// A question for the admission service.
 struct AdmissionQuestion
--- a/src/workflows/reportfilter.cpp
+++ b/src/workflows/reportfilter.cpp
@@ -11,6 +11,11 @@
 /// What has not been repeated for this long after it could have been is dropped.
 constexpr Milliseconds keepFor{30000};
 
+bool isCold(const TargetReport &report)
+{
+    return report.coldFor > Milliseconds(0);
+}
+
 } // namespace
 
 bool ReportFilter::isRepetition(const TargetReport &report, Instant now) const
@@ -18,13 +23,15 @@
     const std::lock_guard lock(this->mutex);
     const auto found = this->known.find(report.identity.name);
     return found != this->known.end() && now < found->second.passAt
-        && found->second.isReady == report.isReady && found->second.identity == report.identity;
+        && found->second.isReady == report.isReady && found->second.isCold == isCold(report)
+        && found->second.identity == report.identity;
 }
 
 void ReportFilter::acknowledged(const TargetReport &report, Instant now)
 {
     const std::lock_guard lock(this->mutex);
-    this->known[report.identity.name] = {report.identity, report.isReady, now + passInterval};
+    this->known[report.identity.name] = {report.identity, report.isReady, isCold(report),
+                                         now + passInterval};
     this->dropOld(now);
 }
 
--- a/src/workflows/reportfilter.h
+++ b/src/workflows/reportfilter.h
@@ -15,10 +15,10 @@
 /// Remembers what the controller has lately acknowledged of targets, so that an instance that does
 /// not lead can answer a report that says nothing new. Safe from any thread.
 ///
-/// A report says something new if the life, its identity or its readiness differ from what was
-/// acknowledged last. All of that is stored before it is acknowledged, so no later controller can
-/// have missed it. Repetitions still reach the controller every passInterval: it forgets targets
-/// that are silent.
+/// A report says something new if the life, its identity, its readiness or whether it is cold
+/// differ from what was acknowledged last. All of that is stored before it is acknowledged, so no
+/// later controller can have missed it. Repetitions still reach the controller every passInterval:
+/// it forgets targets that are silent.
 class ReportFilter
 {
 public:
@@ -39,6 +39,7 @@
     {
         TargetIdentity identity;
         bool isReady = false;
+        bool isCold = false;
         Instant passAt{}; ///< the next repetition from then on goes to the controller
     };
 
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -87,13 +87,19 @@
         this->hold();
 }
 
-void TargetSession::heard(bool isReady)
+void TargetSession::heard(bool isReady, Milliseconds coldFor)
 {
     this->heardAt = this->clock();
     this->saysReady = isReady;
+    this->coldUntil = this->heardAt + coldFor;
     this->noteUsable();
 }
 
+void TargetSession::setEvacuated(bool nowEvacuated)
+{
+    this->isEvacuated = nowEvacuated;
+}
+
 void TargetSession::declareOver()
 {
     this->reportAll(RunOutcome::Lost);
@@ -487,7 +493,9 @@
 
 void TargetSession::sendAgain(const TaskAddress &task, Run &run)
 {
-    if (this->clock() > run.placedAt + this->limits.startLimit && !run.isStopWanted)
+    const bool isClosed = this->isEvacuated || !this->saysReady;
+    const bool isOverdue = this->clock() > run.placedAt + this->limits.startLimit;
+    if ((isClosed || isOverdue) && !run.isStopWanted)
         this->settleByStop(task, run);
     else
         this->later(this->limits.resendPause, [this, task] { this->sendStart(task); });
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -85,7 +85,10 @@
     void committed();
 
     /// A heartbeat of this life, or what is stored of an earlier one.
-    void heard(bool isReady);
+    /// \a coldFor: how much longer it is slow after its start.
+    void heard(bool isReady, Milliseconds coldFor = Milliseconds(0));
+    /// Its failure domain is evacuated, or no longer: starts that are not answered are settled.
+    void setEvacuated(bool isEvacuated);
     /// The target's life is over: everything on it is.
     void declareOver();
     /// The target has said goodbye. What ends it lists in an answer that is under way still count;
@@ -96,6 +99,7 @@
 
     /// New work may go there: it does not drain, answers, and what runs there is known.
     bool isUsable() const;
+    bool isCold() const { return this->clock() < this->coldUntil; }
     /// Nothing has been heard of it for long and nothing is placed on it.
     bool isForgettable(Milliseconds silence) const;
     bool isOver() const { return this->hasEnded || this->isLeaving; }
@@ -173,6 +177,8 @@
     bool isLeaving = false;
     std::function<void()> whenGone;
     bool saysReady = false;
+    bool isEvacuated = false;
+    Instant coldUntil{};
     bool wasUsable = false;
     unsigned failures = 0; ///< questions in a row without an answer
     std::size_t unansweredStarts = 0; ///< runs in phase Sending
--- a/test/operators/operatorservicetest.cpp
+++ b/test/operators/operatorservicetest.cpp
@@ -149,3 +149,36 @@
     REQUIRE_FALSE(unknown);
     CHECK(unknown.error().code == ErrorCode::NotFound);
 }
+
+TEST_CASE("An evacuated failure domain closes its targets, those that come later too")
+{
+    OperatorBench bench;
+    const OperatorIdentity boss = bench.makeOperator();
+    RegisterTarget command;
+    command.name = "press-1";
+    command.incarnation = 1;
+    command.address = "127.0.0.1:9";
+    command.failureDomain = "regina";
+    command.total[ResourceKind::Slots] = 8;
+    bench.apply(command);
+    const auto unknown = bench.ask(boss, EvacuateDomainRequest{"nowhere", true});
+    REQUIRE_FALSE(unknown);
+    CHECK(unknown.error().code == ErrorCode::NotFound);
+    const auto evacuated = bench.ask(boss, EvacuateDomainRequest{"regina", true});
+    REQUIRE(evacuated);
+    CHECK(evacuated.value().evacuated);
+    CHECK(evacuated.value().targets == 1);
+    CHECK(bench.ask(boss, EvacuateDomainRequest{"regina", true})); // a repetition
+    command.name = "press-2";
+    bench.apply(command);
+    const TargetList closed = bench.ask(boss, ListTargetsRequest()).value();
+    for (const TargetSummary &target : closed.targets)
+        CHECK(target.state == "evacuated");
+    const OperatorIdentity stranger{"key-1", "mill", false};
+    CHECK_FALSE(bench.ask(stranger, EvacuateDomainRequest{"regina", false}));
+    REQUIRE(bench.ask(boss, EvacuateDomainRequest{"regina", false}));
+    const TargetList open = bench.ask(boss, ListTargetsRequest()).value();
+    for (const TargetSummary &target : open.targets)
+        CHECK(target.state == "ready");
+    CHECK_FALSE(bench.ask(boss, ListDomainsRequest()).value().domains.front().evacuated);
+}
--- a/test/platform/heartbeattest.cpp
+++ b/test/platform/heartbeattest.cpp
@@ -30,6 +30,10 @@
     CHECK(report.value().identity.capacity[ResourceKind::MilliCores] == 16000);
     CHECK(report.value().isReady);
     CHECK(report.value().sequence == 4);
+    CHECK(report.value().coldFor == Milliseconds(0));
+    nlohmann::json cold = beat();
+    cold["ColdRemainingMs"] = 1200;
+    CHECK(decodeHeartbeat("i-1", cold.dump()).value().coldFor == Milliseconds(1200));
     nlohmann::json draining = beat();
     draining["State"] = "draining";
     CHECK_FALSE(decodeHeartbeat("i-1", draining.dump()).value().isReady);
--- a/test/platform/nodesettingstest.cpp
+++ b/test/platform/nodesettingstest.cpp
@@ -12,7 +12,7 @@
 nlohmann::json settings()
 {
     return nlohmann::json::parse(R"({"NodeName": "core-a-1", "Serves": ["control"],
-        "Ip": "127.0.1.20", "Zone": "a", "BindAddrs": {"ControlPlane": "127.0.1.20:8180"},
+        "Ip": "127.0.1.20", "Zone": "a", "Zones": {"a": "r", "b": "r"}, "BindAddrs": {"ControlPlane": "127.0.1.20:8180"},
         "InternalPorts": [7420, 7435], "SeedNodes": ["127.0.1.20:8180", "127.0.2.18:8180"],
         "Bootstrap": true, "DataDir": "/data", "HeartbeatMs": 1500, "Advice": "127.0.9.9:80",
         "FaultTolerance": {"Machines": 2}, "Limits": {"MaxFds": 4100}, "Bounds": {"MaxHoldMs": 6000, "GraceS": 6},
@@ -33,6 +33,7 @@
     CHECK(node.seedMessengers() == std::vector<std::string>{"127.0.1.20:7420", "127.0.2.18:7420"});
     CHECK(node.controlAt("127.0.2.18:7420") == "127.0.2.18:8180");
     CHECK(node.isFirstStart);
+    CHECK(node.failureDomains == std::vector<std::string>{"a", "b"});
     CHECK(node.mayLose == 2);
     CHECK(node.longestLease == Milliseconds(6000));
     CHECK(node.grace == Milliseconds(6000));
--- a/test/platform/wholepathtest.cpp
+++ b/test/platform/wholepathtest.cpp
@@ -75,6 +75,7 @@
         settings.instance = "machine-" + std::to_string(machine);
         settings.ip = this->ipOf(machine);
         settings.failureDomain = "a";
+        settings.failureDomains = {"a", "b"};
         settings.messengerPort = 27420;
         settings.metricsPort = 27421;
         settings.controlSeeds = this->seeds;
@@ -190,6 +191,35 @@
     CHECK(this->call(this->ipOf(9) + ":28184", "GET", "/readiness").status == 200);
 }
 
+TEST_CASE_METHOD(PlatformFixture, "an evacuated domain is given nothing until it is opened",
+                 "[wholepath]")
+{
+    REQUIRE(
+        eventually([&] { return this->control("PUT", "/config", configuration).status == 200; }));
+    this->keepBeating();
+    CHECK(this->control("POST", "/evacuation/nowhere").status == 404);
+    CHECK(this->control("POST", "/evacuation/").status == 404);
+    CHECK(this->control("POST", "/evacuation/a", "{}").status == 400);
+    CHECK(this->control("GET", "/evacuation/a").status == 405);
+    CHECK(this->control("DELETE", "/evacuation/a").status == 200); // nothing to take back
+    CHECK(this->control("POST", "/evacuation/b").status == 200);
+    CHECK(this->control("POST", "/evacuation/b").status == 200);
+    // One domain is left, and it has the only target.
+    REQUIRE(eventually([&] { return this->caller("POST", jobPath, jobBody).status == 200; }));
+    CHECK(eventually(
+        [&] { return this->caller("GET", jobPath).body.find("completed") != std::string::npos; }));
+    CHECK(this->control("POST", "/evacuation/a").status == 200);
+    constexpr const char *laterJob = "/q/5c0e7a21d94b36f9";
+    const HttpResponse refused = this->caller("POST", laterJob, jobBody);
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.count("Retry-After") == 1);
+    CHECK(this->caller("POST", jobPath, jobBody).status == 200); // accepted before
+    CHECK(this->control("DELETE", "/evacuation/a").status == 200);
+    REQUIRE(eventually([&] { return this->caller("POST", laterJob, jobBody).status == 200; }));
+    CHECK(eventually(
+        [&] { return this->caller("GET", laterJob).body.find("completed") != std::string::npos; }));
+}
+
 TEST_CASE_METHOD(PlatformFixture, "the configuration and the jobs outlive a machine", "[wholepath]")
 {
     // The machine that formed the group, and as a rule leads it, ends after a configuration and a
--- a/test/state/fuzztest.cpp
+++ b/test/state/fuzztest.cpp
@@ -54,6 +54,7 @@
                       LapseTarget(),
                       RetireTarget(),
                       SetTargetDraining(),
+                      SetDomainEvacuated(),
                       CancelJob(),
                       ForgetJobs(),
                       RefuseJob(),
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -31,7 +31,7 @@
         for (const auto &[life, record] : this->book.lives()) {
             if (this->closed.count(life) == 0)
                 open.push_back({life, &record.identity, record.identity.capacity - record.used,
-                                this->onProbation.count(life) != 0});
+                                this->onProbation.count(life) != 0, this->cold.count(life) != 0});
         }
         return makePlan({this->book, this->policy, this->admissions, this->claims, open, this->now,
                          this->calendarMs, this->admittedParts, this->askers, this->openQuestions});
@@ -76,6 +76,7 @@
     ClaimTable claims;
     std::set<LifeNumber> closed;
     std::set<LifeNumber> onProbation;
+    std::set<LifeNumber> cold;
     std::int64_t calendarMs = 1000;
     const AdmittedParts *admittedParts = nullptr;
     std::size_t askers = 1;
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -15,6 +15,8 @@
 constexpr int longestRunMs = 3000;
 /// The targets' clocks run 2% slow: the worst that the contract allows.
 constexpr std::int64_t clockPerThousand = 980;
+/// An order that is sent this long after its target's failure domain was evacuated is a breach.
+constexpr Milliseconds evacuationBound{5000};
 
 } // namespace
 
@@ -33,12 +35,14 @@
     return Milliseconds(std::uniform_int_distribution<>(from, to)(this->random));
 }
 
-TargetIdentity SimulatedFleet::add(const std::string &name, std::int64_t milliCores)
+TargetIdentity SimulatedFleet::add(const std::string &name, std::int64_t milliCores,
+                                   const std::string &failureDomain)
 {
     Target target;
     target.identity.name = name;
     target.identity.bornAtMs = this->loop.nowMs();
     target.identity.service = "s";
+    target.identity.failureDomain = failureDomain;
     target.identity.rack = "r0-0";
     target.identity.capacity[ResourceKind::MilliCores] = milliCores;
     target.bornAt = this->loop.now();
@@ -213,7 +217,29 @@
     }
 }
 
-OrderAnswer SimulatedFleet::begin(Target &target, const StartOrder &order)
+void SimulatedFleet::evacuated(const std::string &failureDomain)
+{
+    this->evacuatedAt.emplace(failureDomain, this->loop.now());
+}
+
+void SimulatedFleet::opened(const std::string &failureDomain)
+{
+    this->evacuatedAt.erase(failureDomain);
+}
+
+void SimulatedFleet::checkDomain(const Target &target, const StartOrder &order, Instant sentAt)
+{
+    const auto found = this->evacuatedAt.find(target.identity.failureDomain);
+    if (found == this->evacuatedAt.end())
+        return;
+    ++this->startsInEvacuated;
+    if (sentAt > found->second + evacuationBound)
+        this->report(workflowName(order.task.step.workflow) + " is started on "
+                     + target.identity.name + " although " + target.identity.failureDomain
+                     + " is evacuated");
+}
+
+OrderAnswer SimulatedFleet::begin(Target &target, const StartOrder &order, Instant sentAt)
 {
     OrderAnswer answer;
     answer.clockMs = this->clockOf(target);
@@ -236,6 +262,7 @@
         return answer;
     answer.reply = OrderReply::Done;
     this->checkStart(target, order);
+    this->checkDomain(target, order, sentAt);
     ++this->starts;
     const std::uint64_t serial = ++this->serials;
     target.running[order.task] = {order.run, serial, order.checkpoint};
@@ -309,12 +336,13 @@
         });
         return;
     }
-    this->carry<OrderAnswer>(target.name, true, deadline, std::move(done),
-                             [this, order, born = target.bornAtMs](Target &at) {
-                                 if (at.identity.bornAtMs != born)
-                                     return OrderAnswer{OrderReply::OtherLife, 0};
-                                 return this->begin(at, order);
-                             });
+    this->carry<OrderAnswer>(
+        target.name, true, deadline, std::move(done),
+        [this, order, born = target.bornAtMs, sentAt = this->loop.now()](Target &at) {
+            if (at.identity.bornAtMs != born)
+                return OrderAnswer{OrderReply::OtherLife, 0};
+            return this->begin(at, order, sentAt);
+        });
 }
 
 void SimulatedFleet::stop(const TargetIdentity &target, const StopOrder &order, Instant deadline,
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -34,7 +34,8 @@
     SimulatedFleet(VirtualLoop &loop, std::uint64_t seed);
 
     /// Adds a target, or a later life of one that was there.
-    TargetIdentity add(const std::string &name, std::int64_t milliCores);
+    TargetIdentity add(const std::string &name, std::int64_t milliCores,
+                       const std::string &failureDomain = {});
     void crash(const std::string &name);
     /// No request reaches it; or, one way, only the answers are lost.
     void cut(const std::string &name, bool isOneWay);
@@ -42,6 +43,12 @@
     bool isUp(const std::string &name) const { return this->targets.at(name).isUp; }
     std::vector<std::string> names() const;
 
+    /// It was acknowledged that nothing more is started in \a failureDomain, or that it is open.
+    void evacuated(const std::string &failureDomain);
+    void opened(const std::string &failureDomain);
+    /// Starts in a domain after it was evacuated, whenever; those that were late on their way too.
+    std::size_t startsInEvacuated = 0;
+
     /// Tells the targets of a workflow, so that they know its steps.
     void announce(const WorkflowSpec &spec);
 
@@ -99,8 +106,9 @@
     std::optional<int> percentOf(const Target &target, const Running &run) const;
     void finish(const std::string &name, const TaskAddress &task, std::uint64_t serial);
     void finishGang(const TaskAddress &member, RunNumber run);
-    OrderAnswer begin(Target &target, const StartOrder &order);
+    OrderAnswer begin(Target &target, const StartOrder &order, Instant sentAt);
     void checkStart(const Target &target, const StartOrder &order);
+    void checkDomain(const Target &target, const StartOrder &order, Instant sentAt);
     std::int64_t usedOf(const Target &target) const;
     const StepSpec &specOf(const TaskAddress &task) const;
     void report(const std::string &what);
@@ -109,6 +117,7 @@
     std::mt19937_64 random;
     std::map<std::string, Target> targets;
     std::map<WorkflowId, WorkflowSpec> specs;
+    std::map<std::string, Instant> evacuatedAt; ///< by failure domain
     std::set<TaskAddress> ended; ///< that have ended with success, whether anybody knows or not
     std::set<TaskAddress> noted; ///< whose success a controller has taken note of
     std::uint64_t serials = 0;
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Milliseconds beatInterval{1500};
+constexpr Milliseconds retryPause{100}; ///< of an operator without an answer
 
 Result<Policy> simplePolicy(const std::string &)
 {
@@ -77,7 +78,7 @@
 void Simulation::restart(const std::string &name)
 {
     this->draining.erase(name);
-    this->identities[name] = this->fleet.add(name, this->milliCores);
+    this->identities[name] = this->fleet.add(name, this->milliCores, Simulation::domainOf(name));
     this->beat(name);
 }
 
@@ -89,6 +90,27 @@
 }
 
 void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps)
+std::string Simulation::domainOf(const std::string &name)
+{
+    return std::stoi(name.substr(1)) % 2 == 0 ? "d0" : "d1";
+}
+
+void Simulation::evacuate(const std::string &failureDomain, bool isEvacuated)
+{
+    this->controller().evacuate(
+        failureDomain, isEvacuated,
+        [this, failureDomain, isEvacuated](const Result<CommandOutcome> &outcome) {
+            if (!outcome)
+                this->loop.runAfter(retryPause, [this, failureDomain, isEvacuated] {
+                    this->evacuate(failureDomain, isEvacuated);
+                });
+            else if (isEvacuated)
+                this->fleet.evacuated(failureDomain);
+            else
+                this->fleet.opened(failureDomain);
+        });
+}
+
 {
     WorkflowSpec spec;
     spec.id = id;
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -74,6 +74,11 @@
     /// The target has left for good.
     void leave(const std::string &name);
 
+    /// Asks for an evacuation until it is acknowledged, or takes it back.
+    void evacuate(const std::string &failureDomain, bool isEvacuated);
+    /// Of the target called "tN": they alternate between "d0" and "d1".
+    static std::string domainOf(const std::string &name);
+
     void submit(WorkflowId id, std::vector<StepSpec> steps);
     void runFor(Milliseconds span);
     WorkflowState stateOf(WorkflowId id) const;
