workflows, platform: other replicas carry the orders of targets that one process has no connections for

Change: TargetAgents, a TargetPort that sends each order over the own port or through another replica's. The controller keeps all that it may carry by its descriptors, and shares the rest evenly; a target moves when its agent is missing, doubted or overfull. Carrying is stateless: term, run number and a lease on the target's clock travel with the order, so an agent that freezes with one in hand is the same to the target as an order that is slow on its way, against which leases and fences stand already. What fails between the two instances tells nothing of the target.

Ruled out: holders of targets with state and tokens of their own. They would need an order between holders that the term gives already.

--- a/src/replicas/messenger.h
+++ b/src/replicas/messenger.h
@@ -30,6 +30,7 @@
     // Controller to entry.
     Dispatch = 40,
     AskAdmission = 41,
+    CarryOrder = 42, ///< to a target, whose answer comes back
     // Any instance to any other.
     Ping = 60,
     ReplicaStatus = 61,
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -148,6 +148,12 @@
                {"service", target.service}});
 }
 
+void logAgentDoubted(const std::string &agent, std::size_t targets, const Error &error)
+{
+    logChange(LogLevel::Warning, "agent-doubted",
+              {{"agent", agent}, {"targets", std::to_string(targets)}, {"error", error.message}});
+}
+
 void logLifeOver(const TargetIdentity &target)
 {
     logChange(LogLevel::Warning, "target-over",
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -46,6 +46,8 @@
 void logDocumentInForce(std::int64_t version, const Policy &policy);
 void logDocumentUnreadable(std::int64_t version, const Error &error);
 
+/// An instance that carries orders for \a targets has not answered: they go other ways.
+void logAgentDoubted(const std::string &agent, std::size_t targets, const Error &error);
 } // namespace guavavalve::workflows
 /// \a runs: under way there, or on their way.
 void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
--- /dev/null
+++ b/src/workflows/targetagents.cpp
@@ -0,0 +1,123 @@
+#include "workflows/targetagents.h"
+
+#include "core/codec.h"
+#include "replicas/messenger.h"
+#include "workflows/decisionlog.h"
+
+#include <utility>
+
+namespace guavavalve::workflows {
+
+namespace {
+
+/// Instances report that they are there every 0.4 s.
+constexpr Milliseconds lookInterval{200};
+
+std::int64_t msUntil(Instant deadline, Instant now)
+{
+    return std::chrono::duration_cast<Milliseconds>(deadline - now).count();
+}
+
+} // namespace
+
+TargetAgents::TargetAgents(TargetAgentsOptions agentsOptions, TargetPort &own, Messenger &messenger)
+    : options(std::move(agentsOptions))
+    , own(own)
+    , messenger(messenger)
+    , pool(this->options.self, this->options.targetsPerAgent)
+{}
+
+const InstanceId &TargetAgents::agentFor(const TargetIdentity &target)
+{
+    const Instant now = this->options.clock();
+    if (now >= this->nextLook) {
+        this->nextLook = now + lookInterval;
+        this->pool.present(this->options.agents(), now);
+    }
+    return this->pool.choose(target.name, now);
+}
+
+void TargetAgents::start(const TargetIdentity &target, const StartOrder &order, Instant deadline,
+                         Done<OrderAnswer> done)
+{
+    const InstanceId &agent = this->agentFor(target);
+    if (this->isOwn(agent))
+        this->own.start(target, order, deadline, std::move(done));
+    else
+        this->carry(agent, target, order, deadline, std::move(done));
+}
+
+void TargetAgents::stop(const TargetIdentity &target, const StopOrder &order, Instant deadline,
+                        Done<OrderAnswer> done)
+{
+    const InstanceId &agent = this->agentFor(target);
+    if (this->isOwn(agent))
+        this->own.stop(target, order, deadline, std::move(done));
+    else
+        this->carry(agent, target, order, deadline, std::move(done));
+}
+
+void TargetAgents::hold(const TargetIdentity &target, const HoldOrder &order, Instant deadline,
+                        Done<HoldAnswer> done)
+{
+    const InstanceId &agent = this->agentFor(target);
+    if (this->isOwn(agent))
+        this->own.hold(target, order, deadline, std::move(done));
+    else
+        this->carry(agent, target, order, deadline, std::move(done));
+}
+
+template<typename Order, typename Answer>
+void TargetAgents::carry(const InstanceId &agent, const TargetIdentity &target, const Order &order,
+                         Instant deadline, Done<Answer> done)
+{
+    const Instant now = this->options.clock();
+    CarriedOrder carried;
+    carried.target = target.name;
+    carried.bornAtMs = target.bornAtMs;
+    carried.address = target.address;
+    carried.order = order;
+    carried.answerWithinMs = msUntil(deadline, now);
+    if constexpr (std::is_same_v<Order, StartOrder>)
+        carried.leaveWithinMs = msUntil(order.leaveBy, now);
+    this->messenger.call(agent, Method::CarryOrder, encode(carried), deadline,
+                         [this, agent, post = this->options.post,
+                          done = std::move(done)](Result<std::string> reply) {
+                             post([this, agent, done, reply = std::move(reply)] {
+                                 this->carried(agent, reply, done);
+                             });
+                         });
+}
+
+/// What fails between the two instances tells nothing of the target: a start that never left goes
+/// out again at once, by another way.
+template<typename Answer>
+void TargetAgents::carried(const InstanceId &agent, const Result<std::string> &reply,
+                           const Done<Answer> &done)
+{
+    if (!reply) {
+        if (this->pool.doubt(agent, this->options.clock()))
+            logAgentDoubted(agent, this->pool.targetsOf(agent), reply.error());
+        Error error = reply.error();
+        if (error.ran == Ran::No)
+            error.code = ErrorCode::LimitExceeded;
+        done(error);
+        return;
+    }
+    const auto decoded = decode<CarriedAnswer>(reply.value());
+    if (!decoded) {
+        Error error = decoded.error();
+        error.ran = Ran::Unknown;
+        done(error);
+    } else if (const auto *answer = std::get_if<Answer>(&decoded.value().answer)) {
+        done(*answer);
+    } else if (const auto *error = std::get_if<Error>(&decoded.value().answer)) {
+        done(*error);
+    } else {
+        Error other = failure(ErrorCode::Corrupt, "an agent answered another kind of order");
+        other.ran = Ran::Unknown;
+        done(other);
+    }
+}
+
+} // namespace guavavalve::workflows
--- a/src/workflows/targetport.h
+++ b/src/workflows/targetport.h
@@ -6,6 +6,10 @@
 #include "workflows/runend.h"
 #include "workflows/targetlife.h"
 
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +29,14 @@
     std::uint64_t term = 0; ///< fences off earlier controllers
     std::uint32_t priority = 0; ///< its queue's: orders in line go out lowest first, stops before
     Instant leaveBy = Instant::max(); ///< if it is still in line then, it is not sent at all
+
+    /// Without leaveBy, which counts on this instance's clock.
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->task, this->run, this->payload, this->checkpoint, this->ticket,
+                this->leaseUntilMs, this->term, this->priority);
+    }
 };
 
 struct StopOrder
@@ -32,6 +44,12 @@
     TaskAddress task;
     RunNumber run = 0;
     std::uint64_t term = 0;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->task, this->run, this->term);
+    }
 };
 
 /// Asks what runs and what has ended, and renews the lease of all that runs.
@@ -41,6 +59,12 @@
     std::uint64_t lastSeen = 0; ///< ends up to this number are stored and may be forgotten
     std::int64_t waitMs = 0; ///< how long the target may wait for an end
     std::uint64_t term = 0;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->leaseUntilMs, this->lastSeen, this->waitMs, this->term);
+    }
 };
 
 /// How a target took an order.
@@ -70,6 +94,12 @@
 {
     OrderReply reply = OrderReply::Refused;
     std::int64_t clockMs = 0; ///< the target's clock; 0: not said
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->reply, this->clockMs);
+    }
 };
 
 struct RunningTask
@@ -78,6 +108,12 @@
     RunNumber run = 0;
     std::string checkpoint; ///< the newest saved; empty: none
     std::optional<int> percent = std::nullopt; ///< of its work that is done; nothing: not said
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->task, this->run, this->checkpoint, this->percent);
+    }
 };
 
 struct ListedEnd
@@ -87,6 +123,12 @@
     RunNumber run = 0;
     RunOutcome outcome = RunOutcome::Failed;
     std::string checkpoint;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->number, this->task, this->run, this->outcome, this->checkpoint);
+    }
 };
 
 struct HoldAnswer
@@ -96,6 +138,12 @@
     std::vector<RunningTask> running;
     std::vector<ListedEnd> ends; ///< by number
     bool isCut = false; ///< there may be more ends than these
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->reply, this->clockMs, this->running, this->ends, this->isCut);
+    }
 };
 
 /// Carries orders to targets. Answers come on the controller's loop. An order without an answer
--- /dev/null
+++ b/test/workflows/simulatedagents.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "replicas/messenger.h"
+#include "workflows/targetagents.h"
+#include "workflows/targetagentservice.h"
+#include "workflows/virtualloop.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace guavavalve::workflows {
+
+/// Instances that carry a controller's orders, on a virtual clock: they can be killed, and frozen
+/// with orders in hand that they carry out when they wake.
+class SimulatedAgents
+{
+public:
+    SimulatedAgents(VirtualLoop &loop, TargetPort &fleet, unsigned agents);
+    ~SimulatedAgents();
+
+    /// A controller's port: its own connections reach \a targetsPerAgent targets.
+    std::unique_ptr<TargetAgents> portOf(std::size_t targetsPerAgent);
+
+    void kill(unsigned agent);
+    void freeze(unsigned agent);
+    /// Back, or awake: what was waiting for a frozen one is carried now.
+    void wake(unsigned agent);
+
+    std::size_t carried = 0; ///< orders that agents have taken in
+
+private:
+    class AgentMessenger;
+    struct Agent
+    {
+        std::unique_ptr<AgentMessenger> messenger;
+        std::unique_ptr<TargetAgentService> service;
+        bool isUp = true;
+        bool isFrozen = false;
+        std::vector<std::function<void()>> waiting;
+    };
+
+    void deliver(const std::string &address, const std::string &payload, Instant deadline,
+                 const Done<std::string> &done);
+    std::vector<InstanceId> present() const;
+
+    VirtualLoop &loop;
+    TargetPort &fleet;
+    std::unique_ptr<AgentMessenger> own;
+    std::map<std::string, Agent> agents;
+};
+
+} // namespace guavavalve::workflows
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -54,8 +54,9 @@
     };
     options.metrics = &this->metrics;
     options.clock = [this] { return this->loop.now(); };
-    reign->controller = std::make_unique<Controller>(options, reign->log, this->machine,
-                                                     this->fleet, this->admissions);
+    TargetPort &port = this->portOfController ? this->portOfController() : this->fleet;
+    reign->controller =
+        std::make_unique<Controller>(options, reign->log, this->machine, port, this->admissions);
     reign->controller->leadershipChanged(true, ++this->term);
     this->reigns.push_back(std::move(reign));
 }
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -87,6 +87,8 @@
     VirtualLoop loop;
     Milliseconds storeTime{0}; ///< of the next controller's log
     std::int64_t calendarStepMs = 1; ///< how finely the calendar is read
+    /// The port that the next controller sends its orders through; not set: the fleet's own.
+    std::function<TargetPort &()> portOfController;
     Metrics metrics;
     SimulatedFleet fleet;
     BookMachine machine;
