workflows, attribution, tool: what a job's time went to

Cause: why a job was late could only be found by hand, and issue after issue asked for it.

Change: a plan tells for each step that it leaves waiting what it waits for (asker, admission, room, limit); a ledger adds that up, and the line `placed` shows it. `guavavalve delays LOG...` reads the lines of all processes and puts each job that was late, refused or never done down to a cause with its milliseconds: as a table, as JSON and as a page with a time line. The objective has a file of its own, since two places need it.

No decision is changed.

--- a/src/tool/commandgroups.h
+++ b/src/tool/commandgroups.h
@@ -12,5 +12,6 @@
 std::vector<ToolCommand> replicaCommands();
 std::vector<ToolCommand> jobCommands();
 std::vector<ToolCommand> replayCommands();
+std::vector<ToolCommand> logCommands();
 
 } // namespace guavavalve
--- /dev/null
+++ b/src/tool/delayscommand.cpp
@@ -0,0 +1,70 @@
+#include "attribution/attribution.h"
+#include "attribution/report.h"
+#include "tool/commandgroups.h"
+#include "tool/toolcontext.h"
+#include "tool/toolflags.h"
+
+#include <absl/flags/flag.h>
+
+#include <fstream>
+#include <string>
+
+namespace guavavalve {
+
+namespace {
+
+Result<void> readLog(const std::string &path, attribution::Attribution &into)
+{
+    std::ifstream file(path);
+    if (!file)
+        return failure(ErrorCode::InvalidArgument, "cannot read " + path);
+    for (std::string line; std::getline(file, line);) {
+        if (const auto event = attribution::parseLogLine(line))
+            into.take(*event);
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<void> writePage(const std::string &path, const attribution::Findings &findings)
+{
+    std::ofstream file(path, std::ios::trunc);
+    file << attribution::asPage(findings);
+    file.close();
+    if (!file)
+        return failure(ErrorCode::WriteRefused, "cannot write " + path);
+    return boost::outcome_v2::success();
+}
+
+ExitCode delays(const ToolContext &context, const std::vector<std::string> &arguments)
+{
+    attribution::Attribution attribution;
+    for (const std::string &path : arguments) {
+        if (const auto read = readLog(path, attribution); !read)
+            return context.fail(read.error());
+    }
+    const attribution::Findings findings = attribution.findings();
+    if (const std::string page = absl::GetFlag(FLAGS_page); !page.empty()) {
+        if (const auto written = writePage(page, findings); !written)
+            return context.fail(written.error());
+    }
+    context.print(context.forPrograms() ? attribution::asJson(findings)
+                                        : attribution::asTable(findings));
+    return ExitCode::Done;
+}
+
+} // namespace
+
+std::vector<ToolCommand> logCommands()
+{
+    constexpr std::size_t many = 1000;
+    return {{"delays",
+             "LOG ...",
+             1,
+             many,
+             "Puts each job that was late, refused or never done down to a cause, from the logs of "
+             "all processes. Needs no server.",
+             {"page"},
+             delays}};
+}
+
+} // namespace guavavalve
--- a/src/tool/toolcommands.cpp
+++ b/src/tool/toolcommands.cpp
@@ -23,6 +23,7 @@
     append(all, keyCommands());
     append(all, replicaCommands());
     append(all, replayCommands());
+    append(all, logCommands());
     return all;
 }
 
--- a/src/tool/toolflags.cpp
+++ b/src/tool/toolflags.cpp
@@ -32,6 +32,7 @@
 ABSL_FLAG(std::int64_t, start_within_ms, 0, "must start within, in ms; 0: no deadline");
 ABSL_FLAG(std::int64_t, finish_within_ms, 0, "must finish within, in ms; 0: no deadline");
 ABSL_FLAG(std::int64_t, run_time_ms, 0, "declared run time, in ms; 0: not declared");
+ABSL_FLAG(std::string, page, "", "write the findings as an HTML page to this file too");
 
 namespace guavavalve {
 
--- a/src/tool/toolflags.h
+++ b/src/tool/toolflags.h
@@ -30,6 +30,7 @@
 ABSL_DECLARE_FLAG(std::int64_t, start_within_ms);
 ABSL_DECLARE_FLAG(std::int64_t, finish_within_ms);
 ABSL_DECLARE_FLAG(std::int64_t, run_time_ms);
+ABSL_DECLARE_FLAG(std::string, page);
 
 namespace guavavalve {
 
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -61,6 +61,7 @@
     this->admissions.clear();
     this->admittedParts.clear();
     this->claims.clear();
+    this->waits.clear();
     this->orphansSince.clear();
     this->openQuestions = 0;
     for (Pending &waiting : std::exchange(this->pending, {})) {
@@ -318,6 +319,7 @@
     for (const AdmissionQuestion &question : made.questions)
         this->ask(question);
     const Instant now = this->options.clock();
+    this->waits.planned(made.waiting, now);
     if (now < this->nextPlanLog)
         return;
     this->nextPlanLog = now + planLogInterval;
@@ -366,7 +368,8 @@
     });
     if (!isKnown)
         return;
-    logPlaced(command, queue, account, this->policyVersion, ageMs);
+    logPlaced(command, queue, account, this->policyVersion, ageMs,
+              this->waits.times(command.step, this->options.clock()));
     const auto admitted = this->admissions.find(command.step);
     for (std::size_t i = 0; i < command.placements.size(); ++i) {
         const Placement &placement = command.placements[i];
@@ -438,6 +441,7 @@
         for (auto claim = this->claims.begin(); claim != this->claims.end();)
             claim = claim->second.until < now ? this->claims.erase(claim) : std::next(claim);
     });
+    this->waits.dropOld(now);
     if (!command.ids.empty())
         this->add(std::move(command), [](const Result<CommandOutcome> &) {});
     std::vector<LifeNumber> silent;
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -10,6 +10,7 @@
 #include "workflows/targethealth.h"
 #include "workflows/targetport.h"
 #include "workflows/targetsession.h"
+#include "workflows/waitledger.h"
 #include "workflows/workflowmetrics.h"
 
 #include <cstdint>
@@ -47,8 +48,8 @@
 {
     TargetIdentity identity;
     bool isReady = false; ///< false: it drains
-    std::uint64_t sequence = 0; ///< grows within one life
     Milliseconds coldFor{0}; ///< how much longer it is slow after its start
+    std::uint64_t sequence = 0; ///< grows within one life
 };
 
 /// Runs workflows while its replica leads: decides, has the decision stored, and acts.
@@ -75,13 +76,13 @@
     void submit(WorkflowSpec spec, Done<CommandOutcome> done);
     void cancel(WorkflowId id, Done<CommandOutcome> done);
     void storeDocument(std::int64_t version, std::string text, Done<CommandOutcome> done);
-    /// Waits until a quorum has confirmed that this controller still led when asked.
     /// Nothing more is started on the targets of \a failureDomain, or it is open again. What runs
     /// there goes on. A repetition changes nothing; of contrary wishes the one stored last holds.
     void evacuate(const std::string &failureDomain, bool isEvacuated, Done<CommandOutcome> done);
     /// True if all targets known for \a queue take nothing new since their failure domains are
     /// evacuated.
     bool isShutOut(const std::string &queue) const;
+    /// Waits until a quorum has confirmed that this controller still led when asked.
     void confirm(Done<Nothing> done);
 
     /// A heartbeat. \a done: it is known, and nothing new will be started on a draining target.
@@ -136,8 +137,8 @@
     void countOver(const std::vector<WorkflowId> &touched, std::int64_t atMs);
     bool hasBegun(const Workflow &workflow) const;
     void setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done);
-    void ask(const AdmissionQuestion &question);
     void domainChanged(const std::string &failureDomain, bool isEvacuated, CommandOutcome outcome);
+    void ask(const AdmissionQuestion &question);
     void answered(const AdmissionQuestion &question, Instant askedAt,
                   const Result<AdmissionPort::Admitted> &answer);
 
@@ -187,6 +188,7 @@
     AdmissionTable admissions;
     AdmittedParts admittedParts;
     ClaimTable claims;
+    WaitLedger waits;
     std::map<StepAddress, Instant> orphansSince; ///< gangs that have lost members
     Policy inForce;
     std::int64_t policyVersion = -1;
--- a/src/workflows/controllercounts.cpp
+++ b/src/workflows/controllercounts.cpp
@@ -1,5 +1,7 @@
 #include "workflows/controller.h"
 
+#include "workflows/decisionlog.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -35,8 +37,10 @@
             const Workflow *workflow = book.find(id);
             const bool isOver =
                 workflow != nullptr && workflow->isOver() && workflow->endedAtMs == atMs;
-            if (isOver && this->countedOver.insert(id).second)
+            if (isOver && this->countedOver.insert(id).second) {
                 this->metrics.over(*workflow, atMs);
+                logWorkflowOver(*workflow, atMs);
+            }
         }
     });
 }
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -26,7 +26,7 @@
 }
 
 void logPlaced(const PlaceRuns &command, const std::string &queue, const std::string &account,
-               std::int64_t version, std::int64_t ageMs)
+               std::int64_t version, std::int64_t ageMs, const WaitTimes &waited)
 {
     std::string places;
     for (const Placement &placement : command.placements) {
@@ -40,9 +40,18 @@
                {"account", account},
                {"version", std::to_string(version)},
                {"ageMs", std::to_string(ageMs)},
+               {"waitedMs", describe(waited)},
                {"lives", places}});
 }
 
+void logWorkflowOver(const Workflow &workflow, std::int64_t atMs)
+{
+    logChange(LogLevel::Information, "job-over",
+              {{"job", workflowName(workflow.spec.id)},
+               {"state", std::string(enumName(workflowStateNames, workflow.state()))},
+               {"tookMs", std::to_string(atMs - workflow.spec.dueAtMs(0))}});
+}
+
 void logStopping(WorkflowId id, std::string_view why, std::size_t tasks)
 {
     logChange(
@@ -139,6 +148,12 @@
               {{"step", stepName(step)}, {"error", error.message}});
 }
 
+void logAgentDoubted(const std::string &agent, std::size_t targets, const Error &error)
+{
+    logChange(LogLevel::Warning, "agent-doubted",
+              {{"agent", agent}, {"targets", std::to_string(targets)}, {"error", error.message}});
+}
+
 void logLifeBegun(const TargetIdentity &target)
 {
     logChange(LogLevel::Information, "target-begun",
@@ -148,18 +163,21 @@
                {"service", target.service}});
 }
 
-void logAgentDoubted(const std::string &agent, std::size_t targets, const Error &error)
-{
-    logChange(LogLevel::Warning, "agent-doubted",
-              {{"agent", agent}, {"targets", std::to_string(targets)}, {"error", error.message}});
-}
-
 void logLifeOver(const TargetIdentity &target)
 {
     logChange(LogLevel::Warning, "target-over",
               {{"target", target.name}, {"born", std::to_string(target.bornAtMs)}});
 }
 
+void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
+               std::size_t runs)
+{
+    logChange(LogLevel::Warning, isEvacuated ? "domain-evacuated" : "domain-open",
+              {{"failureDomain", failureDomain},
+               {"targets", std::to_string(targets)},
+               {"runs", std::to_string(runs)}});
+}
+
 void logDocumentInForce(std::int64_t version, const Policy &policy)
 {
     logChange(LogLevel::Information, "configuration-in-force",
@@ -175,12 +193,3 @@
 }
 
 } // namespace guavavalve::workflows
-void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
-               std::size_t runs)
-{
-    logChange(LogLevel::Warning, isEvacuated ? "domain-evacuated" : "domain-open",
-              {{"failureDomain", failureDomain},
-               {"targets", std::to_string(targets)},
-               {"runs", std::to_string(runs)}});
-}
-
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -8,6 +8,8 @@
 #include "workflows/policy.h"
 #include "workflows/targethealth.h"
 #include "workflows/targetstanding.h"
+#include "workflows/waitledger.h"
+#include "workflows/workflow.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,9 +24,12 @@
 
 std::string workflowName(WorkflowId id);
 
-/// \a version: of the configuration that it was decided by; \a ageMs: since the workflow was due.
+/// \a version: of the configuration that it was decided by; \a ageMs: since the workflow was due;
+/// \a waited: of the step until now.
 void logPlaced(const PlaceRuns &command, const std::string &queue, const std::string &account,
-               std::int64_t version, std::int64_t ageMs);
+               std::int64_t version, std::int64_t ageMs, const WaitTimes &waited);
+/// It has completed, failed or was cancelled at \a atMs, on the calendar.
+void logWorkflowOver(const Workflow &workflow, std::int64_t atMs);
 /// All that is placed of the workflow is being stopped.
 void logStopping(WorkflowId id, std::string_view why, std::size_t tasks);
 /// New work may go to the target from now on, or no longer, by what is known of it.
@@ -41,14 +46,14 @@
 void logTrust(LifeNumber life, TargetTrust before, TargetTrust now);
 void logAdvised(const StepAddress &step, std::size_t asked, std::size_t admitted);
 void logAdviceFailed(const StepAddress &step, const Error &error);
+/// An instance that carries orders for \a targets has not answered: they go other ways.
+void logAgentDoubted(const std::string &agent, std::size_t targets, const Error &error);
 void logLifeBegun(const TargetIdentity &target);
 void logLifeOver(const TargetIdentity &target);
+/// \a runs: under way there, or on their way.
+void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
+               std::size_t runs);
 void logDocumentInForce(std::int64_t version, const Policy &policy);
 void logDocumentUnreadable(std::int64_t version, const Error &error);
 
-/// An instance that carries orders for \a targets has not answered: they go other ways.
-void logAgentDoubted(const std::string &agent, std::size_t targets, const Error &error);
 } // namespace guavavalve::workflows
-/// \a runs: under way there, or on their way.
-void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
-               std::size_t runs);
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -3,6 +3,7 @@
 #include "workflows/internal/planroom.h"
 #include "workflows/internal/questionmaker.h"
 #include "workflows/internal/readystep.h"
+#include "workflows/objective.h"
 
 #include <algorithm>
 #include <map>
@@ -27,19 +28,6 @@
 /// So many instances for each of these gangs, which keeps one busy nearly all the time.
 constexpr std::size_t askersPerGang = 4;
 
-/// The longest chain of work that begins with each step, by the callers' estimates, in
-/// milliseconds.
-std::vector<std::int64_t> chainsFrom(const WorkflowSpec &spec)
-{
-    std::vector<std::int64_t> chains(spec.steps.size(), 0);
-    for (std::size_t i = spec.steps.size(); i-- > 0;) {
-        chains[i] += spec.steps[i].estimatedMs;
-        for (const std::uint16_t earlier : spec.steps[i].after)
-            chains[earlier] = std::max(chains[earlier], chains[i]);
-    }
-    return chains;
-}
-
 bool hasWaiting(const StepSpec &spec, const StepProgress &progress)
 {
     const std::size_t waiting = progress.tasks.size() - progress.placed - progress.succeeded;
@@ -119,13 +107,13 @@
         if (!hasReadyStep(workflow))
             return;
         const std::vector<std::int64_t> chains = chainsFrom(workflow.spec);
-        const auto longest = static_cast<double>(*std::max_element(chains.begin(), chains.end()));
+        const std::int64_t allowedMs =
+            objectiveOf(queue, *std::max_element(chains.begin(), chains.end()));
         for (std::uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
             const std::int64_t dueMs = workflow.spec.dueAtMs(k);
             if (dueMs > this->input.calendarMs)
                 break;
-            const std::int64_t objectiveMs =
-                dueMs + queue.slackMs + static_cast<std::int64_t>(queue.stretch * longest);
+            const std::int64_t objectiveMs = dueMs + allowedMs;
             for (std::size_t i = 0; i < workflow.spec.steps.size(); ++i) {
                 const StepAddress address{workflow.spec.id, k, static_cast<std::uint16_t>(i)};
                 const StepProgress &progress = workflow.step(address);
@@ -149,11 +137,14 @@
         this->plan.summary.waitingTasks[step.queue->priority] +=
             step.waiting() - this->placedOfStep;
         if (this->room.isOverLimit(step, step.spec().gang ? step.progress().tasks.size() : 1)) {
+            this->plan.waiting.push_back({step.address, WaitCause::Limit});
             this->room.closeClaim(step);
             return;
         }
+        bool isAsked = false;
         if (step.queue->needsAdvice)
-            this->ask(step, step.spec().gang && this->isNearTurn(step));
+            isAsked = this->ask(step, step.spec().gang && this->isNearTurn(step));
+        this->plan.waiting.push_back({step.address, causeOfWait(step, isAsked)});
         this->room.closeClaim(step);
         if (step.spec().gang)
             this->saveRoomFor(step);
@@ -178,12 +169,27 @@
             * step.spec().reserved()[ResourceKind::MilliCores];
     }
 
-    void ask(const ReadyStep &step, bool isNearTurn)
+    /// \a isAsked: a question about the step goes out with this plan.
+    static WaitCause causeOfWait(const ReadyStep &step, bool isAsked)
+    {
+        const StepAdmissions *known = step.admissions;
+        const bool knowsAny = known != nullptr && !known->admitted.empty();
+        if (!step.queue->needsAdvice || (knowsAny && step.spec().gang))
+            return WaitCause::Room;
+        if (isAsked || (known != nullptr && !known->asked.empty()))
+            return WaitCause::Admission;
+        return knowsAny ? WaitCause::Room : WaitCause::Asker;
+    }
+
+    /// True if there is anything to ask.
+    bool ask(const ReadyStep &step, bool isNearTurn)
     {
+        const std::size_t before = this->plan.questions.size();
         for (AdmissionQuestion &question : this->questions.make(step, isNearTurn)) {
             this->room.keep(step, question.claim);
             this->plan.questions.push_back(std::move(question));
         }
+        return this->plan.questions.size() > before;
     }
 
     /// Lets room gather for a gang: less urgent steps get nothing on the targets that have most of
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -5,6 +5,7 @@
 #include "workflows/book.h"
 #include "workflows/claims.h"
 #include "workflows/policy.h"
+#include "workflows/waitcause.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -20,8 +21,8 @@
     const TargetIdentity *identity = nullptr;
     Resources free;
     bool onProbation = false; ///< takes one task that is no member of a gang
-};
     bool isCold = false; ///< slow since its start; used when the others have no room
+};
 
 /// A question for the admission service.
 struct AdmissionQuestion
@@ -47,6 +48,7 @@
 {
     std::vector<PlaceRuns> placements;
     std::vector<AdmissionQuestion> questions;
+    std::vector<WaitingStep> waiting; ///< steps that have ready tasks without a place
     PlanSummary summary;
 };
 
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -90,7 +90,6 @@
                                   [](const Result<Nothing> &) {});
 }
 
-void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps)
 std::string Simulation::domainOf(const std::string &name)
 {
     return std::stoi(name.substr(1)) % 2 == 0 ? "d0" : "d1";
@@ -112,6 +111,7 @@
         });
 }
 
+void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps)
 {
     WorkflowSpec spec;
     spec.id = id;
--- /dev/null
+++ b/test/workflows/waitledgertest.cpp
@@ -0,0 +1,65 @@
+#include <catch2/catch.hpp>
+
+#include "workflows/planfixture.h"
+#include "workflows/waitledger.h"
+
+using namespace guavavalve;
+using namespace guavavalve::workflows;
+
+namespace {
+
+const Instant start{std::chrono::seconds(100)};
+const StepAddress step{BookFixture::job, 0, 0};
+
+Microseconds waitedFor(const WaitTimes &times, WaitCause cause)
+{
+    return times[static_cast<std::size_t>(cause)];
+}
+
+} // namespace
+
+TEST_CASE("a step's waits add up by cause from plan to plan", "[waits]")
+{
+    WaitLedger ledger;
+    ledger.planned({{step, WaitCause::Admission}}, start);
+    ledger.planned({{step, WaitCause::Room}}, start + Milliseconds(400));
+    const WaitTimes times = ledger.times(step, start + Milliseconds(1000));
+    CHECK(waitedFor(times, WaitCause::Admission) == Milliseconds(400));
+    CHECK(waitedFor(times, WaitCause::Room) == Milliseconds(600));
+    CHECK(describe(times) == "admission:400,room:600");
+    ledger.planned({}, start + Milliseconds(1000));
+    CHECK(describe(ledger.times(step, start + Milliseconds(2000))) == "admission:400,room:600");
+}
+
+TEST_CASE("steps that wait no more are forgotten", "[waits]")
+{
+    WaitLedger ledger;
+    ledger.planned({{step, WaitCause::Room}}, start);
+    ledger.planned({}, start + Milliseconds(100));
+    ledger.dropOld(start + Milliseconds(1000));
+    CHECK(describe(ledger.times(step, start + Milliseconds(1000))) == "room:100");
+    ledger.dropOld(start + Milliseconds(60000));
+    CHECK(describe(ledger.times(step, start + Milliseconds(60000))).empty());
+}
+
+TEST_CASE("a plan tells why it leaves a step waiting", "[waits]")
+{
+    PlanFixture f(1);
+    f.accept({BookFixture::step(5)});
+    REQUIRE(f.plan().waiting.size() == 1);
+    CHECK(f.plan().waiting.front().cause == WaitCause::Room);
+    f.policy.accounts["a"].limit[ResourceKind::MilliCores] = 4000;
+    CHECK(f.plan().waiting.front().cause == WaitCause::Limit);
+}
+
+TEST_CASE("a plan tells a question under way from one that nobody could put", "[waits]")
+{
+    PlanFixture f(1);
+    f.needAdvice();
+    f.accept({BookFixture::step(1)});
+    CHECK(f.plan().waiting.front().cause == WaitCause::Admission); // it is asked now
+    f.admissions[f.at(0)].nextQuestionAt = f.now + Milliseconds(100);
+    CHECK(f.plan().waiting.front().cause == WaitCause::Asker);
+    f.admit(1, Milliseconds(1000));
+    CHECK(f.plan().waiting.empty());
+}
