workflows: an agent is not given up for one order that came to nothing

The controller's deadline for an answer and the agent's for its target were the same, so each target that did not answer in time looked like an agent that was gone; all of its targets went to others, which opened new connections to them.

Change: an agent is doubted when it cannot be reached, or when it has answered nothing for 0.5 s; it gives a target up 50 ms before the controller gives up the agent.

Test: fails on the state before.

--- a/src/workflows/agentpool.cpp
+++ b/src/workflows/agentpool.cpp
@@ -10,6 +10,8 @@
 
 /// For an instance that was stopped, frozen or cut off to be missing from those that are there.
 constexpr Milliseconds doubtFor{2000};
+/// An agent of many targets answers many times a second.
+constexpr Milliseconds silenceOfAgent{500};
 /// A target without orders for this long has none: each is asked once a second.
 constexpr Milliseconds unusedLimit{10000};
 
@@ -45,9 +47,18 @@
     return assignment.agent;
 }
 
-bool AgentPool::doubt(const InstanceId &agent, Instant now)
+void AgentPool::answered(const InstanceId &agent, Instant now)
 {
-    if (agent == this->self)
+    this->answeredAt[agent] = now;
+}
+
+/// Guards against an agent that is given up for one order that was late: all its targets would open
+/// new connections elsewhere.
+bool AgentPool::unanswered(const InstanceId &agent, bool isUnreachable, Instant now)
+{
+    const auto answer = this->answeredAt.find(agent);
+    const bool isAlive = answer != this->answeredAt.end() && now < answer->second + silenceOfAgent;
+    if (agent == this->self || (isAlive && !isUnreachable))
         return false;
     Instant &until = this->doubtedUntil[agent];
     const bool wasGood = until <= now;
--- a/src/workflows/agentpool.h
+++ b/src/workflows/agentpool.h
@@ -30,9 +30,12 @@
     /// Who carries the next order for \a target: the same instance as before as long as it is
     /// there, not doubted, and not over its number.
     const InstanceId &choose(const std::string &target, Instant now);
-    /// An order was given to \a agent and nothing came back: it carries nothing for a while.
-    /// True if it was not doubted before.
-    bool doubt(const InstanceId &agent, Instant now);
+    /// \a agent has said what came of an order.
+    void answered(const InstanceId &agent, Instant now);
+    /// An order was given to \a agent and nothing came back. Unless it has answered others lately,
+    /// it carries nothing for a while; so it is at once if \a isUnreachable. True if it was not
+    /// doubted before and is now.
+    bool unanswered(const InstanceId &agent, bool isUnreachable, Instant now);
 
     std::size_t targetsOf(const InstanceId &agent) const;
     /// Targets whose orders others carry.
@@ -54,6 +57,7 @@
     std::size_t targetsPerAgent;
     std::set<InstanceId> agents;
     std::map<InstanceId, Instant> doubtedUntil;
+    std::map<InstanceId, Instant> answeredAt;
     std::unordered_map<std::string, Assignment> assignments; ///< by the target's name
     std::map<InstanceId, std::size_t> counts; ///< assignments
     Instant nextDrop{};
--- a/src/workflows/targetagents.cpp
+++ b/src/workflows/targetagents.cpp
@@ -12,6 +12,8 @@
 
 /// Instances report that they are there every 0.4 s.
 constexpr Milliseconds lookInterval{200};
+/// An agent gives a target up so much sooner than the controller gives up the agent.
+constexpr Milliseconds wayBack{50};
 
 std::int64_t msUntil(Instant deadline, Instant now)
 {
@@ -77,7 +79,7 @@
     carried.bornAtMs = target.bornAtMs;
     carried.address = target.address;
     carried.order = order;
-    carried.answerWithinMs = msUntil(deadline, now);
+    carried.answerWithinMs = msUntil(deadline - wayBack, now);
     if constexpr (std::is_same_v<Order, StartOrder>)
         carried.leaveWithinMs = msUntil(order.leaveBy, now);
     this->messenger.call(agent, Method::CarryOrder, encode(carried), deadline,
@@ -96,7 +98,8 @@
                            const Done<Answer> &done)
 {
     if (!reply) {
-        if (this->pool.doubt(agent, this->options.clock()))
+        const bool isUnreachable = reply.error().ran == Ran::No;
+        if (this->pool.unanswered(agent, isUnreachable, this->options.clock()))
             logAgentDoubted(agent, this->pool.targetsOf(agent), reply.error());
         Error error = reply.error();
         if (error.ran == Ran::No)
@@ -104,6 +107,7 @@
         done(error);
         return;
     }
+    this->pool.answered(agent, this->options.clock());
     const auto decoded = decode<CarriedAnswer>(reply.value());
     if (!decoded) {
         Error error = decoded.error();
--- a/test/workflows/targetagentstest.cpp
+++ b/test/workflows/targetagentstest.cpp
@@ -116,14 +116,25 @@
     AgentPool pool("own", 100);
     pool.present({"a", "b"}, start);
     chooseAll(pool, 150, start);
-    CHECK(pool.doubt("a", start));
-    CHECK_FALSE(pool.doubt("a", start));
+    CHECK(pool.unanswered("a", true, start));
+    CHECK_FALSE(pool.unanswered("a", true, start));
     CHECK(chooseAll(pool, 150, start) == std::map<InstanceId, int>{{"own", 100}, {"b", 50}});
     pool.present({"a"}, start + Milliseconds(5000));
     CHECK(chooseAll(pool, 150, start + Milliseconds(5000))
           == std::map<InstanceId, int>{{"own", 100}, {"a", 50}});
 }
 
+TEST_CASE("an agent is not given up for one order that came to nothing", "[agents]")
+{
+    AgentPool pool("own", 100);
+    pool.present({"a"}, start);
+    pool.answered("a", start);
+    CHECK_FALSE(pool.unanswered("a", false, start + Milliseconds(100)));
+    CHECK(pool.unanswered("a", false, start + Milliseconds(600)));
+    pool.answered("a", start + Milliseconds(3000));
+    CHECK(pool.unanswered("a", true, start + Milliseconds(3000)));
+}
+
 TEST_CASE("without agents the controller carries all, and hands over what is too much", "[agents]")
 {
     AgentPool pool("own", 100);
