workflows, platform: a new controller asks its targets one after the other

Each asked all 3,000 targets at once, a third over its own connections and the rest over the followers', and every target's heartbeat of the next 1.5 s reached it too, since the filters of repetitions are lost with the processes. Nobody had processor time left for the log, so another was elected, and that one did the same.

Change: 400 targets are asked at once and then 20 each 10 ms, those with runs first.

Ruled out: longer election timeouts. They would only make the burst longer.

--- a/src/workflows/book.cpp
+++ b/src/workflows/book.cpp
@@ -81,6 +81,12 @@
     return found == this->newest.end() ? LifeNumber::None : found->second;
 }
 
+bool Book::holds(const TargetIdentity &identity, bool isDraining) const
+{
+    const LifeRecord *life = this->find(this->newestLife(identity.name));
+    return life != nullptr && life->isDraining == isDraining && life->identity == identity;
+}
+
 CommandOutcome Book::on(const AcceptWorkflow &command)
 {
     if (this->all.count(command.spec.id) != 0)
--- a/src/workflows/book.h
+++ b/src/workflows/book.h
@@ -42,6 +42,9 @@
     /// evacuated.
     bool takesWork(const LifeRecord &life) const;
 
+    /// The target's newest life is \a identity, as it says of itself, and it drains or not as said.
+    bool holds(const TargetIdentity &identity, bool isDraining) const;
+
     std::string snapshot() const;
     /// Reads snapshots of this format and of the one before it.
     /// \errors Corrupt, and the book is unchanged.
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -56,6 +56,7 @@
     for (auto &[life, state] : this->lives)
         state.session->end();
     this->lives.clear();
+    this->unbegun.clear();
     this->health.clear();
     this->movesOf.clear();
     this->admissions.clear();
@@ -76,9 +77,7 @@
     if (!nowLeads)
         return;
     this->refreshPolicy();
-    const LifeTable known = this->machine.read([](const Book &book) { return book.lives(); });
-    for (const auto &[life, record] : known)
-        this->openSession(life, record);
+    this->openAll();
     this->needsPlan = true;
     this->nextTickAt = this->options.clock();
     this->tick(newTerm);
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -142,7 +143,9 @@
     void answered(const AdmissionQuestion &question, Instant askedAt,
                   const Result<AdmissionPort::Admitted> &answer);
 
-    void openSession(LifeNumber life, const LifeRecord &record);
+    TargetSession &openSession(LifeNumber life, const LifeRecord &record);
+    void openAll();
+    void beginSome(std::size_t most);
     void runsOver(LifeNumber life, std::vector<RunEnd> ends);
     void lifeOver(LifeNumber life);
     void neverStarted(LifeNumber life, const TaskAddress &task, RunNumber run);
@@ -185,6 +188,7 @@
     std::map<LifeNumber, LifeState> lives;
     TargetHealth health;
     std::map<TaskAddress, unsigned> movesOf; ///< runs stopped because their target had stalled
+    std::deque<LifeNumber> unbegun; ///< whose sessions have not asked their targets yet
     AdmissionTable admissions;
     AdmittedParts admittedParts;
     ClaimTable claims;
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -13,10 +13,49 @@
 
 /// Of a task whose queue is gone: nobody may call it failed.
 constexpr std::uint16_t neverFailed = 1000;
+/// Targets that a new controller asks at once, and then for each pause: 2,000 a second.
+constexpr std::size_t askedAtOnce = 400;
+constexpr std::size_t askedPerPause = 20;
+constexpr Milliseconds askPause{10};
 
 } // namespace
 
-void Controller::openSession(LifeNumber life, const LifeRecord &record)
+/// Those with runs come first: their leases run out.
+///
+/// Guards against a controller of thousands of targets that asks all of them at once: the replicas
+/// had no processor time left for the log, elected another, and that one did the same.
+void Controller::openAll()
+{
+    const LifeTable known = this->machine.read([](const Book &book) { return book.lives(); });
+    for (const auto &[life, record] : known) {
+        this->openSession(life, record);
+        if (!record.placed.empty())
+            this->unbegun.push_back(life);
+    }
+    for (const auto &[life, record] : known) {
+        if (record.placed.empty())
+            this->unbegun.push_back(life);
+    }
+    this->beginSome(askedAtOnce);
+}
+
+void Controller::beginSome(std::size_t most)
+{
+    for (std::size_t i = 0; i < most && !this->unbegun.empty(); ++i) {
+        const auto found = this->lives.find(this->unbegun.front());
+        this->unbegun.pop_front();
+        if (found != this->lives.end())
+            found->second.session->begin();
+    }
+    if (this->unbegun.empty())
+        return;
+    this->options.runAfter(askPause, [this, alive = this->alive, inTerm = this->term] {
+        if (*alive && this->leads && this->term == inTerm)
+            this->beginSome(askedPerPause);
+    });
+}
+
+TargetSession &Controller::openSession(LifeNumber life, const LifeRecord &record)
 {
     TargetSession::Hooks hooks;
     hooks.runsOver = [this, life](std::vector<RunEnd> ends) {
@@ -50,7 +89,6 @@
     session->setEvacuated(this->machine.read([&](const Book &book) {
         return book.evacuatedDomains().count(record.identity.failureDomain) != 0;
     }));
-    session->begin();
     for (const TaskAddress &task : record.placed) {
         const bool isOver = this->machine.read([&](const Book &book) {
             const Workflow *workflow = book.find(task.step.workflow);
@@ -59,6 +97,7 @@
         if (isOver)
             session->stop(task);
     }
+    return *session;
 }
 
 void Controller::runsOver(LifeNumber life, std::vector<RunEnd> ends)
@@ -167,7 +206,7 @@
                   if (this->leads && life != LifeNumber::None && this->lives.count(life) == 0
                       && record.identity.bornAtMs == report.identity.bornAtMs) {
                       logLifeBegun(record.identity);
-                      this->openSession(life, record);
+                      this->openSession(life, record).begin();
                       this->lives[life].sequence = report.sequence;
                       this->lives[life].session->heard(report.isReady, report.coldFor);
                       this->setDraining(life, !report.isReady, done);
--- a/src/workflows/reportfilter.cpp
+++ b/src/workflows/reportfilter.cpp
@@ -2,7 +2,10 @@
 
 #include "workflows/controller.h"
 
+#include <cstddef>
+#include <functional>
 #include <iterator>
+#include <string>
 
 namespace guavavalve::workflows {
 
@@ -28,10 +31,23 @@
 }
 
 void ReportFilter::acknowledged(const TargetReport &report, Instant now)
+{
+    this->note(report, now + passInterval, now);
+}
+
+/// Guards against the reports of all targets that reach a controller at once after a restart of all
+/// instances: they pass one after the other within the interval.
+void ReportFilter::stored(const TargetReport &report, Instant now)
+{
+    const auto spread = std::hash<std::string>()(report.identity.name)
+        % static_cast<std::size_t>(passInterval.count());
+    this->note(report, now + Milliseconds(spread), now);
+}
+
+void ReportFilter::note(const TargetReport &report, Instant passAt, Instant now)
 {
     const std::lock_guard lock(this->mutex);
-    this->known[report.identity.name] = {report.identity, report.isReady, isCold(report),
-                                         now + passInterval};
+    this->known[report.identity.name] = {report.identity, report.isReady, isCold(report), passAt};
     this->dropOld(now);
 }
 
--- a/src/workflows/reportfilter.h
+++ b/src/workflows/reportfilter.h
@@ -29,6 +29,9 @@
     bool isRepetition(const TargetReport &report, Instant now) const;
     /// The controller has acknowledged \a report.
     void acknowledged(const TargetReport &report, Instant now);
+    /// \a report is not known here, and says what is stored: it counts as acknowledged, and one of
+    /// its next repetitions goes to the controller.
+    void stored(const TargetReport &report, Instant now);
     /// The target has said goodbye, or its word was not taken.
     void forget(const std::string &targetName);
 
@@ -43,6 +46,7 @@
         Instant passAt{}; ///< the next repetition from then on goes to the controller
     };
 
+    void note(const TargetReport &report, Instant passAt, Instant now);
     void dropOld(Instant now);
 
     mutable std::mutex mutex;
--- a/test/workflows/booktest.cpp
+++ b/test/workflows/booktest.cpp
@@ -247,3 +247,15 @@
     fixture.end(0, 0, 1, RunOutcome::Stopped);
     CHECK(fixture.workflow().occurrences.empty());
 }
+
+TEST_CASE("the book knows whether a target's report says anything new", "[book]")
+{
+    BookFixture f(1);
+    TargetIdentity identity = f.book.find(f.life(1))->identity;
+    CHECK(f.book.holds(identity, false));
+    CHECK_FALSE(f.book.holds(identity, true));
+    identity.bornAtMs = 2;
+    CHECK_FALSE(f.book.holds(identity, false));
+    identity.name = "another";
+    CHECK_FALSE(f.book.holds(identity, false));
+}
--- a/test/workflows/largefleettest.cpp
+++ b/test/workflows/largefleettest.cpp
@@ -107,3 +107,17 @@
     CHECK(simulation.fleet.breach.empty());
     CHECK(simulation.isAllOver());
 }
+
+// Guards against a new controller that spends all its time on the first questions to its targets.
+TEST_CASE("a new controller of many targets asks them one after the other", "[large]")
+{
+    spdlog::set_level(spdlog::level::off);
+    Simulation simulation(1, largeFleet);
+    simulation.runFor(Milliseconds(2000));
+    simulation.changeController(Milliseconds(0));
+    const std::size_t before = simulation.fleet.holds;
+    simulation.loop.runFor(Milliseconds(5));
+    CHECK(simulation.fleet.holds - before < largeFleet / 2);
+    simulation.runFor(Milliseconds(1000));
+    CHECK(simulation.controller().usableTargets() == largeFleet);
+}
--- a/test/workflows/reportfiltertest.cpp
+++ b/test/workflows/reportfiltertest.cpp
@@ -57,3 +57,19 @@
     filter.acknowledged(reportOf("a", 1), start + Milliseconds(60000));
     CHECK(filter.size() == 1);
 }
+
+TEST_CASE("a report that is stored already is spread over the interval, not passed on at once",
+          "[reports]")
+{
+    ReportFilter filter;
+    constexpr int targets = 1000;
+    int passed = 0;
+    for (int i = 0; i < targets; ++i)
+        filter.stored(reportOf("t" + std::to_string(i), 1), start);
+    const Instant half = start + ReportFilter::passInterval / 2;
+    for (int i = 0; i < targets; ++i)
+        passed += filter.isRepetition(reportOf("t" + std::to_string(i), 2), half) ? 0 : 1;
+    CHECK(passed > targets / 3);
+    CHECK(passed < 2 * targets / 3);
+    CHECK_FALSE(filter.isRepetition(reportOf("t1", 2, false), start));
+}
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -376,6 +376,7 @@
 void SimulatedFleet::hold(const TargetIdentity &target, const HoldOrder &order, Instant deadline,
                           Done<HoldAnswer> done)
 {
+    ++this->holds;
     this->carry<HoldAnswer>(
         target.name, false, deadline, std::move(done),
         [this, order, born = target.bornAtMs](Target &at) {
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -64,6 +64,7 @@
     std::string hanging; ///< a target whose tasks stand still, for good; empty: none
     std::string breach; ///< the first; empty: none
     std::size_t starts = 0;
+    std::size_t holds = 0; ///< questions that were sent
     std::size_t failures = 0;
 
 private:
