attribution: runs that are slower than estimated are a cause; runs from before the log count for nothing

Change: `placed` names the caller's estimate, and what a run takes beyond it is told as slow. Tests for both.

--- a/src/attribution/attribution.cpp
+++ b/src/attribution/attribution.cpp
@@ -113,6 +113,7 @@
 {
     const auto [job, step] = splitStep(event.text("step"));
     Step &placed = this->jobs[job].steps[step];
+    placed.estimatedMs = event.number("estimatedMs");
     const auto run = static_cast<std::uint32_t>(event.number("run"));
     for (const std::string &place : split(event.text("lives"), ','))
         placed.tasks[numberIn(place)][run].placedAtMs = event.atMs;
@@ -176,8 +177,36 @@
     return without;
 }
 
-/// Steps wait one after the other, so their waits add up; of the tasks of a step, which run side by
-/// side, the one that was over last counts.
+/// Adds what the step's runs lost to \a delays and returns what they took as estimated. Of its tasks,
+/// which run side by side, the one that was over last counts.
+std::int64_t Attribution::addRuns(const Step &step, DelayTimes &delays) const
+{
+    const std::map<std::uint32_t, Run> *last = nullptr;
+    for (const auto &[index, runs] : step.tasks) {
+        if (last == nullptr || runs.rbegin()->second.overAtMs > last->rbegin()->second.overAtMs)
+            last = &runs;
+    }
+    if (last == nullptr)
+        return 0;
+    std::int64_t workMs = 0;
+    for (const auto &[number, run] : *last) {
+        if (run.placedAtMs == 0)
+            continue; // before the log began
+        const std::int64_t overAtMs = run.overAtMs == 0 ? this->endsAtMs : run.overAtMs;
+        const std::int64_t tookMs = overAtMs - run.placedAtMs;
+        if (const auto cause = enumFromName(causesOfOutcomes, run.outcome)) {
+            timeOf(delays, *cause) += tookMs;
+            continue;
+        }
+        const std::int64_t asEstimated =
+            step.estimatedMs == 0 ? tookMs : std::min(tookMs, step.estimatedMs);
+        timeOf(delays, DelayCause::SlowRun) += tookMs - asEstimated;
+        workMs += asEstimated;
+    }
+    return workMs;
+}
+
+/// Steps wait one after the other, so their waits add up.
 JobAccount Attribution::accountOf(const Job &job, const std::vector<Span> &withoutLeader) const
 {
     JobAccount account = job.account;
@@ -190,16 +219,7 @@
             if (const auto known = enumFromName(delayCauseNames, cause))
                 timeOf(account.delays, *known) += ms;
         }
-        const std::map<std::uint32_t, Run> *last = nullptr;
-        for (const auto &[index, runs] : step.tasks) {
-            if (last == nullptr || runs.rbegin()->second.overAtMs > last->rbegin()->second.overAtMs)
-                last = &runs;
-        }
-        for (const auto &[number, run] : last == nullptr ? std::map<std::uint32_t, Run>() : *last) {
-            const std::int64_t overAtMs = run.overAtMs == 0 ? this->endsAtMs : run.overAtMs;
-            const auto cause = enumFromName(causesOfOutcomes, run.outcome);
-            (cause ? timeOf(account.delays, *cause) : workMs) += overAtMs - run.placedAtMs;
-        }
+        workMs += this->addRuns(step, account.delays);
     }
     const Span life{account.acceptedAtMs, account.acceptedAtMs + account.tookMs};
     timeOf(account.delays, DelayCause::NoLeader) = overlapOfAll(withoutLeader, life);
--- a/src/attribution/attribution.h
+++ b/src/attribution/attribution.h
@@ -43,6 +43,7 @@
     {
         std::map<std::uint32_t, std::map<std::uint32_t, Run>> tasks; ///< by index, then run number
         std::map<std::string, std::int64_t> waitedMs; ///< by name, as last told
+        std::int64_t estimatedMs = 0; ///< of a task, by the caller
     };
     struct Job
     {
@@ -57,6 +58,7 @@
     void takeOver(const LogEvent &event);
     void takeEnds(const LogEvent &event);
     void takeLeader(const LogEvent &event);
+    std::int64_t addRuns(const Step &step, DelayTimes &delays) const;
     JobAccount accountOf(const Job &job, const std::vector<Span> &withoutLeader) const;
     std::vector<Span> spansWithoutLeader() const;
 
--- a/src/attribution/delaycause.h
+++ b/src/attribution/delaycause.h
@@ -21,10 +21,11 @@
     TargetSilent, ///< a target did not take a start, or refused it
     GangBroken, ///< another member of the gang ended, or did not come
     Moved, ///< stopped, to be begun elsewhere
+    SlowRun, ///< it ran for longer than its caller had estimated
     Unexplained,
 };
 
-inline constexpr std::size_t delayCauseCount = 12;
+inline constexpr std::size_t delayCauseCount = 13;
 
 inline constexpr EnumNames<DelayCause, delayCauseCount> delayCauseNames{{
     {DelayCause::NoLeader, "no-leader"},
@@ -38,6 +39,7 @@
     {DelayCause::TargetSilent, "target-silent"},
     {DelayCause::GangBroken, "gang-broken"},
     {DelayCause::Moved, "moved"},
+    {DelayCause::SlowRun, "slow-run"},
     {DelayCause::Unexplained, "unexplained"},
 }};
 
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -342,6 +342,7 @@
     std::string account;
     std::int64_t ageMs = 0;
     const bool isKnown = this->machine.read([&](const Book &book) {
+    std::uint32_t estimatedMs = 0;
         const Workflow *workflow = book.find(command.step.workflow);
         // A controller that has lost its lead and not heard of it, as after its disk has stalled,
         // is told of its placement when a later one has finished the workflow already.
@@ -360,6 +361,7 @@
             shared = shared.empty() ? task.checkpoint : shared;
         const bool isGang = workflow->spec.steps[command.step.step].gang;
         for (std::size_t i = 0; i < command.placements.size(); ++i) {
+        estimatedMs = workflow->spec.steps[command.step.step].estimatedMs;
             checkpoints[i] =
                 isGang ? shared : progress.tasks[command.placements[i].index].checkpoint;
         }
@@ -368,7 +370,7 @@
     if (!isKnown)
         return;
     logPlaced(command, queue, account, this->policyVersion, ageMs,
-              this->waits.times(command.step, this->options.clock()));
+              this->waits.times(command.step, this->options.clock()), estimatedMs);
     const auto admitted = this->admissions.find(command.step);
     for (std::size_t i = 0; i < command.placements.size(); ++i) {
         const Placement &placement = command.placements[i];
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -14,9 +14,9 @@
 #include "workflows/workflowmetrics.h"
 
 #include <cstdint>
-#include <functional>
 #include <deque>
 #include <map>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -26,7 +26,8 @@
 }
 
 void logPlaced(const PlaceRuns &command, const std::string &queue, const std::string &account,
-               std::int64_t version, std::int64_t ageMs, const WaitTimes &waited)
+               std::int64_t version, std::int64_t ageMs, const WaitTimes &waited,
+               std::uint32_t estimatedMs)
 {
     std::string places;
     for (const Placement &placement : command.placements) {
@@ -41,6 +42,7 @@
                {"version", std::to_string(version)},
                {"ageMs", std::to_string(ageMs)},
                {"waitedMs", describe(waited)},
+               {"estimatedMs", std::to_string(estimatedMs)},
                {"lives", places}});
 }
 
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -25,9 +25,10 @@
 std::string workflowName(WorkflowId id);
 
 /// \a version: of the configuration that it was decided by; \a ageMs: since the workflow was due;
-/// \a waited: of the step until now.
+/// \a waited: of the step until now; \a estimatedMs: for each task, by the caller.
 void logPlaced(const PlaceRuns &command, const std::string &queue, const std::string &account,
-               std::int64_t version, std::int64_t ageMs, const WaitTimes &waited);
+               std::int64_t version, std::int64_t ageMs, const WaitTimes &waited,
+               std::uint32_t estimatedMs);
 /// It has completed, failed or was cancelled at \a atMs, on the calendar.
 void logWorkflowOver(const Workflow &workflow, std::int64_t atMs);
 /// All that is placed of the workflow is being stopped.
--- a/test/attribution/attributiontest.cpp
+++ b/test/attribution/attributiontest.cpp
@@ -108,6 +108,28 @@
     CHECK(delayOf(job, DelayCause::TargetLost) == 3490);
 }
 
+TEST_CASE("a run that takes longer than estimated is told as slow", "[attribution]")
+{
+    LogFixture log;
+    log.accept(0, "1");
+    log.line(10, "placed",
+             R"(,"step":"1.0.0","run":"1","lives":"0@1","waitedMs":"","estimatedMs":"500")");
+    log.line(1000, "plan", "");
+    log.end(1510, "1.0.0.0#1=succeeded");
+    log.over(1510, "1", 1510);
+    CHECK(log.only().cause == DelayCause::SlowRun);
+    CHECK(delayOf(log.only(), DelayCause::SlowRun) == 1000);
+}
+
+TEST_CASE("a run whose beginning the log does not hold counts for nothing", "[attribution]")
+{
+    LogFixture log;
+    log.accept(0, "1");
+    log.end(1400, "1.0.0.0#1=never-started");
+    log.over(1500, "1", 1500);
+    CHECK(delayOf(log.only(), DelayCause::TargetSilent) == 0);
+}
+
 TEST_CASE("time without a leader is told, also of jobs that were never done", "[attribution]")
 {
     LogFixture log;
