--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -341,8 +341,8 @@
     std::string queue;
     std::string account;
     std::int64_t ageMs = 0;
-    const bool isKnown = this->machine.read([&](const Book &book) {
     std::uint32_t estimatedMs = 0;
+    const bool isKnown = this->machine.read([&](const Book &book) {
         const Workflow *workflow = book.find(command.step.workflow);
         // A controller that has lost its lead and not heard of it, as after its disk has stalled,
         // is told of its placement when a later one has finished the workflow already.
@@ -360,8 +360,8 @@
         for (const TaskProgress &task : progress.tasks)
             shared = shared.empty() ? task.checkpoint : shared;
         const bool isGang = workflow->spec.steps[command.step.step].gang;
-        for (std::size_t i = 0; i < command.placements.size(); ++i) {
         estimatedMs = workflow->spec.steps[command.step.step].estimatedMs;
+        for (std::size_t i = 0; i < command.placements.size(); ++i) {
             checkpoints[i] =
                 isGang ? shared : progress.tasks[command.placements[i].index].checkpoint;
         }
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -15,8 +15,8 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -186,9 +186,9 @@
     std::vector<Pending> pending;
     std::vector<Done<Nothing>> waitingBarriers;
     std::map<LifeNumber, LifeState> lives;
+    std::deque<LifeNumber> unbegun; ///< whose sessions have not asked their targets yet
     TargetHealth health;
     std::map<TaskAddress, unsigned> movesOf; ///< runs stopped because their target had stalled
-    std::deque<LifeNumber> unbegun; ///< whose sessions have not asked their targets yet
     AdmissionTable admissions;
     AdmittedParts admittedParts;
     ClaimTable claims;
