--- a/src/attribution/attribution.cpp
+++ b/src/attribution/attribution.cpp
@@ -177,8 +177,8 @@
     return without;
 }
 
-/// Adds what the step's runs lost to \a delays and returns what they took as estimated. Of its tasks,
-/// which run side by side, the one that was over last counts.
+/// Adds what the step's runs lost to \a delays and returns what they took as estimated. Of its
+/// tasks, which run side by side, the one that was over last counts.
 std::int64_t Attribution::addRuns(const Step &step, DelayTimes &delays) const
 {
     const std::map<std::uint32_t, Run> *last = nullptr;
--- a/src/attribution/report.cpp
+++ b/src/attribution/report.cpp
@@ -63,9 +63,8 @@
 std::string colorOf(std::size_t cause)
 {
     static const std::array<const char *, delayCauseCount> colors{
-        "#222222", "#7b3294", "#b2abd2", "#4575b4", "#d73027", "#fdae61",
-        "#a50026", "#8c510a", "#dfc27d", "#1a9850", "#80cdc1", "#f1b6da",
-        "#bbbbbb"};
+        "#222222", "#7b3294", "#b2abd2", "#4575b4", "#d73027", "#fdae61", "#a50026",
+        "#8c510a", "#dfc27d", "#1a9850", "#80cdc1", "#f1b6da", "#bbbbbb"};
     return colors[cause];
 }
 
