--- /dev/null
+++ b/test/workflows/randomrounds.cpp
@@ -0,0 +1,75 @@
+#include "workflows/randomrounds.h"
+
+#include "workflows/bookfixture.h"
+
+#include <catch2/catch.hpp>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <vector>
+
+namespace guavavalve::workflows {
+
+namespace {
+
+std::vector<StepSpec> randomSteps(std::mt19937_64 &random, int mostSteps)
+{
+    std::vector<StepSpec> steps;
+    const auto count = std::uniform_int_distribution<>(1, mostSteps)(random);
+    for (int i = 0; i < count; ++i) {
+        const auto tasks =
+            static_cast<std::uint16_t>(std::uniform_int_distribution<>(1, 4)(random));
+        const bool isGang = std::uniform_int_distribution<>(0, 3)(random) == 0;
+        StepSpec step = isGang ? BookFixture::gang(tasks) : BookFixture::step(tasks);
+        if (i > 0)
+            step.after = {static_cast<std::uint16_t>(i - 1)};
+        steps.push_back(step);
+    }
+    return steps;
+}
+
+} // namespace
+
+void playSeeds(std::uint64_t usual, const std::function<void(std::uint64_t seed)> &play)
+{
+    spdlog::set_level(spdlog::level::off);
+    const char *wanted = std::getenv("GUAVAVALVE_SEEDS");
+    const std::uint64_t seeds = wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        INFO("seed " << seed);
+        play(seed);
+    }
+}
+
+std::uint64_t playRounds(Simulation &simulation, std::mt19937_64 &random,
+                         const RandomRounds &rounds)
+{
+    std::uint64_t lastId = 0;
+    for (int i = 0; i < 60; ++i) {
+        if (i % 2 == 0) {
+            simulation.submit(static_cast<WorkflowId>(++lastId),
+                              randomSteps(random, rounds.mostSteps));
+        }
+        if (std::uniform_int_distribution<>(0, rounds.calmFor - 1)(random) == 0)
+            rounds.disturb();
+        simulation.runFor(Milliseconds(std::uniform_int_distribution<>(50, 900)(random)));
+    }
+    return lastId;
+}
+
+std::string randomTarget(const Simulation &simulation, std::mt19937_64 &random)
+{
+    const std::vector<std::string> names = simulation.fleet.names();
+    return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random)];
+}
+
+void checkOutcome(Simulation &simulation, std::uint64_t seed)
+{
+    simulation.runFor(Milliseconds(90000));
+    CHECK(simulation.fleet.breach.empty());
+    if (!simulation.fleet.breach.empty())
+        WARN("seed " << seed << ": " << simulation.fleet.breach);
+    CHECK(simulation.isAllOver());
+}
+
+} // namespace guavavalve::workflows
