workflows: an instance that does not reach the controller answers a stored heartbeat once

Cause, found by reading: a replica whose own state held what a target reported acknowledged its heartbeats again each time the interval was over and the controller was not reached. Cut off from the leader it would have done so for ever, while the leader forgot the target after 15 s.

Change: only while nothing is known of the target there. Test: fails on the state before.

--- a/src/workflows/reportfilter.cpp
+++ b/src/workflows/reportfilter.cpp
@@ -32,21 +32,27 @@
 
 void ReportFilter::acknowledged(const TargetReport &report, Instant now)
 {
+    const std::lock_guard lock(this->mutex);
     this->note(report, now + passInterval, now);
 }
 
 /// Guards against the reports of all targets that reach a controller at once after a restart of all
-/// instances: they pass one after the other within the interval.
-void ReportFilter::stored(const TargetReport &report, Instant now)
+/// instances: they pass one after the other within the interval. Only once for each target: an
+/// instance that does not reach the controller must not go on answering for it.
+bool ReportFilter::takeStored(const TargetReport &report, Instant now)
 {
     const auto spread = std::hash<std::string>()(report.identity.name)
         % static_cast<std::size_t>(passInterval.count());
+    const std::lock_guard lock(this->mutex);
+    if (this->known.count(report.identity.name) != 0)
+        return false;
     this->note(report, now + Milliseconds(spread), now);
+    return true;
 }
 
+/// Under the lock.
 void ReportFilter::note(const TargetReport &report, Instant passAt, Instant now)
 {
-    const std::lock_guard lock(this->mutex);
     this->known[report.identity.name] = {report.identity, report.isReady, isCold(report), passAt};
     this->dropOld(now);
 }
--- a/src/workflows/reportfilter.h
+++ b/src/workflows/reportfilter.h
@@ -29,9 +29,9 @@
     bool isRepetition(const TargetReport &report, Instant now) const;
     /// The controller has acknowledged \a report.
     void acknowledged(const TargetReport &report, Instant now);
-    /// \a report is not known here, and says what is stored: it counts as acknowledged, and one of
-    /// its next repetitions goes to the controller.
-    void stored(const TargetReport &report, Instant now);
+    /// \a report says what is stored. If nothing was known of its target here, it counts as
+    /// acknowledged, one of its next repetitions goes to the controller, and the outcome is true.
+    bool takeStored(const TargetReport &report, Instant now);
     /// The target has said goodbye, or its word was not taken.
     void forget(const std::string &targetName);
 
--- a/test/workflows/reportfiltertest.cpp
+++ b/test/workflows/reportfiltertest.cpp
@@ -65,7 +65,7 @@
     constexpr int targets = 1000;
     int passed = 0;
     for (int i = 0; i < targets; ++i)
-        filter.stored(reportOf("t" + std::to_string(i), 1), start);
+        CHECK(filter.takeStored(reportOf("t" + std::to_string(i), 1), start));
     const Instant half = start + ReportFilter::passInterval / 2;
     for (int i = 0; i < targets; ++i)
         passed += filter.isRepetition(reportOf("t" + std::to_string(i), 2), half) ? 0 : 1;
@@ -73,3 +73,12 @@
     CHECK(passed < 2 * targets / 3);
     CHECK_FALSE(filter.isRepetition(reportOf("t1", 2, false), start));
 }
+
+TEST_CASE("an instance without a controller does not answer for it again and again", "[reports]")
+{
+    ReportFilter filter;
+    REQUIRE(filter.takeStored(reportOf("a", 1), start));
+    const Instant later = start + ReportFilter::passInterval;
+    CHECK_FALSE(filter.isRepetition(reportOf("a", 2), later));
+    CHECK_FALSE(filter.takeStored(reportOf("a", 2), later)); // it has to reach the controller
+}
