test: the questions of a new controller are counted from before it begins

The count was read after the controller had asked, so the test passed without its guard too. Now it fails without it (1,000 questions) and passes with it.

--- a/test/workflows/largefleettest.cpp
+++ b/test/workflows/largefleettest.cpp
@@ -114,8 +114,8 @@
     spdlog::set_level(spdlog::level::off);
     Simulation simulation(1, largeFleet);
     simulation.runFor(Milliseconds(2000));
-    simulation.changeController(Milliseconds(0));
     const std::size_t before = simulation.fleet.holds;
+    simulation.changeController(Milliseconds(0));
     simulation.loop.runFor(Milliseconds(5));
     CHECK(simulation.fleet.holds - before < largeFleet / 2);
     simulation.runFor(Milliseconds(1000));
