--- a/scripts/sweep.sh
+++ b/scripts/sweep.sh
@@ -13,21 +13,22 @@
 trap 'rm -f "$tables"' EXIT
 failed=0
 
-# The served share of day $1 in the report $2.
-served() {
-    awk -v day="$1" '$1 == day { print $5; exit }' "$2"
+# The row of day $1 in the report $2.
+row() {
+    awk -v day="$1" '$1 == day && $2 ~ /\// { print; exit }' "$2"
 }
 
 for site in "$@"; do
     name="$(basename "$site" .toml)"
     report="$(mktemp)"
     "$FLEETBENCH" sweep "$site" --jobs 1 --why "${WHY:-sweep of $name}" >"$report" 2>&1
-    least="$(served sweep-30 "$report")"
-    most="$(served sweep-300 "$report")"
+    largest="$(row sweep-300 "$report")"
+    least="$(row sweep-30 "$report" | awk '{ print $5 }')"
+    most="$(awk '{ print $5 }' <<<"$largest")"
     verdict=clean
-    if ! grep -q '^sweep-300 ' "$report"; then
+    if [ -z "$least" ] || [ -z "$most" ]; then
         verdict="not played"
-    elif grep '^sweep-300 ' "$report" | grep -q 'BROKEN'; then
+    elif grep -q 'BROKEN' <<<"$largest"; then
         verdict="rules broken"
     elif ! awk -v a="$most" -v b="$least" 'BEGIN { exit !(a >= 0.7 * b) }'; then
         verdict="serves too little"
