--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -451,7 +451,7 @@
             silent.push_back(life);
     }
     for (const LifeNumber life : silent)
-        this->lifeOver(life);
+        this->lifeOver(life, LifeEnd::Silent);
 }
 
 } // namespace guavavalve::workflows
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -5,6 +5,7 @@
 #include "replicas/replicatedlog.h"
 #include "workflows/admissionport.h"
 #include "workflows/bookmachine.h"
+#include "workflows/lifeend.h"
 #include "workflows/planner.h"
 #include "workflows/progresswatch.h"
 #include "workflows/targethealth.h"
@@ -147,7 +148,7 @@
     void openAll();
     void beginSome(std::size_t most);
     void runsOver(LifeNumber life, std::vector<RunEnd> ends);
-    void lifeOver(LifeNumber life);
+    void lifeOver(LifeNumber life, LifeEnd how);
     void neverStarted(LifeNumber life, const TaskAddress &task, RunNumber run);
     void forgetLife(LifeNumber life);
     using PlacedTasks = std::vector<std::pair<LifeNumber, TaskAddress>>;
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -68,7 +68,7 @@
         this->needsPlan = true;
         this->flush();
     };
-    hooks.lifeOver = [this, life] { this->lifeOver(life); };
+    hooks.lifeOver = [this, life] { this->lifeOver(life, LifeEnd::Replaced); };
     hooks.runAfter = this->options.runAfter;
     hooks.isCurrent = [this] { return this->isCurrent(); };
     hooks.ownLag = [this] { return this->lag; };
@@ -142,12 +142,12 @@
         });
 }
 
-void Controller::lifeOver(LifeNumber life)
+void Controller::lifeOver(LifeNumber life, LifeEnd how)
 {
     const auto found = this->lives.find(life);
     if (found == this->lives.end())
         return;
-    logLifeOver(found->second.session->identity());
+    logLifeOver(found->second.session->identity(), how);
     const std::shared_ptr<TargetSession> session = found->second.session;
     session->declareOver();
     this->forgetLife(life);
@@ -188,7 +188,7 @@
         return;
     }
     if (born >= 0)
-        this->lifeOver(newest);
+        this->lifeOver(newest, LifeEnd::Reborn);
     const std::string name = report.identity.name;
     this->add(BeginLife{report.identity},
               [this, name, report, done](const Result<CommandOutcome> &outcome) {
@@ -249,7 +249,7 @@
     const bool isThisLife = known != this->lives.end()
         && (bornAtMs == 0 || known->second.session->identity().bornAtMs == bornAtMs);
     if (isThisLife && !known->second.session->isOver()) {
-        logLifeOver(known->second.session->identity());
+        logLifeOver(known->second.session->identity(), LifeEnd::Left);
         known->second.session->leave([this, newest] { this->forgetLife(newest); });
     }
     done(Nothing{});
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -165,10 +165,12 @@
                {"service", target.service}});
 }
 
-void logLifeOver(const TargetIdentity &target)
+void logLifeOver(const TargetIdentity &target, LifeEnd how)
 {
     logChange(LogLevel::Warning, "target-over",
-              {{"target", target.name}, {"born", std::to_string(target.bornAtMs)}});
+              {{"target", target.name},
+               {"born", std::to_string(target.bornAtMs)},
+               {"how", std::string(enumName(lifeEndNames, how))}});
 }
 
 void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "workflows/command.h"
 #include "workflows/commandoutcome.h"
+#include "workflows/lifeend.h"
 #include "workflows/planner.h"
 #include "workflows/policy.h"
 #include "workflows/targethealth.h"
@@ -50,7 +51,7 @@
 /// An instance that carries orders for \a targets has not answered: they go other ways.
 void logAgentDoubted(const std::string &agent, std::size_t targets, const Error &error);
 void logLifeBegun(const TargetIdentity &target);
-void logLifeOver(const TargetIdentity &target);
+void logLifeOver(const TargetIdentity &target, LifeEnd how);
 /// \a runs: under way there, or on their way.
 void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
                std::size_t runs);
