test: a task that crashes each target that starts it is started without end

The simulated fleet got tasks that crash their target 10 ms after the start; the target is back 3 s later, under its old name or with a new one at the old address. The fleet reports a breach at the third start after the third crash.

--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -15,6 +15,11 @@
 constexpr int longestRunMs = 3000;
 /// The targets' clocks run 2% slow: the worst that the contract allows.
 constexpr std::int64_t clockPerThousand = 980;
+/// From a start until the task crashes its target.
+constexpr Milliseconds crashDelay{10};
+/// A task that has crashed this many targets may be started less often than this again.
+constexpr std::size_t toleratedCrashes = 3;
+constexpr std::size_t startsTooMany = 3;
 /// An order that is sent this long after its target's failure domain was evacuated is a breach.
 constexpr Milliseconds evacuationBound{5000};
 
@@ -68,6 +73,41 @@
         this->breakGang(task, run.run);
 }
 
+void SimulatedFleet::replace(const std::string &name, const std::string &successor)
+{
+    Target &target = this->targets.at(name);
+    const TargetIdentity before = target.identity;
+    target.isUp = true; // what is sent to the old one is answered by the new one
+    target.identity.bornAtMs = this->loop.nowMs();
+    this->add(successor, before.capacity[ResourceKind::MilliCores], before.failureDomain);
+}
+
+/// Guards the rule that a task is not started over and over that crashes what it is started on.
+void SimulatedFleet::checkCrashes(const StartOrder &order)
+{
+    const auto found = this->crashes.find(order.task);
+    if (found == this->crashes.end() || found->second < toleratedCrashes)
+        return;
+    if (++this->startsBeyond[order.task] == startsTooMany)
+        this->report("task " + std::to_string(order.task.index) + " of "
+                     + workflowName(order.task.step.workflow)
+                     + " is started again and again although it crashes its targets");
+}
+
+void SimulatedFleet::crashSoon(const std::string &name, const TaskAddress &task,
+                               std::uint64_t serial)
+{
+    this->loop.runAfter(crashDelay, [this, name, task, serial] {
+        const auto &running = this->targets.at(name).running;
+        const auto found = running.find(task);
+        if (found == running.end() || found->second.serial != serial)
+            return;
+        ++this->crashes[task];
+        this->crash(name);
+        this->targetCrashed(name);
+    });
+}
+
 void SimulatedFleet::cut(const std::string &name, bool isOneWay)
 {
     (isOneWay ? this->targets.at(name).isCutOneWay : this->targets.at(name).isCut) = true;
@@ -263,9 +303,12 @@
     answer.reply = OrderReply::Done;
     this->checkStart(target, order);
     this->checkDomain(target, order, sentAt);
+    this->checkCrashes(order);
     ++this->starts;
     const std::uint64_t serial = ++this->serials;
     target.running[order.task] = {order.run, serial, order.checkpoint};
+    if (this->crashing.count(order.task) != 0)
+        this->crashSoon(target.identity.name, order.task, serial);
     if (this->specOf(order.task).gang) {
         this->finishGang(order.task, order.run);
         return answer;
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -37,6 +37,8 @@
     TargetIdentity add(const std::string &name, std::int64_t milliCores,
                        const std::string &failureDomain = {});
     void crash(const std::string &name);
+    /// Another target, \a successor, has started at the address of the one called \a name.
+    void replace(const std::string &name, const std::string &successor);
     /// No request reaches it; or, one way, only the answers are lost.
     void cut(const std::string &name, bool isOneWay);
     void heal(const std::string &name);
@@ -62,6 +64,8 @@
     FleetFaults faults;
     std::string failing; ///< a target that fails all its tasks; empty: none
     std::string hanging; ///< a target whose tasks stand still, for good; empty: none
+    std::set<TaskAddress> crashing; ///< tasks that crash each target that starts them
+    std::function<void(const std::string &name)> targetCrashed; ///< a target, by one of these
     std::string breach; ///< the first; empty: none
     std::size_t starts = 0;
     std::size_t holds = 0; ///< questions that were sent
@@ -109,6 +113,8 @@
     void finishGang(const TaskAddress &member, RunNumber run);
     OrderAnswer begin(Target &target, const StartOrder &order, Instant sentAt);
     void checkStart(const Target &target, const StartOrder &order);
+    void checkCrashes(const StartOrder &order);
+    void crashSoon(const std::string &name, const TaskAddress &task, std::uint64_t serial);
     void checkDomain(const Target &target, const StartOrder &order, Instant sentAt);
     std::int64_t usedOf(const Target &target) const;
     const StepSpec &specOf(const TaskAddress &task) const;
@@ -122,6 +128,8 @@
     std::set<TaskAddress> ended; ///< that have ended with success, whether anybody knows or not
     std::set<TaskAddress> noted; ///< whose success a controller has taken note of
     std::uint64_t serials = 0;
+    std::map<TaskAddress, std::size_t> crashes; ///< of targets, by the task that crashed them
+    std::map<TaskAddress, std::size_t> startsBeyond; ///< after the crashes that are tolerated
 };
 
 } // namespace guavavalve::workflows
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -8,6 +8,7 @@
 
 constexpr Milliseconds beatInterval{1500};
 constexpr Milliseconds retryPause{100}; ///< of an operator without an answer
+constexpr Milliseconds rebirthDelay{3000}; ///< of a target that a task has crashed
 
 Result<Policy> simplePolicy(const std::string &)
 {
@@ -26,6 +27,9 @@
     , milliCores(milliCoresOfEach)
     , admissions(this->loop)
 {
+    this->fleet.targetCrashed = [this](const std::string &name) {
+        this->loop.runAfter(rebirthDelay, [this, name] { this->rebirth(name); });
+    };
     this->changeController(Milliseconds(0));
     this->controller().storeDocument(1, "policy", [](const Result<CommandOutcome> &) {});
     for (unsigned i = 1; i <= targets; ++i)
@@ -83,6 +87,22 @@
     this->beat(name);
 }
 
+void Simulation::replace(const std::string &name)
+{
+    const std::string successor = name + name.back(); // of the same failure domain
+    this->fleet.replace(name, successor);
+    this->identities.erase(name);
+    this->restart(successor);
+}
+
+void Simulation::rebirth(const std::string &name)
+{
+    if (this->renamesReborn)
+        this->replace(name);
+    else
+        this->restart(name);
+}
+
 void Simulation::leave(const std::string &name)
 {
     this->fleet.crash(name);
@@ -92,7 +112,7 @@
 
 std::string Simulation::domainOf(const std::string &name)
 {
-    return std::stoi(name.substr(1)) % 2 == 0 ? "d0" : "d1";
+    return (name.back() - '0') % 2 == 0 ? "d0" : "d1";
 }
 
 void Simulation::evacuate(const std::string &failureDomain, bool isEvacuated)
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -71,6 +71,8 @@
     void beat(const std::string &name);
     void drain(const std::string &name);
     void restart(const std::string &name);
+    /// The target's process is gone, and another one has started at its address under a new name.
+    void replace(const std::string &name);
     /// The target has left for good.
     void leave(const std::string &name);
 
@@ -87,6 +89,7 @@
     VirtualLoop loop;
     Milliseconds storeTime{0}; ///< of the next controller's log
     std::int64_t calendarStepMs = 1; ///< how finely the calendar is read
+    bool renamesReborn = false; ///< targets that crashed come back under new names
     /// The port that the next controller sends its orders through; not set: the fleet's own.
     std::function<TargetPort &()> portOfController;
     Metrics metrics;
@@ -107,6 +110,8 @@
         {}
     };
 
+    void rebirth(const std::string &name);
+
     std::map<std::string, TargetIdentity> identities;
     std::int64_t milliCores;
     GenerousAdmissions admissions;
