workflows: a target's room may change while it lives

What callers would see: a target whose room shrinks goes on to be given what it held before, and runs over its room (LIMIT); one that grows back is never used for more.

Cause: capacity was part of what "does not change during one life". The controller took a heartbeat of a known life for readiness and coldness only, so a new capacity was acknowledged and dropped, and every later heartbeat went to the leader as one that says something new. Placements were checked against room by the planner alone, not when they are applied.

Change: ResizeLife stores the new room, with the report's sequence, before the heartbeat is acknowledged; the book rejects placements that no longer fit. The sequence is kept so that a late report cannot grow the room again under a new controller, which has not seen the later one.

--- a/src/workflows/book.cpp
+++ b/src/workflows/book.cpp
@@ -17,7 +17,7 @@
 constexpr std::string_view formatMark = "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff";
 constexpr unsigned firstFormat = 1;
 constexpr unsigned formatWithEvacuations = 2;
-constexpr unsigned formatWithLosses = 3;
+constexpr unsigned formatWithLosses = 3; ///< and with rooms that change
 constexpr unsigned newestFormat = formatWithLosses;
 
 unsigned formatOf(std::string_view snapshot)
@@ -56,7 +56,7 @@
     if (format >= formatWithEvacuations)
         archive(this->evacuated);
     if (format >= formatWithLosses)
-        archive(this->lossLedger);
+        archive(this->lossLedger, this->resizedBy);
 }
 
 CommandOutcomes Book::apply(const CommandBatch &batch)
@@ -125,7 +125,8 @@
 }
 
 /// Checked again when it is applied: what an earlier controller decided before a target began to
-/// drain, its failure domain was evacuated or its task crashed too many targets is rejected.
+/// drain, its failure domain was evacuated, its room shrank or the task crashed too many targets is
+/// rejected.
 bool Book::fits(const Workflow &workflow, const PlaceRuns &command) const
 {
     const StepAddress &step = command.step;
@@ -142,7 +143,21 @@
                                && progress.tasks[placement.index].run < command.run
                                && this->lossLedger.mayStart({step, placement.index})
                                && life != nullptr && this->takesWork(*life);
-                       });
+                       })
+        && this->hasRoom(workflow, command);
+}
+
+/// Together with what is placed there, also if the room has shrunk since the placement was decided.
+bool Book::hasRoom(const Workflow &workflow, const PlaceRuns &command) const
+{
+    const Resources need = workflow.spec.steps[command.step.step].reserved();
+    std::map<LifeNumber, Resources> taken;
+    for (const Placement &placement : command.placements)
+        taken[placement.life] += need;
+    return std::all_of(taken.begin(), taken.end(), [&](const auto &one) {
+        const LifeRecord &life = *this->find(one.first);
+        return one.second.fitsInto(life.identity.capacity - life.used);
+    });
 }
 
 CommandOutcome Book::on(const PlaceRuns &command)
@@ -316,6 +331,7 @@
     const auto name = this->newest.find(found->second.identity.name);
     if (name != this->newest.end() && name->second == command.life)
         this->newest.erase(name);
+    this->resizedBy.erase(command.life);
     this->lifeTable.erase(found);
     return CommandOutcome::Applied;
 }
@@ -357,6 +373,19 @@
     return CommandOutcome::Applied;
 }
 
+CommandOutcome Book::on(const ResizeLife &command)
+{
+    const auto found = this->lifeTable.find(command.life);
+    if (found == this->lifeTable.end() || found->second.identity.capacity == command.capacity)
+        return CommandOutcome::Unchanged;
+    std::uint64_t &newestReport = this->resizedBy[command.life];
+    if (command.sequence < newestReport)
+        return CommandOutcome::Unchanged;
+    newestReport = command.sequence;
+    found->second.identity.capacity = command.capacity;
+    return CommandOutcome::Applied;
+}
+
 CommandOutcome Book::on(const DrainLife &command)
 {
     const auto found = this->lifeTable.find(command.life);
--- a/src/workflows/book.h
+++ b/src/workflows/book.h
@@ -66,8 +66,10 @@
     CommandOutcome on(const ForgetWorkflows &command);
     CommandOutcome on(const CrashLife &command);
     CommandOutcome on(const ReviveLife &command);
+    CommandOutcome on(const ResizeLife &command);
 
     bool fits(const Workflow &workflow, const PlaceRuns &command) const;
+    bool hasRoom(const Workflow &workflow, const PlaceRuns &command) const;
     bool endRun(const RunEnd &end, std::int64_t atMs);
     void release(Workflow &workflow, const TaskAddress &address);
     void succeed(Workflow &workflow, const TaskAddress &address);
@@ -89,6 +91,7 @@
     std::string text;
     std::set<std::string> evacuated; ///< failure domains
     LossLedger lossLedger;
+    std::map<LifeNumber, std::uint64_t> resizedBy; ///< sequence of the report that changed its room
 };
 
 } // namespace guavavalve::workflows
--- a/src/workflows/command.h
+++ b/src/workflows/command.h
@@ -10,6 +10,7 @@
 #include "workflows/commands/forgetlife.h"
 #include "workflows/commands/forgetworkflows.h"
 #include "workflows/commands/placeruns.h"
+#include "workflows/commands/resizelife.h"
 #include "workflows/commands/revivelife.h"
 #include "workflows/commands/storedocument.h"
 
@@ -23,9 +24,9 @@
 
 /// One change of the book. The order of the alternatives is part of the format of the log: new ones
 /// go to the end.
-using Command =
-    std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns, BeginLife, ForgetLife,
-                 StoreDocument, ForgetWorkflows, DrainLife, EvacuateDomain, CrashLife, ReviveLife>;
+using Command = std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns, BeginLife,
+                             ForgetLife, StoreDocument, ForgetWorkflows, DrainLife, EvacuateDomain,
+                             CrashLife, ReviveLife, ResizeLife>;
 
 /// Commands that go into the log as one entry. An empty batch is a read barrier.
 using CommandBatch = std::vector<Command>;
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -142,6 +142,7 @@
     void crashStored(LifeNumber life, const std::vector<TaskAddress> &tasks, std::int64_t atMs);
     void noteAlive(LifeNumber life);
     bool hasBegun(const Workflow &workflow) const;
+    void takeReport(LifeNumber life, const TargetReport &report, const Done<Nothing> &done);
     void setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done);
     void domainChanged(const std::string &failureDomain, bool isEvacuated, CommandOutcome outcome);
     void ask(const AdmissionQuestion &question);
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -188,7 +188,7 @@
         if (report.sequence >= known->second.sequence) {
             known->second.sequence = report.sequence;
             known->second.session->heard(report.isReady, report.coldFor);
-            this->setDraining(newest, !report.isReady, done);
+            this->takeReport(newest, report, done);
             return;
         }
         done(Nothing{});
@@ -223,6 +223,30 @@
               });
 }
 
+/// What it says that may change during a life. Acknowledged once it is stored.
+void Controller::takeReport(LifeNumber life, const TargetReport &report, const Done<Nothing> &done)
+{
+    Resources before;
+    this->machine.read([&](const Book &book) {
+        const LifeRecord *record = book.find(life);
+        before = record == nullptr ? report.identity.capacity : record->identity.capacity;
+    });
+    if (before == report.identity.capacity) {
+        this->setDraining(life, !report.isReady, done);
+        return;
+    }
+    const auto resized = [this, life, before, report, done](const Result<CommandOutcome> &outcome) {
+        if (!outcome) {
+            done(outcome.error());
+            return;
+        }
+        if (outcome.value() == CommandOutcome::Applied)
+            logResized(report.identity, before);
+        this->setDraining(life, !report.isReady, done);
+    };
+    this->add(ResizeLife{life, report.identity.capacity, report.sequence}, resized);
+}
+
 /// Acknowledged once it is stored: a controller that takes over a moment later must not start
 /// anything there either.
 void Controller::setDraining(LifeNumber life, bool isDraining, const Done<Nothing> &done)
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -189,6 +189,18 @@
     logChange(LogLevel::Information, "target-alive", {{"life", std::to_string(idValue(life))}});
 }
 
+void logResized(const TargetIdentity &target, const Resources &before)
+{
+    const auto change = [&](ResourceKind kind) {
+        return std::to_string(before[kind]) + ">" + std::to_string(target.capacity[kind]);
+    };
+    logChange(LogLevel::Information, "target-resized",
+              {{"target", target.name},
+               {"milliCores", change(ResourceKind::MilliCores)},
+               {"memoryMb", change(ResourceKind::MemoryMb)},
+               {"accelerators", change(ResourceKind::Accelerators)}});
+}
+
 void logLifeOver(const TargetIdentity &target, LifeEnd how)
 {
     logChange(LogLevel::Warning, "target-over",
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -59,6 +59,8 @@
               const std::vector<TaskAddress> &givenUp);
 /// A target that runs were lost with answers again.
 void logAlive(LifeNumber life);
+/// The target's room was \a before until now.
+void logResized(const TargetIdentity &target, const Resources &before);
 void logLifeOver(const TargetIdentity &target, LifeEnd how);
 /// \a runs: under way there, or on their way.
 void logDomain(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
--- a/src/workflows/targetlife.h
+++ b/src/workflows/targetlife.h
@@ -14,7 +14,7 @@
 
 namespace guavavalve::workflows {
 
-/// What a target says of itself that does not change during one life of its process.
+/// What a target says of itself. Only its capacity may change during one life of its process.
 struct TargetIdentity
 {
     std::string name;
--- /dev/null
+++ b/test/workflows/resizetest.cpp
@@ -0,0 +1,130 @@
+#include <catch2/catch.hpp>
+
+#include "workflows/bookfixture.h"
+#include "workflows/randomrounds.h"
+
+#include <spdlog/spdlog.h>
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+using namespace guavavalve;
+using namespace guavavalve::workflows;
+
+namespace {
+
+constexpr WorkflowId job = static_cast<WorkflowId>(1);
+constexpr std::uint64_t defaultSeeds = 60;
+
+struct ResizeFixture : Simulation
+{
+    ResizeFixture()
+        : Simulation(1, 2, 4000)
+    {
+        spdlog::set_level(spdlog::level::off);
+    }
+
+    std::size_t placedOn(const std::string &name)
+    {
+        return this->machine.read(
+            [&](const Book &book) { return book.find(book.newestLife(name))->placed.size(); });
+    }
+};
+
+void disturb(Simulation &simulation, std::mt19937_64 &random)
+{
+    const std::string name = randomTarget(simulation, random);
+    switch (std::uniform_int_distribution<>(0, 4)(random)) {
+    case 0:
+        simulation.changeController(Milliseconds(800));
+        break;
+    case 1:
+        simulation.fleet.cut(name, false);
+        break;
+    case 2:
+        simulation.fleet.heal(name);
+        break;
+    default:
+        simulation.resize(name, 1000 * std::uniform_int_distribution<>(0, 4)(random));
+    }
+}
+
+void play(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    Simulation simulation(seed);
+    simulation.fleet.faults = {0.03, 0.05, 0.04, 0.05};
+    RandomRounds rounds;
+    rounds.mostSteps = 2;
+    rounds.calmFor = 2;
+    rounds.disturb = [&] { disturb(simulation, random); };
+    playRounds(simulation, random, rounds);
+    for (const std::string &name : simulation.fleet.names()) {
+        simulation.fleet.heal(name);
+        simulation.resize(name, 4000);
+    }
+    checkOutcome(simulation, seed);
+}
+
+} // namespace
+
+TEST_CASE_METHOD(ResizeFixture, "a target whose room has shrunk is given no more than it has left",
+                 "[resize]")
+{
+    this->resize("t1", 1000);
+    this->runFor(Milliseconds(6000));
+    this->submit(job, {BookFixture::step(8)});
+    this->runFor(Milliseconds(50));
+    CHECK(this->placedOn("t1") == 1);
+    CHECK(this->placedOn("t2") == 4);
+    this->runFor(Milliseconds(30000));
+    CHECK(this->fleet.breach.empty());
+    CHECK(this->stateOf(job) == WorkflowState::Completed);
+}
+
+TEST_CASE_METHOD(ResizeFixture, "room that has grown back is used, by a later controller too",
+                 "[resize]")
+{
+    this->resize("t1", 0);
+    this->runFor(Milliseconds(2000));
+    this->changeController(Milliseconds(800));
+    this->runFor(Milliseconds(2000));
+    this->submit(job, {BookFixture::step(8)});
+    this->runFor(Milliseconds(50));
+    CHECK(this->placedOn("t1") == 0);
+    this->resize("t1", 4000);
+    this->runFor(Milliseconds(50));
+    CHECK(this->placedOn("t1") == 4);
+}
+
+TEST_CASE("a placement that was decided before the room shrank is rejected", "[resize][book]")
+{
+    BookFixture f(1);
+    f.accept({f.step(2)});
+    Resources room;
+    room[ResourceKind::MilliCores] = 1000;
+    REQUIRE(f.apply(ResizeLife{f.life(1), room, 5}) == CommandOutcome::Applied);
+    CHECK(f.place(0, 1, {1, 1}) == CommandOutcome::Rejected);
+    CHECK(f.place(0, 1, {1}) == CommandOutcome::Applied);
+}
+
+TEST_CASE("a late report of a room that has shrunk since changes nothing", "[resize][book]")
+{
+    BookFixture f(1);
+    Resources room = f.book.find(f.life(1))->identity.capacity;
+    const Resources before = room;
+    room[ResourceKind::MilliCores] = 1000;
+    f.apply(ResizeLife{f.life(1), room, 5});
+    Book later;
+    REQUIRE(later.restore(f.book.snapshot()));
+    CHECK(later.apply({ResizeLife{f.life(1), before, 4}}).front() == CommandOutcome::Unchanged);
+    CHECK(later.find(f.life(1))->identity.capacity == room);
+    CHECK(later.apply({ResizeLife{f.life(1), before, 6}}).front() == CommandOutcome::Applied);
+}
+
+TEST_CASE("rooms that shrink and grow are never overdrawn, whatever else happens",
+          "[resize][random]")
+{
+    playSeeds(defaultSeeds, play);
+}
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -36,6 +36,8 @@
     /// Adds a target, or a later life of one that was there.
     TargetIdentity add(const std::string &name, std::int64_t milliCores,
                        const std::string &failureDomain = {});
+    /// The target has another room from now on. One that has shrunk binds a while later.
+    void resize(const std::string &name, std::int64_t milliCores);
     void crash(const std::string &name);
     /// Another target, \a successor, has started at the address of the one called \a name.
     void replace(const std::string &name, const std::string &successor);
@@ -88,6 +90,8 @@
         bool isUp = true;
         bool isCut = false;
         bool isCutOneWay = false;
+        std::int64_t roomBefore = 0; ///< which starts may still count on until shrinkBindsAt
+        Instant shrinkBindsAt{};
         Instant bornAt{};
         std::uint64_t fence = 0;
         std::int64_t leaseUntilMs = 0;
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -87,6 +87,13 @@
     this->beat(name);
 }
 
+void Simulation::resize(const std::string &name, std::int64_t milliCores)
+{
+    this->fleet.resize(name, milliCores);
+    this->identities.at(name).capacity[ResourceKind::MilliCores] = milliCores;
+    this->beat(name);
+}
+
 void Simulation::replace(const std::string &name)
 {
     const std::string successor = name + name.back(); // of the same failure domain
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -71,6 +71,8 @@
     void beat(const std::string &name);
     void drain(const std::string &name);
     void restart(const std::string &name);
+    /// The target has another room from now on, as its heartbeats say.
+    void resize(const std::string &name, std::int64_t milliCores);
     /// The target's process is gone, and another one has started at its address under a new name.
     void replace(const std::string &name);
     /// The target has left for good.
