state: a task that loses its target time after time is given up

A task that takes down each target that starts it goes through the fleet for ever, through the product's own interface too.

Services are not counted. Here a lapsed lease cannot be told from a crash afterwards, since a target whose lease has lapsed comes back as a new incarnation in any case; so the bound is wide and counts both.

--- a/src/state/clusterstate.h
+++ b/src/state/clusterstate.h
@@ -107,6 +107,7 @@
     void endAttempt(JobRecord &job, const EndAttempt &end);
     void takeLateAnswer(JobRecord &job, const EndAttempt &end);
     void settle(JobRecord &job, TaskId id, AttemptOutcome outcome, std::int64_t at);
+    bool isLostTooOften(const JobRecord &job, TaskId id);
     void finishTask(JobRecord &job, TaskRecord &task, TaskState state, std::int64_t at);
     void cancelWaiting(JobRecord &job, std::int64_t at);
     void loseAttempts(TargetRecord &target, const std::string &reason);
@@ -126,6 +127,8 @@
     std::map<TargetId, TargetRecord> targetTable;
     std::map<TeamId, TeamRecord> teamTable;
     std::set<std::string> evacuated; ///< failure domains
+    /// Of tasks of unfinished jobs: attempts that were lost with their targets.
+    std::map<TaskId, std::uint16_t> lostAttempts;
     // Found again from the tables by indexRecords().
     std::map<std::string, TargetId> targetsByName;
     std::map<std::string, TeamId> teamsByName;
--- a/src/state/placementcommands.cpp
+++ b/src/state/placementcommands.cpp
@@ -22,6 +22,9 @@
     return failure(ErrorCode::NotFound, "there is no task " + numberOf(task));
 }
 
+/// Attempts of one task that may be lost with their targets before it is given up.
+constexpr std::uint16_t mostLostAttempts = 5;
+
 bool isAnswer(AttemptOutcome outcome)
 {
     return outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::Failed;
@@ -222,6 +225,13 @@
     internal::keepEnd(job, end);
     this->unplace(job, end.task);
     this->settle(job, end.task, end.outcome, end.endedAt);
+    const TaskState state = job.tasks[job.position(end.task)].state;
+    if (end.outcome == AttemptOutcome::Lost && state == TaskState::Failed) {
+        EndAttempt given = end;
+        given.message = "given up, since too many targets were lost while they ran it; the last: "
+            + end.message;
+        internal::keepEnd(job, given);
+    }
 }
 
 void ClusterState::takeLateAnswer(JobRecord &job, const EndAttempt &end)
@@ -258,18 +268,30 @@
         this->finishTask(job, task, TaskState::Cancelled, at);
     } else if (!job.repeatable && task.ran != Ran::No) {
         this->finishTask(job, task, TaskState::Unknown, at);
+    } else if (outcome == AttemptOutcome::Lost && this->isLostTooOften(job, id)) {
+        this->finishTask(job, task, TaskState::Failed, at);
     } else {
         task.state = TaskState::Waiting;
         ++this->teamTable[job.team].waitingTasks;
     }
 }
 
+/// Guards against a task that takes down each target that starts it. Services are not counted: over
+/// their life they lose many targets.
+bool ClusterState::isLostTooOften(const JobRecord &job, TaskId id)
+{
+    return job.workClass != WorkClass::Service
+        && ++this->lostAttempts[id] >= internal::mostLostAttempts;
+}
+
 void ClusterState::finishTask(JobRecord &job, TaskRecord &task, TaskState state, std::int64_t at)
 {
     task.state = state;
     --job.unfinished;
     if (job.finished()) {
         job.finishedAt = at;
+        this->lostAttempts.erase(this->lostAttempts.lower_bound(job.taskId(0)),
+                                 this->lostAttempts.lower_bound(job.taskId(job.tasks.size())));
         job.payload.clear();
         job.payload.shrink_to_fit();
     }
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -18,9 +18,11 @@
 namespace {
 
 constexpr std::uint32_t snapshotMagic = 0x53564755; // "GUVS"
-constexpr std::uint16_t snapshotFormat = 2;
-/// Without evacuated domains; still read.
+// Older formats are still read.
 constexpr std::uint16_t firstSnapshotFormat = 1;
+constexpr std::uint16_t formatWithEvacuations = 2;
+constexpr std::uint16_t formatWithLosses = 3;
+constexpr std::uint16_t snapshotFormat = formatWithLosses;
 constexpr std::size_t checksumBytes = sizeof(std::uint64_t);
 
 std::uint64_t checksumOf(const char *bytes, std::size_t size)
@@ -69,8 +71,10 @@
 {
     archive(this->next, this->nextTarget, this->document, this->requests, this->jobTable,
             this->targetTable, this->teamTable);
-    if (format > internal::firstSnapshotFormat)
+    if (format >= internal::formatWithEvacuations)
         archive(this->evacuated);
+    if (format >= internal::formatWithLosses)
+        archive(this->lostAttempts);
 }
 
 std::string ClusterState::snapshot() const
@@ -105,7 +109,7 @@
         std::uint8_t shard = 0;
         reader(magic, format, shard);
         const bool isKnown =
-            format == internal::snapshotFormat || format == internal::firstSnapshotFormat;
+            format >= internal::firstSnapshotFormat && format <= internal::snapshotFormat;
         if (magic != internal::snapshotMagic || !isKnown)
             return internal::corrupt("a snapshot is not of the format that this version reads");
         if (shard != this->shardNumber)
--- a/test/workflows/crashingtasktest.cpp
+++ b/test/workflows/crashingtasktest.cpp
@@ -75,9 +75,7 @@
         CHECK(this->stateOf(static_cast<WorkflowId>(i)) == WorkflowState::Completed);
 }
 
-TEST_CASE_METHOD(CrashingTaskFixture,
-                 "work whose targets are cut off again and again is not given "
-                 "up",
+TEST_CASE_METHOD(CrashingTaskFixture, "work that is cut off again and again is not given up",
                  "[crashes]")
 {
     this->fleet.crashing.clear();
