test: the guards of crashes counted, each with a test that fails without it

Taken out one by one, the check of mayStart when a placement is applied and the blame by earlier crashes failed no test. Now each fails one of lossledgertest; the planner's check, ReviveLife, Book::hasRoom and the report's sequence each failed a test before. Shown by builds of a scratch copy with one guard less.

--- a/test/workflows/lossledgertest.cpp
+++ b/test/workflows/lossledgertest.cpp
@@ -72,6 +72,20 @@
     CHECK(losses.mayStart(task));
 }
 
+TEST_CASE("of tasks that had just begun the one with the most crashes before is blamed", "[losses]")
+{
+    const TaskAddress neighbour{{static_cast<WorkflowId>(8), 0, 0}, 0};
+    LossLedger losses;
+    losses.lost(life(1), task, true);
+    losses.crashed(life(1));
+    losses.lost(life(2), task, true);
+    losses.lost(life(2), neighbour, true);
+    losses.crashed(life(2));
+    CHECK(losses.count(task).earlyCrashes == 2);
+    CHECK(losses.count(neighbour).earlyCrashes == 0);
+    CHECK(losses.count(neighbour).crashes == 1);
+}
+
 TEST_CASE("what is forgotten of a workflow is forgotten of its tasks alone", "[losses]")
 {
     LossLedger losses;
@@ -94,6 +108,20 @@
     CHECK(f.book.losses().isEmpty());
 }
 
+TEST_CASE("an earlier controller's placement of a task at its last chance is rejected",
+          "[losses][book]")
+{
+    BookFixture f(LossLedger::mostEarlyCrashes + 1);
+    f.accept({f.step(1)});
+    for (unsigned i = 1; i <= LossLedger::mostEarlyCrashes; ++i) {
+        REQUIRE(f.place(0, i, {i}) == CommandOutcome::Applied);
+        f.end(0, 0, i, RunOutcome::LostEarly);
+    }
+    CHECK(f.place(0, 9, {4}) == CommandOutcome::Rejected);
+    f.apply(ReviveLife{f.life(1)});
+    CHECK(f.place(0, 9, {4}) == CommandOutcome::Applied);
+}
+
 TEST_CASE("a snapshot keeps the crashes under a task", "[losses][book]")
 {
     BookFixture f(3);
