test: work on targets that are cut off for long is not given up

Passes: targets that no order reaches but that report themselves are neither forgotten nor taken for crashed, and the job goes on once they answer again.

--- a/test/workflows/crashingtasktest.cpp
+++ b/test/workflows/crashingtasktest.cpp
@@ -94,6 +94,30 @@
     CHECK(this->fleet.breach.empty());
 }
 
+TEST_CASE_METHOD(CrashingTaskFixture, "work on targets that are cut off for long is not given up",
+                 "[crashes]")
+{
+    this->fleet.crashing.clear();
+    this->submit(job, {BookFixture::step(1)});
+    LifeNumber cutOff = LifeNumber::None;
+    for (unsigned cuts = 0; cuts < LossLedger::mostEarlyCrashes;) {
+        this->runFor(Milliseconds(50));
+        const TaskProgress task = this->machine.read([](const Book &book) {
+            return *book.find(job)->task({{job, 0, 0}, 0});
+        });
+        if (task.phase != TaskPhase::Placed || task.life == cutOff)
+            continue;
+        cutOff = task.life;
+        this->fleet.cut("t" + std::to_string(idValue(cutOff)), false);
+        ++cuts;
+    }
+    this->runFor(Milliseconds(20000));
+    for (const std::string &name : this->fleet.names())
+        this->fleet.heal(name);
+    this->runFor(Milliseconds(20000));
+    CHECK(this->stateOf(job) == WorkflowState::Completed);
+}
+
 namespace {
 
 constexpr std::uint64_t crashingOneIn = 15; ///< workflows
