workflows: a life that a task was lost with twice counts once, and ends no replica

A task could be lost with one life twice before it was known whether that life had crashed: its first loss stored while the target had answered already, the task placed there again, and the target cut off once more. When the target came back, LossLedger::survived() erased the task's count at the first entry and looked it up again at the second: every replica would have hung as it applied the command.

Change: LossLedger keeps one open loss for each life and task; a later one can only make it early.

Before: the new test hangs without end on the code before (ended after 600 s). After: it passes, with [losses], [crashes], [resize], [book] and [controller] (61 cases).

--- a/src/workflows/lossledger.cpp
+++ b/src/workflows/lossledger.cpp
@@ -7,10 +7,18 @@
 
 void LossLedger::lost(LifeNumber life, const TaskAddress &task, bool isEarly)
 {
+    std::vector<Loss> &losses = this->open[life];
     LossCount &count = this->counts[task];
+    const auto known = std::find_if(losses.begin(), losses.end(),
+                                    [&](const Loss &loss) { return loss.task == task; });
+    const bool wasEarly = known != losses.end() && known->isEarly;
+    count.earlyOpen += isEarly && !wasEarly ? 1 : 0;
+    if (known != losses.end()) {
+        known->isEarly |= isEarly;
+        return;
+    }
     ++count.open;
-    count.earlyOpen += isEarly ? 1 : 0;
-    this->open[life].push_back({task, isEarly});
+    losses.push_back({task, isEarly});
 }
 
 /// Takes the open losses of a life from the counts of their tasks. Tasks that were forgotten
--- a/src/workflows/lossledger.h
+++ b/src/workflows/lossledger.h
@@ -27,7 +27,7 @@
     /// Crashes of any kind that a task is given up for.
     static constexpr unsigned mostCrashes = 5;
 
-    /// A run of \a task was lost with the target's life.
+    /// A run of \a task was lost with the target's life. A life counts once for each task.
     void lost(LifeNumber life, const TaskAddress &task, bool isEarly);
     /// The process of \a life is gone. Returns the tasks that are to be given up now.
     std::vector<TaskAddress> crashed(LifeNumber life);
--- a/test/workflows/lossledgertest.cpp
+++ b/test/workflows/lossledgertest.cpp
@@ -60,6 +60,26 @@
     CHECK(losses.isEmpty());
 }
 
+TEST_CASE("a task that one life was lost with twice counts once", "[losses]")
+{
+    LossLedger losses;
+    losses.lost(life(1), task, false);
+    losses.lost(life(1), task, true);
+    CHECK(losses.count(task).open == 1);
+    CHECK(losses.isSuspect(task));
+    SECTION("the life goes on")
+    {
+        losses.survived(life(1));
+        CHECK(losses.isEmpty());
+    }
+    SECTION("the life has crashed")
+    {
+        losses.crashed(life(1));
+        CHECK(losses.count(task).crashes == 1);
+        CHECK(losses.count(task).earlyCrashes == 1);
+    }
+}
+
 TEST_CASE("a task is not started while its last chance may be spent", "[losses]")
 {
     LossLedger losses;
