admissions: a query is prepared only if an instance can send it

Cause: overload that never ended. When all instances had enough admission queries pending, the planner still chose targets for every waiting step, the dispatcher rejected the queries, and each step was tried again 100 ms later: 700 to 1,700 rejected queries a second, each with a log line and another plan. That made the leader late, late answers outlived their tickets, and what had expired was asked again.

Change: the planner reserves an instance's time for a query before the query counts, in order of urgency, and stops preparing queries that are at least as long as one that found no instance. Of several idle instances the one that answered last is chosen, since it is the least likely to have failed.

--- a/src/workflows/admissionport.h
+++ b/src/workflows/admissionport.h
@@ -2,9 +2,11 @@
 
 #include "core/clock.h"
 #include "core/done.h"
+#include "core/ids.h"
 #include "workflows/ids.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,9 +27,15 @@
     /// one at a time.
     virtual std::size_t querierCount() const = 0;
 
-    /// \a expected: how long the service takes to process this query once it starts on it.
-    virtual void ask(const StepAddress &step, const std::vector<std::string> &targets,
-                     Milliseconds expected, Instant deadline, Done<Admitted> done) = 0;
+    /// Reserves the time of an instance for one query that the service takes \a expected to
+    /// process. Empty if the query would have to wait too long at every instance. Each reservation
+    /// must be used by one call of ask().
+    virtual std::optional<InstanceId> reserve(Milliseconds expected) = 0;
+
+    /// Sends a query through \a querier, which reserve() has returned.
+    virtual void ask(const InstanceId &querier, const StepAddress &step,
+                     const std::vector<std::string> &targets, Instant deadline,
+                     Done<Admitted> done) = 0;
 };
 
 } // namespace guavavalve::workflows
--- a/src/workflows/admissionquerybalancer.cpp
+++ b/src/workflows/admissionquerybalancer.cpp
@@ -56,24 +56,27 @@
 std::optional<InstanceId> AdmissionQueryBalancer::choose(const std::vector<InstanceId> &instances,
                                                          Milliseconds expected, Instant now)
 {
-    std::optional<InstanceId> best;
+    const InstanceId *best = nullptr;
+    Load *bestLoad = nullptr;
     Instant bestFreeAt{};
     for (std::size_t i = closedInstances(expected, instances.size()); i < instances.size(); ++i) {
-        const Load &load = this->loads[instances[i]];
+        Load &load = this->loads[instances[i]];
         if (!AdmissionQueryBalancer::mayQuery(load, now))
             continue;
         const Instant freeAt = std::max(now, load.busyUntil);
-        if (!best || freeAt < bestFreeAt) {
-            best = instances[i];
+        const bool isBetter = bestLoad == nullptr || freeAt < bestFreeAt
+            || (freeAt == bestFreeAt && load.answeredAt > bestLoad->answeredAt);
+        if (isBetter) {
+            best = &instances[i];
+            bestLoad = &load;
             bestFreeAt = freeAt;
         }
     }
-    if (best) {
-        Load &load = this->loads[*best];
-        load.busyUntil = bestFreeAt + expected;
-        ++load.pending;
-    }
-    return best;
+    if (best == nullptr)
+        return std::nullopt;
+    bestLoad->busyUntil = bestFreeAt + expected;
+    ++bestLoad->pending;
+    return *best;
 }
 
 Instant AdmissionQueryBalancer::busyUntil(const InstanceId &instance) const
@@ -89,6 +92,8 @@
     load.hasAnswered = !hasFailed;
     if (hasFailed)
         load.busyUntil = now + failureBackoff;
+    else
+        load.answeredAt = now;
 }
 
 } // namespace guavavalve::workflows
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -317,7 +317,10 @@
         return makePlan({store, this->currentPolicy, this->admissions, this->claims,
                          this->openTargets(store), this->options.clock(),
                          this->options.calendarMs(), &this->admittedFractions,
-                         this->admissionPort.querierCount(), this->openQueries});
+                         this->admissionPort.querierCount(), this->openQueries,
+                         [this](Milliseconds expected) {
+                             return this->admissionPort.reserve(expected);
+                         }});
     });
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
--- a/src/workflows/controlleradmissions.cpp
+++ b/src/workflows/controlleradmissions.cpp
@@ -27,13 +27,7 @@
 void Controller::sendQuery(const AdmissionQuery &query)
 {
     std::vector<std::string> names;
-    double expectedMs = 0.0;
     this->machine.read([&](const WorkflowStore &store) {
-        const QueuePolicy *queue = this->queueOf(query.step.workflow, store);
-        if (queue != nullptr) {
-            expectedMs = queue->queryBaseMs
-                + queue->queryMsPerTarget * static_cast<double>(query.targets.size());
-        }
         for (const IncarnationId incarnation : query.targets) {
             if (const IncarnationRecord *record = store.find(incarnation))
                 names.push_back(record->identity.name);
@@ -50,8 +44,7 @@
     }
     ++this->openQueries;
     this->admissionPort.ask(
-        query.step, names, Milliseconds(static_cast<std::int64_t>(expectedMs)),
-        this->options.clock() + admissionQueryTimeout,
+        query.querier, query.step, names, this->options.clock() + admissionQueryTimeout,
         [this, alive = this->alive, inTerm = this->term, query,
          now = this->options.clock()](const Result<AdmissionPort::Admitted> &answer) {
             if (*alive && this->leads && this->term == inTerm)
--- a/src/workflows/internal/admissionqueryplanner.cpp
+++ b/src/workflows/internal/admissionqueryplanner.cpp
@@ -81,11 +81,42 @@
 
 std::vector<AdmissionQuery> AdmissionQueryPlanner::plan(const ReadyStep &step, bool isNextInLine)
 {
+    if (this->isExhaustedFor(step))
+        return {};
     std::vector<AdmissionQuery> queries = this->decide(step, isNextInLine);
+    this->reserveQueriers(step, queries);
     this->open += queries.size();
     return queries;
 }
 
+/// True if not even a query about a single target could be sent.
+///
+/// Guards against an overloaded leader that prepares queries only to discard them: with thousands
+/// of waiting steps, choosing their targets took longer than the rest of the plan.
+bool AdmissionQueryPlanner::isExhaustedFor(const ReadyStep &step) const
+{
+    return this->exhaustedFrom && processingTime(step, 1) >= *this->exhaustedFrom;
+}
+
+/// Keeps the queries that an instance can send soon.
+void AdmissionQueryPlanner::reserveQueriers(const ReadyStep &step,
+                                            std::vector<AdmissionQuery> &queries)
+{
+    if (!this->input.reserveQuerier)
+        return;
+    std::size_t kept = 0;
+    for (; kept < queries.size(); ++kept) {
+        const Milliseconds expected = processingTime(step, queries[kept].targets.size());
+        const std::optional<InstanceId> querier = this->input.reserveQuerier(expected);
+        if (!querier) {
+            this->exhaustedFrom = std::min(expected, this->exhaustedFrom.value_or(expected));
+            break;
+        }
+        queries[kept].querier = *querier;
+    }
+    queries.resize(kept);
+}
+
 /// True if so few queries are pending that a further one delays no other.
 bool AdmissionQueryPlanner::hasIdleInstances() const
 {
--- a/src/workflows/internal/admissionqueryplanner.h
+++ b/src/workflows/internal/admissionqueryplanner.h
@@ -2,6 +2,7 @@
 
 #include "workflows/internal/planroom.h"
 
+#include <optional>
 #include <vector>
 
 namespace guavavalve::workflows::internal {
@@ -12,7 +13,8 @@
 public:
     AdmissionQueryPlanner(const PlanInput &input, PlanRoom &room);
 
-    /// Empty while answers are pending, or if a query would not help now.
+    /// Empty while answers are pending, if a query would not help now, or if no instance can send
+    /// it soon.
     /// \a isNextInLine: the step is a gang that room is reserved for, now or soon.
     std::vector<AdmissionQuery> plan(const ReadyStep &step, bool isNextInLine);
 
@@ -29,10 +31,14 @@
     bool knowsEnoughTargets(const ReadyStep &step) const;
     bool hasIdleInstances() const;
     double admittedFraction(const ReadyStep &step) const;
+    bool isExhaustedFor(const ReadyStep &step) const;
+    void reserveQueriers(const ReadyStep &step, std::vector<AdmissionQuery> &queries);
 
     const PlanInput &input;
     PlanRoom &room;
     std::size_t open = 0; ///< pending queries, including those of this plan
+    /// Queries of this processing time and longer ones cannot be sent in this plan.
+    std::optional<Milliseconds> exhaustedFrom;
 };
 
 /// Number of the step's tasks that fit into \a room.
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/ids.h"
 #include "workflows/admissions.h"
 #include "workflows/claims.h"
 #include "workflows/policy.h"
@@ -9,7 +10,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -31,8 +34,13 @@
     StepAddress step;
     std::vector<IncarnationId> targets; ///< the most promising first
     std::map<IncarnationId, std::uint16_t> claim; ///< room to reserve until the answer
+    InstanceId querier = {}; ///< the instance that sends it
 };
 
+/// Reserves the time of an instance for a query that takes \a expected to process; empty if none
+/// can take it soon.
+using QuerierReservation = std::function<std::optional<InstanceId>(Milliseconds expected)>;
+
 /// Summary of a plan, for the log.
 struct PlanSummary
 {
@@ -66,6 +74,8 @@
     const AdmittedFractions *admittedFractions = nullptr; ///< null: nothing observed yet
     std::size_t querierCount = 1; ///< instances that can query the admission service
     std::size_t openQueries = 0; ///< pending queries to the admission service
+    /// Empty: every query can be sent. The most urgent steps reserve first.
+    QuerierReservation reserveQuerier = nullptr;
 };
 
 /// Assigns ready tasks to targets. Pure.
--- a/test/platform/admissiondispatchertest.cpp
+++ b/test/platform/admissiondispatchertest.cpp
@@ -63,8 +63,13 @@
     {
         this->loop->post([this, queries, expected] {
             for (int i = 0; i < queries; ++i) {
+                const auto querier = this->dispatcher->reserve(expected);
+                if (!querier) {
+                    ++this->refused;
+                    continue;
+                }
                 this->dispatcher->ask(
-                    {}, {"t"}, expected, monotonicNow() + std::chrono::seconds(20),
+                    *querier, {}, {"t"}, monotonicNow() + std::chrono::seconds(20),
                     [this](const Result<workflows::AdmissionPort::Admitted> &answer) {
                         this->refused += answer ? 0 : 1;
                     });
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -37,7 +37,7 @@
         }
         return makePlan({this->store, this->policy, this->admissions, this->claims, open, this->now,
                          this->calendarMs, this->admittedFractions, this->querierCount,
-                         this->openQueries});
+                         this->openQueries, this->reserveQuerier});
     }
 
     /// Makes a plan and applies its placements; returns the number of tasks placed.
@@ -84,6 +84,7 @@
     const AdmittedFractions *admittedFractions = nullptr;
     std::size_t querierCount = 1;
     std::size_t openQueries = 0;
+    QuerierReservation reserveQuerier;
     Instant now{std::chrono::seconds(100)};
 };
 
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -10,7 +10,7 @@
 constexpr Milliseconds retryDelay{100}; ///< before an operator repeats an unanswered request
 constexpr Milliseconds restartDelay{3000}; ///< after a task has crashed its target
 
-Result<Policy> simplePolicy(const std::string &)
+Policy simplePolicy()
 {
     Policy policy;
     QueuePolicy queue;
@@ -23,7 +23,8 @@
 } // namespace
 
 Simulation::Simulation(std::uint64_t seed, unsigned targets, std::int64_t milliCoresOfEach)
-    : fleet(this->loop, seed)
+    : policy(simplePolicy())
+    , fleet(this->loop, seed)
     , milliCores(milliCoresOfEach)
     , admissions(this->loop)
 {
@@ -48,7 +49,7 @@
     }
     auto newTerm = std::make_unique<ControllerTerm>(this->machine, this->loop, this->storeTime);
     ControllerOptions options;
-    options.readPolicy = simplePolicy;
+    options.readPolicy = [this](const std::string &) -> Result<Policy> { return this->policy; };
     options.post = [this](std::function<void()> action) { this->loop.post(std::move(action)); };
     options.runAfter = [this](Microseconds delay, std::function<void()> action) {
         this->loop.runAfter(delay, std::move(action));
@@ -59,8 +60,11 @@
     options.metrics = &this->metrics;
     options.clock = [this] { return this->loop.now(); };
     TargetPort &port = this->portOfController ? this->portOfController() : this->fleet;
+    AdmissionPort &service = this->admissionsOfController == nullptr
+        ? static_cast<AdmissionPort &>(this->admissions)
+        : *this->admissionsOfController;
     newTerm->controller =
-        std::make_unique<Controller>(options, newTerm->log, this->machine, port, this->admissions);
+        std::make_unique<Controller>(options, newTerm->log, this->machine, port, service);
     newTerm->controller->leadershipChanged(true, ++this->term);
     this->terms.push_back(std::move(newTerm));
 }
@@ -138,11 +142,11 @@
         });
 }
 
-void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps)
+void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue)
 {
     WorkflowSpec spec;
     spec.id = id;
-    spec.queue = "q";
+    spec.queue = queue;
     spec.account = "a";
     spec.payload = "work";
     spec.steps = std::move(steps);
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -19,17 +19,23 @@
         : loop(loop)
     {}
     std::size_t querierCount() const override { return 8; }
-    void ask(const StepAddress &, const std::vector<std::string> &targets, Milliseconds expected,
+    std::optional<InstanceId> reserve(Milliseconds queryTime) override
+    {
+        this->expected = queryTime;
+        return InstanceId("querier");
+    }
+    void ask(const InstanceId &, const StepAddress &, const std::vector<std::string> &targets,
              Instant, Done<Admitted> done) override
     {
         Admitted all;
         for (const std::string &name : targets)
             all.emplace_back(name, "ticket");
-        this->loop.runAfter(expected, [done = std::move(done), all] { done(all); });
+        this->loop.runAfter(this->expected, [done = std::move(done), all] { done(all); });
     }
 
 private:
     VirtualLoop &loop;
+    Milliseconds expected{0}; ///< of the last reservation
 };
 
 /// A log of one replica that reports a command as stored and applied only after a delay.
@@ -84,7 +90,7 @@
     /// The failure domain of target "tN": targets alternate between "d0" and "d1".
     static std::string domainOf(const std::string &name);
 
-    void submit(WorkflowId id, std::vector<StepSpec> steps);
+    void submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue = "q");
     void runFor(Milliseconds span);
     /// False if the workflow was submitted to a controller that had lost its leadership.
     bool isAccepted(WorkflowId id) const;
@@ -97,6 +103,9 @@
     bool renamesRestarted = false; ///< crashed targets return under new names
     /// The port through which the next controller sends its orders; empty: the fleet itself.
     std::function<TargetPort &()> portOfController;
+    /// The admission service of the next controller; null: one that admits every target.
+    AdmissionPort *admissionsOfController = nullptr;
+    Policy policy; ///< read from every configuration document
     Metrics metrics;
     SimulatedFleet fleet;
     WorkflowStoreMachine machine;
