controller: polls the targets that the work needs, and lets the others rest

Cause: the leader's work grew with the fleet, not with the work. Each of 6,000 targets was polled once a second, nine tenths of them idle, and each plan and each tick walked all sessions.

The others rest: they only send their reports, and are polled again with the first order or when they are needed. A session rests only after a poll that shows nothing running and no end left to store.

--- a/src/workflows/admissionquerybalancer.h
+++ b/src/workflows/admissionquerybalancer.h
@@ -15,8 +15,8 @@
 ///
 /// A query goes to the instance that is expected to be idle first, and of several idle ones to the
 /// one that has answered last, because it is the least likely to have failed since. The first few
-/// instances in the list are closed to longer queries. An instance that has not answered yet gets two queries at
-/// most, and one whose answer is overdue gets no more until the answer arrives.
+/// instances in the list are closed to longer queries. An instance that has not answered yet gets
+/// two queries at most, and one whose answer is overdue gets no more until the answer arrives.
 class AdmissionQueryBalancer
 {
 public:
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -60,6 +60,10 @@
         state.session->end();
     this->incarnations.clear();
     this->sessionsToStart.clear();
+    this->polled.clear();
+    this->resting.clear();
+    this->neverPolled.clear();
+    this->isStartQueued = false;
     this->health.clear();
     this->moveCounts.clear();
     this->admissions.clear();
@@ -278,7 +282,7 @@
 {
     return static_cast<std::size_t>(std::count_if(
         this->incarnations.begin(), this->incarnations.end(),
-        [](const auto &incarnation) { return incarnation.second.session->isUsable(); }));
+        [](const auto &incarnation) { return incarnation.second.session->isAvailable(); }));
 }
 
 std::vector<OpenTarget> Controller::openTargets(const WorkflowStore &store) const
@@ -289,13 +293,13 @@
     std::size_t suspended = 0;
     std::size_t onTrial = 0;
     std::vector<OpenTarget> open;
-    for (const auto &[incarnation, state] : this->incarnations) {
-        if (!state.session->isUsable())
+    for (const auto &[incarnation, session] : this->polled) {
+        if (!session->isUsable())
             continue;
         const TargetTrust trust = this->health.trust(incarnation, now);
         if (trust == TargetTrust::Suspended && suspended++ < maxSuspended)
             continue;
-        if (state.session->isOnTrial() && onTrial++ < maxOnTrial)
+        if (session->isOnTrial() && onTrial++ < maxOnTrial)
             continue;
         const IncarnationRecord *record = store.find(incarnation);
         if (record == nullptr || store.newestIncarnation(record->identity.name) != incarnation
@@ -306,7 +310,7 @@
             continue;
         open.push_back({incarnation, &record->identity, record->identity.capacity - record->used,
                         onProbation && !this->health.hasProbationExpired(incarnation, now),
-                        state.session->isCold(), record->placed.size()});
+                        session->isCold(), record->placed.size()});
     }
     return open;
 }
@@ -314,13 +318,11 @@
 void Controller::plan(std::vector<Pending> &batch)
 {
     const Plan made = this->machine.read([&](const WorkflowStore &store) {
-        return makePlan({store, this->currentPolicy, this->admissions, this->claims,
-                         this->openTargets(store), this->options.clock(),
-                         this->options.calendarMs(), &this->admittedFractions,
-                         this->admissionPort.querierCount(), this->openQueries,
-                         [this](Milliseconds expected) {
-                             return this->admissionPort.reserve(expected);
-                         }});
+        return makePlan(
+            {store, this->currentPolicy, this->admissions, this->claims, this->openTargets(store),
+             this->options.clock(), this->options.calendarMs(), &this->admittedFractions,
+             this->admissionPort.querierCount(), this->openQueries,
+             [this](Milliseconds expected) { return this->admissionPort.reserve(expected); }});
     });
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
@@ -330,6 +332,7 @@
     }
     for (const AdmissionQuery &query : made.queries)
         this->sendQuery(query);
+    this->adjustWorkingSet(made);
     const Instant now = this->options.clock();
     this->waits.planned(made.waiting, now);
     if (now < this->nextPlanLog)
@@ -418,11 +421,12 @@
     if (this->lag > loopLagLogThreshold)
         logLoopLag(std::chrono::duration_cast<Milliseconds>(this->lag));
     std::vector<std::shared_ptr<TargetSession>> all; // sessions that end are removed from the table
-    all.reserve(this->incarnations.size());
-    for (const auto &[incarnation, state] : this->incarnations)
-        all.push_back(state.session);
+    all.reserve(this->polled.size());
+    for (const auto &[incarnation, session] : this->polled)
+        all.push_back(session);
     for (const auto &session : all)
         session->tick();
+    this->startNextResting();
     this->stopIncompleteGangs();
     this->forgetOld();
     this->needsPlan = true; // tasks become due and queries have to be repeated as time passes
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -13,6 +13,7 @@
 #include "workflows/waittimetracker.h"
 #include "workflows/workflowmetrics.h"
 #include "workflows/workflowstoremachine.h"
+#include "workflows/workingset.h"
 
 #include <cstdint>
 #include <deque>
@@ -159,6 +160,11 @@
     TargetSession &openSession(IncarnationId incarnation, const IncarnationRecord &record);
     void openSessions();
     void startSessions(std::size_t maxCount);
+    void adjustWorkingSet(const Plan &made);
+    void wakeTargets(std::size_t count);
+    void restTargets(std::size_t count);
+    void startNextResting();
+    void rested(IncarnationId incarnation);
     void runsOver(IncarnationId incarnation, std::vector<RunEnd> ends);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
@@ -191,6 +197,7 @@
     bool isFlushQueued = false;
     bool needsPlan = false;
     bool isPlanQueued = false;
+    bool isStartQueued = false; ///< the next targets are polled after a pause
     Instant nextPlanAt{};
     Instant nextTickAt{};
     Microseconds lag{0};
@@ -199,8 +206,14 @@
     std::vector<Pending> pending;
     std::vector<Done<Nothing>> waitingBarriers;
     std::map<IncarnationId, TargetState> incarnations;
-    /// Incarnations whose sessions have not polled their targets yet.
+    /// Incarnations whose sessions are to poll their targets next.
     std::deque<IncarnationId> sessionsToStart;
+    /// The sessions whose targets are polled; the others are resting.
+    std::map<IncarnationId, std::shared_ptr<TargetSession>> polled;
+    std::set<IncarnationId> resting;
+    /// Those of the resting ones that have not been polled yet in this term.
+    std::set<IncarnationId> neverPolled;
+    WorkingSet workingSet;
     TargetHealth health;
     /// Number of runs stopped because their target had stalled.
     std::map<TaskAddress, unsigned> moveCounts;
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -91,7 +91,7 @@
               {"openTargets", std::to_string(summary.openTargets)},
               {"freeMilliCores", std::to_string(summary.free[ResourceKind::MilliCores])},
               {"freeMemoryMb", std::to_string(summary.free[ResourceKind::MemoryMb])},
-              {"capacityMilliCores", std::to_string(summary.capacityMilliCores)},
+              {"capacityMilliCores", std::to_string(summary.capacity[ResourceKind::MilliCores])},
               {"idleMilliCores", std::to_string(summary.idleMilliCores)},
               {"claimedMilliCores", std::to_string(summary.claimedMilliCores)},
               {"savedMilliCores", std::to_string(summary.reservedMilliCores)},
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -47,10 +47,11 @@
         , queries(planInput, this->room)
     {
         for (const OpenTarget &target : this->room.targets()) {
-            this->totalMilliCores += target.identity->capacity[ResourceKind::MilliCores];
+            this->plan.summary.capacity += target.identity->capacity;
             this->plan.summary.idleMilliCores +=
                 std::max<std::int64_t>(0, target.free[ResourceKind::MilliCores]);
         }
+        this->totalMilliCores = this->plan.summary.capacity[ResourceKind::MilliCores];
     }
 
     Plan run()
@@ -65,7 +66,6 @@
         this->plan.summary.openTargets = this->room.targets().size();
         for (const OpenTarget &target : this->room.targets())
             this->plan.summary.free += target.free;
-        this->plan.summary.capacityMilliCores = this->totalMilliCores;
         this->plan.summary.claimedMilliCores = this->room.claimedMilliCores();
         this->plan.summary.reservedMilliCores = this->reservedMilliCores;
         return std::move(this->plan);
@@ -169,7 +169,7 @@
         if (held > 0)
             this->plan.waiting.push_back({step.address, WaitCause::Verdict});
         if (held == step.waiting()) {
-            this->plan.summary.waitingTasks[step.queue->priority] += held;
+            this->countWaiting(step, held);
             return;
         }
         this->room.releaseClaim(step);
@@ -178,8 +178,7 @@
         const bool isPlaced = step.spec().gang ? this->placeGang(step) : this->placeTasks(step);
         if (isPlaced)
             return; // the placed tasks have used its claim
-        this->plan.summary.waitingTasks[step.queue->priority] +=
-            step.waiting() - this->placedOfStep;
+        this->countWaiting(step, step.waiting() - this->placedOfStep);
         if (this->room.isOverLimit(step, step.spec().gang ? step.progress().tasks.size() : 1)) {
             this->plan.waiting.push_back({step.address, WaitCause::Limit});
             this->room.restoreClaim(step);
@@ -194,6 +193,15 @@
             this->reserveRoomFor(step);
     }
 
+    void countWaiting(const ReadyStep &step, std::size_t tasks)
+    {
+        this->plan.summary.waitingTasks[step.queue->priority] += tasks;
+        Resources need = step.spec().reserved();
+        for (std::int64_t &amount : need.amounts)
+            amount *= static_cast<std::int64_t>(tasks);
+        this->plan.summary.waiting += need;
+    }
+
     /// True for the first gangs in order, up to a fraction of the cell and of the instances.
     bool isNextInLine(const ReadyStep &step)
     {
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -46,11 +46,12 @@
 {
     std::map<std::uint32_t, std::size_t> waitingTasks; ///< ready tasks without a place, by priority
     std::size_t openTargets = 0;
-    std::int64_t capacityMilliCores = 0; ///< of open targets
     std::int64_t idleMilliCores = 0; ///< of these, not booked by placed tasks
     std::int64_t claimedMilliCores = 0; ///< reserved for steps with pending queries
     std::int64_t reservedMilliCores = 0; ///< for waiting gangs
     Resources free; ///< on open targets, after the plan's placements
+    Resources capacity; ///< of open targets
+    Resources waiting; ///< needed by the ready tasks without a place
 };
 
 struct Plan
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -39,6 +39,20 @@
     this->hold();
 }
 
+void TargetSession::beginResting()
+{
+    this->restsNow = true;
+}
+
+void TargetSession::wake()
+{
+    this->mayRest = false;
+    if (!std::exchange(this->restsNow, false))
+        return;
+    this->isWaking = true;
+    this->hold();
+}
+
 void TargetSession::end()
 {
     this->hasEnded = true;
@@ -64,6 +78,7 @@
     if (isTrial)
         this->trialUntil = this->clock() + this->limits.earlyLossWindow;
     ++this->unansweredStarts;
+    this->wake(); // the placement may have been under way when the target went to rest
     this->sendStart(task);
 }
 
@@ -146,7 +161,7 @@
 
 void TargetSession::tick()
 {
-    if (this->hasEnded)
+    if (this->hasEnded || this->restsNow)
         return;
     if (this->failures >= maxUnansweredPolls && this->clock() > this->leasesExpireAt
         && this->hasRunList) {
@@ -161,8 +176,9 @@
 bool TargetSession::isUsable() const
 {
     const Instant now = this->clock();
-    return !this->isOver() && this->hasRunList && !this->isFenced && this->reportsReady
-        && this->failures == 0 && this->foreignRuns.empty() && now >= this->unreachableUntil
+    return !this->isOver() && !this->restsNow && this->hasRunList && !this->isFenced
+        && this->reportsReady && this->failures == 0 && this->foreignRuns.empty()
+        && now >= this->unreachableUntil
         && now
         < this->answeredAt + this->limits.maxHoldWait + this->limits.orderTimeout + this->loopLag()
         && !this->hasUnansweredStart(now);
@@ -201,6 +217,9 @@
 
 void TargetSession::updateUsable()
 {
+    const bool isUnknown = this->restsNow || this->isWaking;
+    if (isUnknown && this->reportsReady && !this->isOver())
+        return;
     const bool isNow = this->isUsable();
     if (std::exchange(this->wasUsable, isNow) == isNow)
         return;
@@ -288,7 +307,8 @@
     order.term = this->term;
     order.lastSeen = this->highestStoredEnd;
     order.leaseUntilMs = this->grantLease();
-    order.waitMs = this->hasRunList && this->failures == 0 ? this->limits.maxHoldWait.count() : 0;
+    const bool mayWait = this->hasRunList && this->failures == 0 && !this->isWaking;
+    order.waitMs = mayWait ? this->limits.maxHoldWait.count() : 0;
     const Instant now = this->clock();
     const Instant deadline = now + Milliseconds(order.waitMs) + this->limits.orderTimeout;
     this->port.hold(this->targetIdentity, order, deadline,
@@ -307,6 +327,7 @@
         this->processFinalAnswer(answer);
         return;
     }
+    const bool wasWaking = std::exchange(this->isWaking, false);
     if (!answer) {
         ++this->failures;
         this->updateUsable();
@@ -323,6 +344,13 @@
     this->answered(answer.value().clockMs);
     this->processLists(answer.value(), sentAt);
     this->updateUsable();
+    if (wasWaking)
+        this->hooks.usableChanged();
+    if (this->mayRest && this->isIdle(answer.value())) {
+        this->restsNow = true;
+        this->hooks.rested();
+        return;
+    }
     if (this->pendingReports > 0)
         this->isAwaitingStore = true; // the next poll says which ends are stored
     else if (isFirst || !this->foreignRuns.empty())
@@ -331,6 +359,14 @@
         this->hold();
 }
 
+/// True if nothing is placed on the target, and nothing is left to tell it or to learn from it.
+bool TargetSession::isIdle(const HoldAnswer &answer) const
+{
+    return this->hasRunList && this->reportsReady && this->runs.empty() && this->foreignRuns.empty()
+        && this->pendingReports == 0 && answer.running.empty() && answer.ends.empty()
+        && !answer.isTruncated;
+}
+
 void TargetSession::processLists(const HoldAnswer &answer, Instant sentAt)
 {
     std::vector<RunEnd> over;
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -64,6 +64,8 @@
         std::function<void(const std::vector<RunningTask> &running)> listed;
         /// The target has become usable for new work, or is no longer.
         std::function<void()> usableChanged;
+        /// The target is no longer polled.
+        std::function<void()> rested;
         /// Another incarnation, or another target, answers at its address.
         std::function<void()> incarnationOver;
         std::function<void(Microseconds delay, std::function<void()>)> runAfter;
@@ -82,6 +84,14 @@
 
     /// Starts polling. Runs that were adopted before were placed in earlier terms.
     void begin();
+    /// Starts without polling, for a target on which nothing is placed. It rests until it is woken.
+    void beginResting();
+    /// Polls a resting target again. It becomes usable with its next answer.
+    void wake();
+    /// Lets the target rest, which means that it is no longer polled, after a poll that shows it to
+    /// be idle and to know that all its ends are stored.
+    void allowRest() { this->mayRest = true; }
+    bool isResting() const { return this->restsNow; }
     /// Ends the session: nothing is sent or reported afterwards.
     void end();
 
@@ -114,6 +124,12 @@
     /// True if new work may be started there: the target is not draining, answers, and its runs are
     /// known.
     bool isUsable() const;
+    /// True if it is usable, or probably is once it has been woken.
+    bool isAvailable() const
+    {
+        const bool isUnknown = this->restsNow || this->isWaking;
+        return this->isUsable() || (isUnknown && this->reportsReady && !this->isOver());
+    }
     /// True for a short time after the start of a run that may crash the target.
     bool isOnTrial() const { return this->clock() < this->trialUntil; }
     bool isCold() const { return this->clock() < this->coldUntil; }
@@ -152,6 +168,7 @@
     void processFinalAnswer(const Result<HoldAnswer> &answer);
     void finishLeaving();
     void onHold(Instant sentAt, Result<HoldAnswer> answer);
+    bool isIdle(const HoldAnswer &answer) const;
     void processLists(const HoldAnswer &answer, Instant sentAt);
     void processEnds(const HoldAnswer &answer, std::vector<RunEnd> &over);
     void processRunning(const HoldAnswer &answer);
@@ -201,6 +218,9 @@
     bool isEvacuated = false;
     Instant coldUntil{};
     bool wasUsable = false;
+    bool mayRest = false;
+    bool restsNow = false; ///< nothing is placed there, and it is not polled
+    bool isWaking = false; ///< polled again, and not answered yet
     unsigned failures = 0; ///< consecutive polls without an answer
     std::size_t unansweredStarts = 0; ///< number of runs in phase Sending
     Instant unreachableUntil{}; ///< after a failed connection; no new work before this
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -447,6 +447,7 @@
                           Done<HoldAnswer> done)
 {
     ++this->holds;
+    this->polled.insert(target.name);
     this->deliver<HoldAnswer>(
         target.name, false, deadline, std::move(done),
         [this, order, startedAtMs = target.startedAtMs](Target &at) {
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -74,6 +74,7 @@
     std::string violation; ///< the first one; empty: none
     std::size_t starts = 0;
     std::size_t holds = 0; ///< number of hold orders sent, which poll the targets
+    std::set<std::string> polled; ///< names of the targets polled; may be cleared
     std::size_t failures = 0;
 
 private:
