planner: a fleet is short of room only if no query can find more

Cause: the set of polled targets grew to the whole fleet within seconds, because a gang that waits for the answer to its query counted as waiting for room. Each open target also cost a look-up by name per plan, to see whether a later incarnation is stored.

Change: the plan says whether a step waits for room while no query is pending or possible; only then do more targets wake without a computed need. The store knows superseded incarnations by number (derived, not stored).

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -302,8 +302,7 @@
         if (session->isOnTrial() && onTrial++ < maxOnTrial)
             continue;
         const IncarnationRecord *record = store.find(incarnation);
-        if (record == nullptr || store.newestIncarnation(record->identity.name) != incarnation
-            || !store.takesWork(*record))
+        if (record == nullptr || store.isSuperseded(incarnation) || !store.takesWork(*record))
             continue;
         const bool onProbation = trust == TargetTrust::Probation;
         if (onProbation && !record->placed.empty())
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -85,9 +85,7 @@
     demand.capacity = made.summary.capacity;
     demand.free = made.summary.free;
     demand.waiting = made.summary.waiting;
-    demand.isShort =
-        std::any_of(made.waiting.begin(), made.waiting.end(),
-                    [](const WaitingStep &step) { return step.cause == WaitCause::Room; });
+    demand.isShort = made.summary.isShort;
     this->machine.read([&](const WorkflowStore &store) {
         for (const auto &[account, placed] : store.placedByAccount())
             demand.placed += placed;
--- a/src/workflows/internal/admissionqueryplanner.cpp
+++ b/src/workflows/internal/admissionqueryplanner.cpp
@@ -89,8 +89,6 @@
     return queries;
 }
 
-/// True if not even a query about a single target could be sent.
-///
 /// Guards against an overloaded leader that prepares queries only to discard them: with thousands
 /// of waiting steps, choosing their targets took longer than the rest of the plan.
 bool AdmissionQueryPlanner::isExhaustedFor(const ReadyStep &step) const
--- a/src/workflows/internal/admissionqueryplanner.h
+++ b/src/workflows/internal/admissionqueryplanner.h
@@ -18,6 +18,9 @@
     /// \a isNextInLine: the step is a gang that room is reserved for, now or soon.
     std::vector<AdmissionQuery> plan(const ReadyStep &step, bool isNextInLine);
 
+    /// True if no instance could send even a query about a single target.
+    bool isExhaustedFor(const ReadyStep &step) const;
+
 private:
     std::vector<AdmissionQuery> decide(const ReadyStep &step, bool isNextInLine) const;
     std::vector<AdmissionQuery> renewGang(const ReadyStep &step, const StepAdmissions &known) const;
@@ -31,7 +34,6 @@
     bool knowsEnoughTargets(const ReadyStep &step) const;
     bool hasIdleInstances() const;
     double admittedFraction(const ReadyStep &step) const;
-    bool isExhaustedFor(const ReadyStep &step) const;
     void reserveQueriers(const ReadyStep &step, std::vector<AdmissionQuery> &queries);
 
     const PlanInput &input;
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -187,7 +187,11 @@
         bool isQueried = false;
         if (step.queue->needsAdmission)
             isQueried = this->addQueries(step, step.spec().gang && this->isNextInLine(step));
-        this->plan.waiting.push_back({step.address, waitCauseOf(step, isQueried)});
+        const WaitCause cause = waitCauseOf(step, isQueried);
+        this->plan.waiting.push_back({step.address, cause});
+        const bool isAsking = isQueried || this->queries.isExhaustedFor(step)
+            || (step.admissions != nullptr && !step.admissions->asked.empty());
+        this->plan.summary.isShort |= cause == WaitCause::Room && !isAsking;
         this->room.restoreClaim(step);
         if (step.spec().gang)
             this->reserveRoomFor(step);
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -52,6 +52,8 @@
     Resources free; ///< on open targets, after the plan's placements
     Resources capacity; ///< of open targets
     Resources waiting; ///< needed by the ready tasks without a place
+    /// A step waits for room, and no query about further targets is pending or possible.
+    bool isShort = false;
 };
 
 struct Plan
--- a/src/workflows/workflowstore.cpp
+++ b/src/workflows/workflowstore.cpp
@@ -59,6 +59,14 @@
         archive(this->lossTracker, this->resizedBy);
 }
 
+void WorkflowStore::findSuperseded()
+{
+    for (const auto &[number, record] : this->incarnationTable) {
+        if (this->newestIncarnation(record.identity.name) != number)
+            this->superseded.insert(number);
+    }
+}
+
 CommandOutcomes WorkflowStore::apply(const CommandBatch &batch)
 {
     CommandOutcomes outcomes;
@@ -323,6 +331,8 @@
     record.identity = command.identity;
     this->incarnationTable.emplace(number, std::move(record));
     this->newestByName[command.identity.name] = number;
+    if (known != IncarnationId::None)
+        this->superseded.insert(known);
     return CommandOutcome::Applied;
 }
 
@@ -338,6 +348,7 @@
     if (name != this->newestByName.end() && name->second == command.incarnation)
         this->newestByName.erase(name);
     this->resizedBy.erase(command.incarnation);
+    this->superseded.erase(command.incarnation);
     this->incarnationTable.erase(found);
     return CommandOutcome::Applied;
 }
@@ -454,6 +465,7 @@
         read.serialize(archive, format);
         if (archive.bytesLeft() != 0)
             return failure(ErrorCode::Corrupt, "the snapshot has unexpected bytes at its end");
+        read.findSuperseded();
         *this = std::move(read);
         return boost::outcome_v2::success();
     } catch (const std::exception &problem) {
--- a/src/workflows/workflowstore.h
+++ b/src/workflows/workflowstore.h
@@ -41,6 +41,9 @@
     /// The newest incarnation of the target called \a name, or None.
     IncarnationId newestIncarnation(const std::string &name) const;
 
+    /// True if a later incarnation of the same target is stored.
+    bool isSuperseded(IncarnationId number) const { return this->superseded.count(number) != 0; }
+
     /// True if new work may be placed on the incarnation: it is not draining, and its failure
     /// domain is not evacuated.
     bool takesWork(const IncarnationRecord &incarnation) const;
@@ -55,6 +58,7 @@
     Result<void> restore(std::string_view snapshot);
 
 private:
+    void findSuperseded();
     CommandOutcome applyCommand(const AcceptWorkflow &command);
     CommandOutcome applyCommand(const CancelWorkflow &command);
     CommandOutcome applyCommand(const PlaceRuns &command);
@@ -86,6 +90,7 @@
     std::set<WorkflowId> liveIds;
     IncarnationTable incarnationTable;
     std::map<std::string, IncarnationId> newestByName; ///< by target name
+    std::set<IncarnationId> superseded; ///< derived: the incarnations that are not the newest ones
     std::uint32_t lastIncarnation = 0;
     std::map<std::string, Resources> used;
     std::int64_t version = 0;
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -316,3 +316,17 @@
     this->add(1, "q", wideGang(25));
     CHECK(this->applyPlan() == 12);
 }
+
+// Guards against polling a whole large fleet while a step only waits for the answer to a query.
+TEST_CASE_METHOD(PlanFixture, "a plan is short of room only if no query can find more", "[planner]")
+{
+    this->needAdmission();
+    this->accept({gang(20)});
+    this->admit(1, Milliseconds(1400));
+    CHECK_FALSE(this->plan().summary.isShort); // the plan asks about the other targets
+    this->admissions[at(0)].asked.insert(incarnation(2));
+    CHECK_FALSE(this->plan().summary.isShort);
+    this->admissions[at(0)].asked.clear();
+    this->admissions[at(0)].refused = {incarnation(2), incarnation(3)};
+    CHECK(this->plan().summary.isShort);
+}
--- a/test/workflows/workflowstoretest.cpp
+++ b/test/workflows/workflowstoretest.cpp
@@ -261,5 +261,21 @@
     identity.startedAtMs = 2;
     CHECK_FALSE(f.store.matchesNewest(identity, false));
     identity.name = "another";
-    CHECK_FALSE(f.store.matchesNewest(identity, false));
+    CHECK(f.store.matchingNewest(identity, false) == IncarnationId::None);
+}
+
+// Guards against work that is placed on an earlier incarnation of a target.
+TEST_CASE("the store knows superseded incarnations, also after a snapshot", "[book]")
+{
+    StoreFixture f(2);
+    REQUIRE(f.registerIncarnation("t1", 2) == CommandOutcome::Applied);
+    CHECK(f.store.isSuperseded(f.incarnation(1)));
+    CHECK_FALSE(f.store.isSuperseded(f.incarnation(2)));
+    CHECK_FALSE(f.store.isSuperseded(f.incarnation(3)));
+    WorkflowStore restored;
+    REQUIRE(restored.restore(f.store.snapshot()));
+    CHECK(restored.isSuperseded(f.incarnation(1)));
+    CHECK_FALSE(restored.isSuperseded(f.incarnation(3)));
+    REQUIRE(f.apply(ForgetIncarnation{f.incarnation(1)}) == CommandOutcome::Applied);
+    CHECK_FALSE(f.store.isSuperseded(f.incarnation(1)));
 }
