relay: replicas answer reports without news, and tell the leader in summaries

Cause: a replica answered repetitions for 5 s after the leader's acknowledgement. A target of a fleet with ten replicas reaches the same one every 30 s, so nearly every report went to the leader: 1,800 a second. Half of the replicas are no members of the group and could not compare a report with the stored state.

Change: a member whose copy of the stored state equals a report answers it, and names the target in a summary that the leader gets once a second. It does so only for 3 s after an acknowledged summary, so a replica that is cut off forwards reports as before. An instance without a copy forwards a target's reports to one member, chosen by the target's name, and to the leader if that one does not answer. Anything new (another incarnation, a drain, a changed room, an unknown target, a cold one) still goes to the leader and is stored before it is acknowledged. Silent targets are forgotten as before. A leader of an older build refuses summaries: a log line says so and reports are forwarded. Reports that nobody answered are logged in one line a second instead of one line each.

Tests: relaytest plays four rounds of reports of 500 targets to a member and to an instance without a copy: no call reaches the leader (2,000 before); news, over incarnations, unknown targets, missing acknowledgements and a member that is down. controllertest: a silent target is forgotten, one that is named in summaries is not.

--- a/src/replicas/messenger.h
+++ b/src/replicas/messenger.h
@@ -27,6 +27,8 @@
     SyncConfiguration = 25,
     Operate = 26,
     Relay = 27,
+    ReportSummary = 28, ///< targets that reported to another replica without new information
+    TargetReport = 29, ///< a target's report, to a replica that may know its content already
     // From the controller to an entry instance.
     Dispatch = 40,
     RequestAdmission = 41,
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -94,6 +94,8 @@
     /// Processes a heartbeat. \a done: called when the report is stored; from then on nothing new
     /// is started on a draining target.
     void heartbeatReceived(const TargetReport &report, const Done<Nothing> &done);
+    /// Other replicas have answered reports of these incarnations that contained nothing new.
+    void unchangedReportsReceived(const std::vector<IncarnationId> &heard);
     /// A target has announced that its incarnation is over.
     void targetLeft(const std::string &name, std::int64_t startedAtMs, const Done<Nothing> &done);
 
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -332,6 +332,17 @@
                   });
 }
 
+/// Incarnations that are unknown here have ended: the replica that named them has not applied that
+/// yet, and forwards their next reports once it has.
+void Controller::unchangedReportsReceived(const std::vector<IncarnationId> &heard)
+{
+    for (const IncarnationId incarnation : heard) {
+        const auto found = this->incarnations.find(incarnation);
+        if (found != this->incarnations.end())
+            found->second.session->recordUnchangedReport();
+    }
+}
+
 /// Applies the parts of a report that may change during an incarnation. Acknowledged once they are
 /// stored.
 void Controller::applyReport(IncarnationId incarnation, const TargetReport &report,
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -110,6 +110,9 @@
     /// Records a heartbeat of this incarnation, or the readiness that is stored of it.
     /// \a coldFor: how much longer the target is slow after its start.
     void recordHeartbeat(bool isReady, Milliseconds coldFor = Milliseconds(0));
+    /// A heartbeat of this incarnation that matches what is stored of it has reached another
+    /// replica.
+    void recordUnchangedReport() { this->lastHeartbeatAt = this->clock(); }
     /// Its failure domain is evacuated, or no longer is. While it is, starts that get no answer are
     /// settled by a stop instead of being sent again.
     void setEvacuated(bool isEvacuated);
--- a/src/workflows/workflowstore.cpp
+++ b/src/workflows/workflowstore.cpp
@@ -102,11 +102,13 @@
     return found == this->newestByName.end() ? IncarnationId::None : found->second;
 }
 
-bool WorkflowStore::matchesNewest(const TargetIdentity &identity, bool isDraining) const
+IncarnationId WorkflowStore::matchingNewest(const TargetIdentity &identity, bool isDraining) const
 {
-    const IncarnationRecord *incarnation = this->find(this->newestIncarnation(identity.name));
-    return incarnation != nullptr && incarnation->isDraining == isDraining
+    const IncarnationId newest = this->newestIncarnation(identity.name);
+    const IncarnationRecord *incarnation = this->find(newest);
+    const bool matches = incarnation != nullptr && incarnation->isDraining == isDraining
         && incarnation->identity == identity;
+    return matches ? newest : IncarnationId::None;
 }
 
 CommandOutcome WorkflowStore::applyCommand(const AcceptWorkflow &command)
--- a/src/workflows/workflowstore.h
+++ b/src/workflows/workflowstore.h
@@ -48,9 +48,9 @@
     /// domain is not evacuated.
     bool takesWork(const IncarnationRecord &incarnation) const;
 
-    /// True if the newest stored incarnation of the target equals \a identity, and its draining
-    /// state equals \a isDraining.
-    bool matchesNewest(const TargetIdentity &identity, bool isDraining) const;
+    /// The newest stored incarnation of the target if it equals \a identity, and its draining state
+    /// equals \a isDraining; otherwise None.
+    IncarnationId matchingNewest(const TargetIdentity &identity, bool isDraining) const;
 
     std::string snapshot() const;
     /// Reads snapshots of the current format and of all earlier ones.
--- /dev/null
+++ b/test/platform/relaytest.cpp
@@ -0,0 +1,197 @@
+#include <catch2/catch.hpp>
+
+#include "controller/controllerlink.h"
+#include "core/codec.h"
+#include "platform/relay.h"
+#include "replicas/messenger.h"
+#include "workflows/controller.h"
+#include "workflows/reportaggregator.h"
+#include "workflows/workflowstore.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+using namespace guavavalve;
+using namespace guavavalve::platform;
+using namespace guavavalve::workflows;
+
+namespace {
+
+constexpr unsigned targets = 500;
+const std::string leaderAddress = "leader";
+const std::string memberAddress = "member";
+
+std::string nameOf(unsigned target)
+{
+    return "t" + std::to_string(target);
+}
+
+TargetIdentity identityOf(unsigned target, std::int64_t startedAtMs)
+{
+    TargetIdentity identity;
+    identity.name = nameOf(target);
+    identity.startedAtMs = startedAtMs;
+    identity.address = "127.0.0.9:80";
+    identity.service = "s";
+    identity.failureDomain = "z";
+    identity.capacity[ResourceKind::MilliCores] = 16000;
+    identity.capacity[ResourceKind::MemoryMb] = 32768;
+    return identity;
+}
+
+/// Delivers calls at once: to the leader, which answers all of them, and to the relay of a member
+/// of the group that knows all targets.
+class FakeGroup : public Messenger
+{
+public:
+    FakeGroup()
+    {
+        for (unsigned i = 0; i < targets; ++i)
+            this->store.apply({RegisterIncarnation{identityOf(i, 1700)}});
+        this->aggregator.acknowledged(monotonicNow());
+        this->member = this->makeRelay(memberAddress, true);
+        this->spare = this->makeRelay("spare", false);
+    }
+
+    void handle(Method, Handler) override {}
+    void call(const std::string &address, Method method, std::string payload, Instant,
+              Done<std::string> done) override
+    {
+        if (address == memberAddress && method == Method::TargetReport) {
+            if (this->isMemberUp)
+                this->member->serveForwardedReport(payload, done);
+            else
+                done(failure(ErrorCode::Unavailable, "the instance cannot be reached"));
+            return;
+        }
+        if (address != leaderAddress)
+            return;
+        ++this->leaderCalls;
+        RelayedAnswer answer;
+        answer.status = 200;
+        answer.body = "{}";
+        done(encode(answer));
+    }
+
+    /// Sends the report of a target to \a relay; returns the status of the answer.
+    static int report(Relay &relay, unsigned target, std::int64_t startedAtMs = 1700,
+                      const std::string &state = "ready")
+    {
+        const nlohmann::json body{{"Service", "s"},
+                                  {"Address", "127.0.0.9:80"},
+                                  {"Zone", "z"},
+                                  {"State", state},
+                                  {"Sequence", 1},
+                                  {"born", startedAtMs},
+                                  {"Capacity", {{"Cpu", 16000}, {"MemMb", 32768}, {"Gpus", 0}}},
+                                  {"Labels", nlohmann::json::array()}};
+        HttpRequest request;
+        request.method = "PUT";
+        request.path = "/instances/" + nameOf(target);
+        request.body = body.dump();
+        int status = 0;
+        relay.serveControl(request,
+                           [&status](const HttpResponse &response) { status = response.status; });
+        return status;
+    }
+
+    WorkflowStore store; ///< the member's copy of the stored state
+    ReportAggregator aggregator;
+    std::unique_ptr<Relay> member;
+    std::unique_ptr<Relay> spare; ///< of an instance that has no copy of the stored state
+    bool isMemberUp = true;
+    std::size_t leaderCalls = 0;
+
+private:
+    bool answers(const TargetReport &report)
+    {
+        const IncarnationId found = this->store.matchingNewest(report.identity, !report.isReady);
+        if (found == IncarnationId::None || !this->aggregator.mayAnswer(monotonicNow()))
+            return false;
+        this->aggregator.add(found);
+        return true;
+    }
+
+    std::unique_ptr<Relay> makeRelay(const std::string &instance, bool isMember)
+    {
+        auto link =
+            std::make_shared<ControllerLink>(*this, std::vector<std::string>{leaderAddress},
+                                             [](Milliseconds, const std::function<void()> &) {});
+        Relay::Hooks hooks;
+        hooks.localService = [] { return nullptr; };
+        hooks.hasController = [] { return true; };
+        hooks.isStored = [](const TargetReport &) { return false; };
+        hooks.answersReport = [this, isMember](const TargetReport &report) {
+            return isMember && this->answers(report);
+        };
+        hooks.replicaFor = [isMember](const std::string &) {
+            return isMember ? std::string() : memberAddress;
+        };
+        hooks.post = [](const std::function<void()> &action) { action(); };
+        hooks.answered = [](int, Microseconds) {};
+        return std::make_unique<Relay>(std::move(link), *this, std::move(hooks), instance);
+    }
+};
+
+} // namespace
+
+// Guards against a leader whose work grows with the number of targets that report to all replicas.
+TEST_CASE("reports that contain nothing new cost the leader nothing for each target", "[relay]")
+{
+    FakeGroup group;
+    for (int round = 0; round < 4; ++round) {
+        for (unsigned i = 0; i < targets; ++i) {
+            Relay &relay =
+                (i + static_cast<unsigned>(round)) % 2 == 0 ? *group.member : *group.spare;
+            REQUIRE(FakeGroup::report(relay, i) == 200);
+        }
+    }
+    CHECK(group.leaderCalls == 0);
+    CHECK(group.aggregator.take().heard.size() == targets);
+}
+
+TEST_CASE("reports with new information reach the leader from every instance", "[relay]")
+{
+    FakeGroup group;
+    for (Relay *relay : {group.member.get(), group.spare.get()}) {
+        group.leaderCalls = 0;
+        CHECK(FakeGroup::report(*relay, 1, 1700, "draining") == 200);
+        CHECK(FakeGroup::report(*relay, 2, 1800) == 200); // a later incarnation
+        CHECK(FakeGroup::report(*relay, 3, 1600) == 200); // one that is over
+        CHECK(FakeGroup::report(*relay, targets) == 200); // an unknown target
+        CHECK(group.leaderCalls == 4);
+    }
+    CHECK(group.aggregator.take().heard.empty());
+}
+
+// Guards against targets that a cut-off replica keeps from reporting elsewhere.
+TEST_CASE("a replica answers no reports unless the leader acknowledges its summaries", "[relay]")
+{
+    FakeGroup group;
+    group.aggregator.acknowledged(monotonicNow() - ReportAggregator::answerDuration);
+    CHECK(FakeGroup::report(*group.member, 1) == 200);
+    CHECK(FakeGroup::report(*group.spare, 2) == 200);
+    CHECK(group.leaderCalls == 2);
+}
+
+TEST_CASE("a report goes to the leader if the replica that may answer it is down", "[relay]")
+{
+    FakeGroup group;
+    group.isMemberUp = false;
+    CHECK(FakeGroup::report(*group.spare, 1) == 200);
+    CHECK(group.leaderCalls == 1);
+}
+
+TEST_CASE("a summary that was not acknowledged is sent again", "[relay]")
+{
+    ReportAggregator aggregator;
+    aggregator.add(static_cast<IncarnationId>(1));
+    const ReportSummary lost = aggregator.take();
+    CHECK(aggregator.take().heard.empty());
+    aggregator.add(static_cast<IncarnationId>(2));
+    aggregator.returned(lost);
+    CHECK(aggregator.take().heard.size() == 2);
+}
--- a/test/workflows/controllertest.cpp
+++ b/test/workflows/controllertest.cpp
@@ -265,3 +265,23 @@
     CHECK(this->fleet.starts == 2);
     CHECK(this->fleet.violation.empty());
 }
+
+// Guards against targets that are forgotten although they report, or kept although they are silent.
+TEST_CASE("a target whose reports other replicas answer is not forgotten", "[controller]")
+{
+    Simulation simulation(1, 4);
+    simulation.runFor(Milliseconds(1000));
+    simulation.fleet.cut("t1", false);
+    simulation.fleet.cut("t2", false);
+    const IncarnationId heard = simulation.machine.read(
+        [](const WorkflowStore &store) { return store.newestIncarnation("t1"); });
+    for (int second = 0; second < 25; ++second) {
+        simulation.controller().unchangedReportsReceived({heard, IncarnationId::None});
+        simulation.loop.runFor(Milliseconds(1000));
+    }
+    CHECK(simulation.controller().knownTargets() == 3);
+    CHECK(simulation.machine.read(
+        [heard](const WorkflowStore &store) { return store.find(heard) != nullptr; }));
+    simulation.loop.runFor(Milliseconds(25000));
+    CHECK(simulation.controller().knownTargets() == 2);
+}
--- a/test/workflows/workflowstoretest.cpp
+++ b/test/workflows/workflowstoretest.cpp
@@ -256,10 +256,10 @@
 {
     StoreFixture f(1);
     TargetIdentity identity = f.store.find(f.incarnation(1))->identity;
-    CHECK(f.store.matchesNewest(identity, false));
-    CHECK_FALSE(f.store.matchesNewest(identity, true));
+    CHECK(f.store.matchingNewest(identity, false) == f.store.newestIncarnation(identity.name));
+    CHECK(f.store.matchingNewest(identity, true) == IncarnationId::None);
     identity.startedAtMs = 2;
-    CHECK_FALSE(f.store.matchesNewest(identity, false));
+    CHECK(f.store.matchingNewest(identity, false) == IncarnationId::None);
     identity.name = "another";
     CHECK(f.store.matchingNewest(identity, false) == IncarnationId::None);
 }
