planner: urgent tasks and gangs go to targets that are known to be fast

Cause: of the urgent jobs that were late on the whole fleet, 233 of 326 had a slow run (guavavalve delays), while nine tenths of the cell were free: targets differ in speed, and placement did not know.

Change: TargetSpeeds learns from run times against estimates, relative to all targets, which targets are fast or slow; single runs do not decide. Tasks of the most urgent queues and members of gangs prefer fast targets, queries name fast targets with room first, and slow targets rest first.

--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller.cpp
@@ -65,6 +65,7 @@
     this->neverPolled.clear();
     this->isStartQueued = false;
     this->health.clear();
+    this->speeds.clear();
     this->moveCounts.clear();
     this->admissions.clear();
     this->admittedFractions.clear();
@@ -309,7 +310,7 @@
             continue;
         open.push_back({incarnation, &record->identity, record->identity.capacity - record->used,
                         onProbation && !this->health.hasProbationExpired(incarnation, now),
-                        session->isCold(), record->placed.size()});
+                        session->isCold(), record->placed.size(), this->speeds.grade(incarnation)});
     }
     return open;
 }
@@ -339,7 +340,7 @@
     this->nextPlanLog = now + planLogInterval;
     const std::size_t live =
         this->machine.read([](const WorkflowStore &store) { return store.live().size(); });
-    logPlan(made.summary, this->openQueries, live);
+    logPlan(made.summary, this->openQueries, live, this->resting.size());
 }
 
 /// Sends the start orders of a placement that has been stored.
--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -10,6 +10,7 @@
 #include "workflows/targethealth.h"
 #include "workflows/targetport.h"
 #include "workflows/targetsession.h"
+#include "workflows/targetspeeds.h"
 #include "workflows/waittimetracker.h"
 #include "workflows/workflowmetrics.h"
 #include "workflows/workflowstoremachine.h"
@@ -168,6 +169,7 @@
     void startNextResting();
     void rested(IncarnationId incarnation);
     void runsOver(IncarnationId incarnation, std::vector<RunEnd> ends);
+    void learnSpeed(IncarnationId incarnation, const RunEnd &end, const WorkflowStore &store);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
     void forgetIncarnation(IncarnationId incarnation);
@@ -217,6 +219,7 @@
     std::set<IncarnationId> neverPolled;
     WorkingSet workingSet;
     TargetHealth health;
+    TargetSpeeds speeds;
     /// Number of runs stopped because their target had stalled.
     std::map<TaskAddress, unsigned> moveCounts;
     AdmissionTable admissions;
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -118,16 +118,19 @@
         this->startSessions(sessionBatch);
 }
 
-/// Lets up to \a count idle targets rest, the newest first, so that the targets that are polled are
-/// mostly the same ones.
+/// Lets up to \a count idle targets rest: slow ones first, and then the newest, so that the targets
+/// that are polled are mostly the same ones.
 void Controller::restTargets(std::size_t count)
 {
-    for (auto next = this->polled.rbegin(); next != this->polled.rend() && count > 0; ++next) {
-        TargetSession &session = *next->second;
-        if (session.orders() > 0 || !session.isUsable())
-            continue;
-        session.allowRest();
-        --count;
+    for (const bool isSlow : {true, false}) {
+        for (auto next = this->polled.rbegin(); next != this->polled.rend() && count > 0; ++next) {
+            TargetSession &session = *next->second;
+            const bool hasGrade = (this->speeds.grade(next->first) == SpeedGrade::Slow) == isSlow;
+            if (!hasGrade || session.orders() > 0 || !session.isUsable())
+                continue;
+            session.allowRest();
+            --count;
+        }
     }
 }
 
@@ -209,6 +212,7 @@
         for (RunEnd &end : ends) {
             const QueuePolicy *queue = this->queueOf(end.task.step.workflow, store);
             end.maxFailures = queue == nullptr ? unlimitedFailures : queue->maxFailures;
+            this->learnSpeed(incarnation, end, store);
         }
     });
     logRunsEnded(incarnation, ends);
@@ -236,6 +240,18 @@
                   });
 }
 
+/// Members of a gang say nothing about their targets: they all end together.
+void Controller::learnSpeed(IncarnationId incarnation, const RunEnd &end,
+                            const WorkflowStore &store)
+{
+    const Workflow *workflow = store.find(end.task.step.workflow);
+    if (workflow == nullptr || workflow->isOver() || end.outcome != RunOutcome::Succeeded)
+        return;
+    const StepSpec &step = workflow->spec.steps[end.task.step.step];
+    if (!step.gang)
+        this->speeds.succeeded(incarnation, end.took, Milliseconds(step.estimatedMs));
+}
+
 /// Counts the workflows that a command of \a atMs has finished, and stops their remaining runs.
 void Controller::finishWorkflows(const std::vector<WorkflowId> &touched, std::int64_t atMs)
 {
@@ -273,6 +289,7 @@
                           this->neverPolled.erase(incarnation);
                       }
                       this->health.forget(incarnation);
+                      this->speeds.forget(incarnation);
                   });
 }
 
--- a/src/workflows/internal/admissionqueryplanner.cpp
+++ b/src/workflows/internal/admissionqueryplanner.cpp
@@ -45,6 +45,16 @@
     return incarnations;
 }
 
+/// Sorts targets for a query: those with the most room first and, for steps that prefer these, fast
+/// targets with room before all others.
+std::int64_t queryOrder(const ReadyStep &step, const OpenTarget &target)
+{
+    constexpr std::int64_t beyondAnyCapacity = std::int64_t{1} << 40U;
+    const bool isGraded = step.prefersFast() && slotsOn(step, target) > 0;
+    const auto grade = static_cast<std::int64_t>(isGraded ? target.speed : SpeedGrade::Slow);
+    return grade * beyondAnyCapacity - target.free[ResourceKind::MilliCores];
+}
+
 /// Processing time of a query that names \a targets targets, up to the limit of one query.
 Milliseconds processingTime(const ReadyStep &step, std::size_t targets)
 {
@@ -267,7 +277,7 @@
             continue;
         if (known != nullptr && !step.spec().gang && slotsOn(step, target) == 0)
             continue;
-        unknown.emplace_back(-target.free[ResourceKind::MilliCores], target.incarnation);
+        unknown.emplace_back(queryOrder(step, target), target.incarnation);
     }
     if (unknown.empty())
         return {};
--- a/src/workflows/internal/readystep.h
+++ b/src/workflows/internal/readystep.h
@@ -27,6 +27,8 @@
 
     const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
     const StepProgress &progress() const { return this->workflow->step(this->address); }
+    /// True if the step should go to fast targets first.
+    bool prefersFast() const { return this->queue->priority == 0 || this->spec().gang; }
     std::size_t waiting() const
     {
         const StepProgress &step = this->progress();
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planner.cpp
@@ -413,7 +413,7 @@
         const TaskProgress &task = step.progress().tasks[index];
         const bool isSuspect = this->isSuspect(step, index);
         OpenTarget *best = nullptr;
-        std::tuple<bool, bool, std::size_t, bool, std::int64_t> bestScore;
+        std::tuple<bool, bool, std::size_t, bool, SpeedGrade, std::int64_t> bestScore;
         for (OpenTarget *target : this->candidates) {
             if (!need.fitsInto(target->free) || this->isolated.count(target->incarnation) != 0
                 || (rack != nullptr && target->identity->rack != *rack))
@@ -426,8 +426,10 @@
                 !step.spec().dataRack.empty() && target->identity->rack != step.spec().dataRack;
             const bool ranThere =
                 task.run > 0 && task.incarnation == target->incarnation; // without success
-            const std::tuple score{ranThere, target->isCold, isSuspect ? target->occupants : 0,
-                                   isFar, target->free[ResourceKind::MilliCores]};
+            const SpeedGrade speed = step.prefersFast() ? target->speed : SpeedGrade::Usual;
+            const std::tuple score{
+                ranThere, target->isCold, isSuspect ? target->occupants : 0,
+                isFar,    speed,          target->free[ResourceKind::MilliCores]};
             if (best == nullptr || score < bestScore) {
                 best = target;
                 bestScore = score;
--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -5,6 +5,7 @@
 #include "workflows/admissions.h"
 #include "workflows/claims.h"
 #include "workflows/policy.h"
+#include "workflows/targetspeeds.h"
 #include "workflows/waitcause.h"
 #include "workflows/workflowstore.h"
 
@@ -26,6 +27,7 @@
     bool onProbation = false; ///< takes a single task, and no member of a gang
     bool isCold = false; ///< slow because it started recently; used only if the others have no room
     std::size_t occupants = 0; ///< number of tasks placed there
+    SpeedGrade speed = SpeedGrade::Usual;
 };
 
 /// A query to the admission service.
@@ -86,8 +88,10 @@
 /// Steps are placed in the order of their queue's priority and then of their workflow's objective.
 /// A gang is placed as a whole or not at all. A task goes to the target with the least free
 /// processor capacity (best fit), which keeps large gaps for large tasks, and preferably not to the
-/// target of its last unsuccessful run. A task that may crash its target goes where the fewest
-/// other tasks would be lost. Client accounts are kept within their limits.
+/// target of its last unsuccessful run. Members of gangs and tasks of the most urgent queues go to
+/// targets that are known to be fast first: a gang is as slow as its slowest member, and the
+/// objectives of urgent work leave the least time. A task that may crash its target goes where the
+/// fewest other tasks would be lost. Client accounts are kept within their limits.
 Plan makePlan(const PlanInput &input);
 
 } // namespace guavavalve::workflows
--- a/src/workflows/runend.h
+++ b/src/workflows/runend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/enumnames.h"
 #include "workflows/ids.h"
 
@@ -46,6 +47,9 @@
     std::string checkpoint; ///< the newest known; empty: none, and an earlier one is kept
     /// Number of failures after which the task, or its gang, has failed.
     std::uint16_t maxFailures = 1;
+    /// Time since the target confirmed the start; not stored. Zero: not known, or not of a whole
+    /// run.
+    Milliseconds took{0};
 
     template<typename Archive>
     void serialize(Archive &archive)
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -394,7 +394,12 @@
         if (found == this->runs.end() || found->second.run != end.run
             || found->second.phase == Phase::Over)
             continue;
+        const Run &run = found->second;
+        const bool isWhole = run.wasStarted && run.order.checkpoint.empty() && !run.isStopRequested;
         over.push_back(this->over(end.task, found->second, end.outcome, end.checkpoint));
+        if (isWhole)
+            over.back().took =
+                std::chrono::duration_cast<Milliseconds>(this->clock() - run.confirmedAt);
     }
 }
 
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -30,10 +30,11 @@
         std::vector<OpenTarget> open;
         for (const auto &[incarnation, record] : this->store.incarnations()) {
             if (this->closed.count(incarnation) == 0)
-                open.push_back({incarnation, &record.identity,
-                                record.identity.capacity - record.used,
-                                this->onProbation.count(incarnation) != 0,
-                                this->cold.count(incarnation) != 0, record.placed.size()});
+                open.push_back(
+                    {incarnation, &record.identity, record.identity.capacity - record.used,
+                     this->onProbation.count(incarnation) != 0, this->cold.count(incarnation) != 0,
+                     record.placed.size(),
+                     this->slow.count(incarnation) != 0 ? SpeedGrade::Slow : SpeedGrade::Usual});
         }
         return makePlan({this->store, this->policy, this->admissions, this->claims, open, this->now,
                          this->calendarMs, this->admittedFractions, this->querierCount,
@@ -80,6 +81,7 @@
     std::set<IncarnationId> closed;
     std::set<IncarnationId> onProbation;
     std::set<IncarnationId> cold;
+    std::set<IncarnationId> slow;
     std::int64_t calendarMs = 1000;
     const AdmittedFractions *admittedFractions = nullptr;
     std::size_t querierCount = 1;
