--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/decisionlog.cpp
@@ -79,7 +79,7 @@
               {"answerAgeMs", std::to_string(standing.answerAge.count())}});
 }
 
-void logPlan(const PlanSummary &summary, std::size_t queries, std::size_t live)
+void logPlan(const PlanSummary &summary, std::size_t queries, std::size_t live, std::size_t resting)
 {
     std::string waiting;
     for (const auto &[priority, tasks] : summary.waitingTasks) {
@@ -89,6 +89,7 @@
     logEvent(LogLevel::Information, "plan",
              {{"waiting", waiting},
               {"openTargets", std::to_string(summary.openTargets)},
+              {"restingTargets", std::to_string(resting)},
               {"freeMilliCores", std::to_string(summary.free[ResourceKind::MilliCores])},
               {"freeMemoryMb", std::to_string(summary.free[ResourceKind::MemoryMb])},
               {"capacityMilliCores", std::to_string(summary.capacity[ResourceKind::MilliCores])},
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/decisionlog.h
@@ -40,7 +40,8 @@
 /// it.
 void logTargetUsable(const TargetIdentity &target, bool isUsable, const TargetStanding &standing);
 /// The state of the latest plan; written at most once a second.
-void logPlan(const PlanSummary &summary, std::size_t queries, std::size_t live);
+void logPlan(const PlanSummary &summary, std::size_t queries, std::size_t live,
+             std::size_t resting);
 /// The controller's loop is behind schedule, which delays orders and answers.
 void logLoopLag(Milliseconds lag);
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome);
