controller: a target that an order wakes is watched again

Cause, found on reading: a target can be put to rest while a placement on it is being stored. The order then woke its session, but the controller still counted the target as resting: its leases were not checked, so a run that was lost there would have waited until the target was needed for other work.

Change: the session says when it rests and when it no longer does, and the controller follows.

Tests: targetsessiontest: an order wakes a resting target and its loss is noticed; a target with work or with ends that it does not know to be stored does not rest. Without the hook the first fails.

--- a/src/workflows/controller.h
+++ b/src/workflows/controller.h
@@ -168,6 +168,7 @@
     void restTargets(std::size_t count);
     void startNextResting();
     void rested(IncarnationId incarnation);
+    void woken(IncarnationId incarnation);
     void runsOver(IncarnationId incarnation, std::vector<RunEnd> ends);
     void learnSpeed(IncarnationId incarnation, const RunEnd &end, const WorkflowStore &store);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
--- a/src/workflows/controllertargets.cpp
+++ b/src/workflows/controllertargets.cpp
@@ -108,9 +108,8 @@
             ++next;
             continue;
         }
-        next = this->resting.erase(next);
-        this->neverPolled.erase(incarnation);
-        this->polled[incarnation] = found->second.session;
+        ++next;
+        this->woken(incarnation);
         this->sessionsToStart.push_back(incarnation);
         --count;
     }
@@ -140,6 +139,16 @@
     this->resting.insert(incarnation);
 }
 
+void Controller::woken(IncarnationId incarnation)
+{
+    const auto found = this->incarnations.find(incarnation);
+    if (found == this->incarnations.end())
+        return;
+    this->resting.erase(incarnation);
+    this->neverPolled.erase(incarnation);
+    this->polled[incarnation] = found->second.session;
+}
+
 /// Polls one target after the other that has not been polled in this term, without a hurry: nothing
 /// is placed on it, but it may still list ends that an earlier controller has stored.
 void Controller::startNextResting()
@@ -150,8 +159,6 @@
         const auto found = this->incarnations.find(incarnation);
         if (found == this->incarnations.end())
             continue;
-        this->resting.erase(incarnation);
-        this->polled[incarnation] = found->second.session;
         found->second.session->wake();
         found->second.session->allowRest();
     }
@@ -170,7 +177,12 @@
         this->needsPlan = true;
         this->flush();
     };
-    hooks.rested = [this, incarnation] { this->rested(incarnation); };
+    hooks.restChanged = [this, incarnation](bool rests) {
+        if (rests)
+            this->rested(incarnation);
+        else
+            this->woken(incarnation);
+    };
     hooks.incarnationOver = [this, incarnation] {
         this->incarnationOver(incarnation, IncarnationEnd::Replaced);
     };
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/targetsession.cpp
@@ -50,6 +50,7 @@
     if (!std::exchange(this->restsNow, false))
         return;
     this->isWaking = true;
+    this->hooks.restChanged(false);
     this->hold();
 }
 
@@ -348,7 +349,7 @@
         this->hooks.usableChanged();
     if (this->mayRest && this->isIdle(answer.value())) {
         this->restsNow = true;
-        this->hooks.rested();
+        this->hooks.restChanged(true);
         return;
     }
     if (this->pendingReports > 0)
--- a/src/workflows/targetsession.h
+++ b/src/workflows/targetsession.h
@@ -64,8 +64,8 @@
         std::function<void(const std::vector<RunningTask> &running)> listed;
         /// The target has become usable for new work, or is no longer.
         std::function<void()> usableChanged;
-        /// The target is no longer polled.
-        std::function<void()> rested;
+        /// The target is no longer polled, or is polled again. May be empty if it never rests.
+        std::function<void(bool rests)> restChanged;
         /// Another incarnation, or another target, answers at its address.
         std::function<void()> incarnationOver;
         std::function<void(Microseconds delay, std::function<void()>)> runAfter;
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -88,6 +88,7 @@
         };
         hooks.usableChanged = [] {};
         hooks.incarnationOver = [] {};
+        hooks.restChanged = [this](bool rests) { this->rests = rests; };
         hooks.runAfter = [this](Microseconds delay, std::function<void()> action) {
             this->loop.runAfter(delay, std::move(action));
         };
@@ -127,6 +128,7 @@
     bool isCurrent = true;
     Microseconds loopLag{0};
     std::vector<RunEnd> over;
+    bool rests = false;
     Instant overAt{};
     std::shared_ptr<TargetSession> session;
 };
@@ -333,3 +335,50 @@
     REQUIRE(this->over.size() == 1);
     CHECK(this->over[0].outcome == RunOutcome::Lost);
 }
+
+// Guards against a run that nobody watches: its placement was being stored when its target was put
+// to rest.
+TEST_CASE_METHOD(SessionFixture, "an order wakes a resting target, whose losses are noticed",
+                 "[session]")
+{
+    this->session->allowRest();
+    this->loop.runFor(Milliseconds(2000));
+    REQUIRE(this->rests);
+    CHECK_FALSE(this->session->isUsable());
+    CHECK(this->session->isAvailable());
+    const Instant lastGrant = this->port.lastGrantAt;
+    this->loop.runFor(Milliseconds(2000));
+    CHECK(this->port.lastGrantAt == lastGrant); // it is not polled
+    this->startTask();
+    CHECK_FALSE(this->rests);
+    this->loop.runFor(Milliseconds(500));
+    CHECK(this->session->isUsable());
+    this->port.isSilent = true;
+    for (int i = 0; i < 200; ++i) {
+        this->loop.runFor(Milliseconds(100));
+        this->session->tick();
+    }
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].task == this->task);
+}
+
+TEST_CASE_METHOD(SessionFixture, "a target with work or unstored ends does not rest", "[session]")
+{
+    this->startTask();
+    this->port.running = {{this->task, 1, "", std::nullopt}};
+    this->loop.runFor(Milliseconds(500));
+    this->session->allowRest();
+    this->loop.runFor(Milliseconds(2000));
+    CHECK_FALSE(this->rests);
+    this->port.running.clear();
+    this->port.ends = {{1, this->task, 1, RunOutcome::Succeeded, ""}};
+    this->loop.runFor(Milliseconds(2000));
+    CHECK(this->over.size() == 1);
+    CHECK_FALSE(this->rests); // its end is not stored
+    this->session->committed();
+    this->loop.runFor(Milliseconds(500));
+    CHECK_FALSE(this->rests); // it has not been told that its end is stored
+    this->port.ends.clear();
+    this->loop.runFor(Milliseconds(2000));
+    CHECK(this->rests);
+}
