--- a/src/replicas/presencetable.h
+++ b/src/replicas/presencetable.h
@@ -26,9 +26,12 @@
         Instant receivedAt{};
     };
 
+    void dropExpired(Instant now);
+
     Clock clock;
     mutable std::mutex mutex;
     std::map<InstanceId, Entry> entries;
+    Instant nextExpiry{}; ///< when expired entries are dropped next
 };
 
 } // namespace guavavalve
