--- a/src/workflows/planner.h
+++ b/src/workflows/planner.h
@@ -43,12 +43,12 @@
 /// can take it soon.
 using QuerierReservation = std::function<std::optional<InstanceId>(Milliseconds expected)>;
 
-/// Summary of a plan, for the log.
+/// Summary of a plan, for the log and for the choice of the targets that are polled.
 struct PlanSummary
 {
     std::map<std::uint32_t, std::size_t> waitingTasks; ///< ready tasks without a place, by priority
     std::size_t openTargets = 0;
-    std::int64_t idleMilliCores = 0; ///< of these, not booked by placed tasks
+    std::int64_t idleMilliCores = 0; ///< of open targets, not booked by placed tasks
     std::int64_t claimedMilliCores = 0; ///< reserved for steps with pending queries
     std::int64_t reservedMilliCores = 0; ///< for waiting gangs
     Resources free; ///< on open targets, after the plan's placements
