workflows: folders by what the code does

Cause: 64 files of planning, sessions, queries, reports and the store stood in one folder, where several parts that are built side by side would meet. Change: moves alone, includes rewritten by a script, sources found below a module's folder. Result: the whole build, and the 199 tests of workflows and platform pass unchanged.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -2,11 +2,10 @@
 
 set(GUAVAVALVE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow=local -Werror)
 
-# guavavalve_module(NAME LIBRARIES...) builds every .cpp of the folder and of its internal/ as the library
+# guavavalve_module(NAME LIBRARIES...) builds every .cpp of the folder and below it as the library
 # guavavalve_NAME. Includes are written from src: #include "decisions/scheduler.h".
 function(guavavalve_module name)
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp
-         ${CMAKE_CURRENT_SOURCE_DIR}/internal/*.cpp)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
     set(target guavavalve_${name})
     if(sources)
         add_library(${target} STATIC ${sources})
--- a/src/workflows/agentpool.cpp
+++ b/src/workflows/agents/agentpool.cpp
@@ -1,4 +1,4 @@
-#include "workflows/agentpool.h"
+#include "workflows/agents/agentpool.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/workflows/carriedorder.h
+++ b/src/workflows/agents/carriedorder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/error.h"
-#include "workflows/targetport.h"
+#include "workflows/sessions/targetport.h"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
--- a/src/workflows/targetagents.cpp
+++ b/src/workflows/agents/targetagents.cpp
@@ -1,8 +1,8 @@
-#include "workflows/targetagents.h"
+#include "workflows/agents/targetagents.h"
 
 #include "core/codec.h"
 #include "replicas/messenger.h"
-#include "workflows/decisionlog.h"
+#include "workflows/log/decisionlog.h"
 
 #include <utility>
 
--- a/src/workflows/targetagents.h
+++ b/src/workflows/agents/targetagents.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "workflows/agentpool.h"
-#include "workflows/carriedorder.h"
-#include "workflows/targetport.h"
+#include "workflows/agents/agentpool.h"
+#include "workflows/agents/carriedorder.h"
+#include "workflows/sessions/targetport.h"
 
 #include <cstddef>
 #include <functional>
--- a/src/workflows/targetagentservice.cpp
+++ b/src/workflows/agents/targetagentservice.cpp
@@ -1,8 +1,8 @@
-#include "workflows/targetagentservice.h"
+#include "workflows/agents/targetagentservice.h"
 
 #include "core/codec.h"
 #include "replicas/messenger.h"
-#include "workflows/carriedorder.h"
+#include "workflows/agents/carriedorder.h"
 
 #include <string>
 #include <utility>
--- a/src/workflows/targetagentservice.h
+++ b/src/workflows/agents/targetagentservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "workflows/targetport.h"
+#include "workflows/sessions/targetport.h"
 
 #include <functional>
 
--- a/src/workflows/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -1,7 +1,7 @@
-#include "workflows/controller.h"
+#include "workflows/controller/controller.h"
 
 #include "core/codec.h"
-#include "workflows/decisionlog.h"
+#include "workflows/log/decisionlog.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/workflows/controllercrashes.cpp
+++ b/src/workflows/controller/controllercrashes.cpp
@@ -1,6 +1,6 @@
-#include "workflows/controller.h"
+#include "workflows/controller/controller.h"
 
-#include "workflows/decisionlog.h"
+#include "workflows/log/decisionlog.h"
 
 #include <map>
 #include <vector>
--- a/src/workflows/controllerpolling.cpp
+++ b/src/workflows/controller/controllerpolling.cpp
@@ -1,4 +1,4 @@
-#include "workflows/controller.h"
+#include "workflows/controller/controller.h"
 
 #include <memory>
 #include <utility>
--- a/src/workflows/workflowmetrics.cpp
+++ b/src/workflows/controller/workflowmetrics.cpp
@@ -1,4 +1,4 @@
-#include "workflows/workflowmetrics.h"
+#include "workflows/controller/workflowmetrics.h"
 
 #include "runtime/metrics.h"
 
--- a/src/workflows/workflowmetrics.h
+++ b/src/workflows/controller/workflowmetrics.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/clock.h"
-#include "workflows/runend.h"
-#include "workflows/workflow.h"
+#include "workflows/model/runend.h"
+#include "workflows/model/workflow.h"
 
 #include <cstdint>
 #include <vector>
--- a/src/workflows/targethealth.cpp
+++ b/src/workflows/health/targethealth.cpp
@@ -1,4 +1,4 @@
-#include "workflows/targethealth.h"
+#include "workflows/health/targethealth.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/workflows/targethealth.h
+++ b/src/workflows/health/targethealth.h
@@ -2,8 +2,8 @@
 
 #include "core/clock.h"
 #include "core/enumnames.h"
-#include "workflows/ids.h"
-#include "workflows/runend.h"
+#include "workflows/model/ids.h"
+#include "workflows/model/runend.h"
 
 #include <cstdint>
 #include <map>
--- a/src/workflows/targetspeeds.cpp
+++ b/src/workflows/health/targetspeeds.cpp
@@ -1,4 +1,4 @@
-#include "workflows/targetspeeds.h"
+#include "workflows/health/targetspeeds.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/workflows/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -1,4 +1,4 @@
-#include "workflows/decisionlog.h"
+#include "workflows/log/decisionlog.h"
 
 #include "runtime/logging.h"
 
--- a/src/workflows/decisionlog.h
+++ b/src/workflows/log/decisionlog.h
@@ -2,16 +2,16 @@
 
 #include "core/clock.h"
 #include "core/error.h"
-#include "workflows/command.h"
-#include "workflows/commandoutcome.h"
-#include "workflows/incarnationend.h"
-#include "workflows/losscount.h"
-#include "workflows/planner.h"
-#include "workflows/policy.h"
-#include "workflows/targethealth.h"
-#include "workflows/targetstanding.h"
-#include "workflows/waittimetracker.h"
-#include "workflows/workflow.h"
+#include "workflows/health/targethealth.h"
+#include "workflows/model/incarnationend.h"
+#include "workflows/model/losscount.h"
+#include "workflows/model/policy.h"
+#include "workflows/model/targetstanding.h"
+#include "workflows/model/workflow.h"
+#include "workflows/planning/planner.h"
+#include "workflows/planning/waittimetracker.h"
+#include "workflows/store/command.h"
+#include "workflows/store/commandoutcome.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/workflows/objective.cpp
+++ b/src/workflows/model/objective.cpp
@@ -1,4 +1,4 @@
-#include "workflows/objective.h"
+#include "workflows/model/objective.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/workflows/objective.h
+++ b/src/workflows/model/objective.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "workflows/policy.h"
-#include "workflows/workflowspec.h"
+#include "workflows/model/policy.h"
+#include "workflows/model/workflowspec.h"
 
 #include <cstdint>
 #include <vector>
--- a/src/workflows/runend.h
+++ b/src/workflows/model/runend.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/enumnames.h"
-#include "workflows/ids.h"
+#include "workflows/model/ids.h"
 
 #include <cereal/types/string.hpp>
 
--- a/src/workflows/stepprogress.h
+++ b/src/workflows/model/stepprogress.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/taskprogress.h"
+#include "workflows/model/taskprogress.h"
 
 #include <cereal/types/vector.hpp>
 
--- a/src/workflows/targetidentity.h
+++ b/src/workflows/model/targetidentity.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/resources.h"
-#include "workflows/ids.h"
+#include "workflows/model/ids.h"
 
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
--- a/src/workflows/workflow.h
+++ b/src/workflows/model/workflow.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/enumnames.h"
-#include "workflows/stepprogress.h"
-#include "workflows/workflowspec.h"
+#include "workflows/model/stepprogress.h"
+#include "workflows/model/workflowspec.h"
 
 #include <cstdint>
 #include <vector>
--- a/src/workflows/workflowspec.h
+++ b/src/workflows/model/workflowspec.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "workflows/ids.h"
-#include "workflows/stepspec.h"
+#include "workflows/model/ids.h"
+#include "workflows/model/stepspec.h"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/workflows/internal/admissionqueryplanner.cpp
+++ b/src/workflows/planning/internal/admissionqueryplanner.cpp
@@ -1,4 +1,4 @@
-#include "workflows/internal/admissionqueryplanner.h"
+#include "workflows/planning/internal/admissionqueryplanner.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/workflows/internal/admissionqueryplanner.h
+++ b/src/workflows/planning/internal/admissionqueryplanner.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/internal/planroom.h"
+#include "workflows/planning/internal/planroom.h"
 
 #include <optional>
 #include <vector>
--- a/src/workflows/internal/planroom.cpp
+++ b/src/workflows/planning/internal/planroom.cpp
@@ -1,4 +1,4 @@
-#include "workflows/internal/planroom.h"
+#include "workflows/planning/internal/planroom.h"
 
 #include <algorithm>
 
--- a/src/workflows/internal/planroom.h
+++ b/src/workflows/planning/internal/planroom.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "workflows/internal/readystep.h"
-#include "workflows/planner.h"
+#include "workflows/planning/internal/readystep.h"
+#include "workflows/planning/planner.h"
 
 #include <cstdint>
 #include <map>
--- a/src/workflows/internal/readystep.h
+++ b/src/workflows/planning/internal/readystep.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "workflows/admissions.h"
-#include "workflows/policy.h"
-#include "workflows/workflow.h"
+#include "workflows/model/policy.h"
+#include "workflows/model/workflow.h"
+#include "workflows/planning/admissions.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/workflows/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -1,9 +1,9 @@
-#include "workflows/planner.h"
+#include "workflows/planning/planner.h"
 
-#include "workflows/internal/admissionqueryplanner.h"
-#include "workflows/internal/planroom.h"
-#include "workflows/internal/readystep.h"
-#include "workflows/objective.h"
+#include "workflows/model/objective.h"
+#include "workflows/planning/internal/admissionqueryplanner.h"
+#include "workflows/planning/internal/planroom.h"
+#include "workflows/planning/internal/readystep.h"
 
 #include <algorithm>
 #include <map>
--- a/src/workflows/planner.h
+++ b/src/workflows/planning/planner.h
@@ -2,12 +2,12 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
-#include "workflows/admissions.h"
-#include "workflows/claims.h"
-#include "workflows/policy.h"
-#include "workflows/targetspeeds.h"
-#include "workflows/waitcause.h"
-#include "workflows/workflowstore.h"
+#include "workflows/health/targetspeeds.h"
+#include "workflows/model/policy.h"
+#include "workflows/model/waitcause.h"
+#include "workflows/planning/admissions.h"
+#include "workflows/planning/claims.h"
+#include "workflows/store/workflowstore.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/workflows/waittimetracker.cpp
+++ b/src/workflows/planning/waittimetracker.cpp
@@ -1,4 +1,4 @@
-#include "workflows/waittimetracker.h"
+#include "workflows/planning/waittimetracker.h"
 
 #include <cstddef>
 #include <iterator>
--- a/src/workflows/waittimetracker.h
+++ b/src/workflows/planning/waittimetracker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "workflows/waitcause.h"
+#include "workflows/model/waitcause.h"
 
 #include <array>
 #include <map>
--- a/src/workflows/workingset.cpp
+++ b/src/workflows/planning/workingset.cpp
@@ -1,4 +1,4 @@
-#include "workflows/workingset.h"
+#include "workflows/planning/workingset.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/workflows/admissionport.h
+++ b/src/workflows/queries/admissionport.h
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "core/done.h"
 #include "core/ids.h"
-#include "workflows/ids.h"
+#include "workflows/model/ids.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/workflows/admissionquerybalancer.cpp
+++ b/src/workflows/queries/admissionquerybalancer.cpp
@@ -1,4 +1,4 @@
-#include "workflows/admissionquerybalancer.h"
+#include "workflows/queries/admissionquerybalancer.h"
 
 #include <algorithm>
 
--- a/src/workflows/reportaggregator.cpp
+++ b/src/workflows/reports/reportaggregator.cpp
@@ -1,4 +1,4 @@
-#include "workflows/reportaggregator.h"
+#include "workflows/reports/reportaggregator.h"
 
 namespace guavavalve::workflows {
 
--- a/src/workflows/reportfilter.cpp
+++ b/src/workflows/reports/reportfilter.cpp
@@ -1,6 +1,6 @@
-#include "workflows/reportfilter.h"
+#include "workflows/reports/reportfilter.h"
 
-#include "workflows/controller.h"
+#include "workflows/controller/controller.h"
 
 #include <cstddef>
 #include <functional>
--- a/src/workflows/reportfilter.h
+++ b/src/workflows/reports/reportfilter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "workflows/targetidentity.h"
+#include "workflows/model/targetidentity.h"
 
 #include <cstddef>
 #include <mutex>
--- a/src/workflows/progressmonitor.cpp
+++ b/src/workflows/sessions/progressmonitor.cpp
@@ -1,4 +1,4 @@
-#include "workflows/progressmonitor.h"
+#include "workflows/sessions/progressmonitor.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/workflows/progressmonitor.h
+++ b/src/workflows/sessions/progressmonitor.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/clock.h"
-#include "workflows/ids.h"
-#include "workflows/targetport.h"
+#include "workflows/model/ids.h"
+#include "workflows/sessions/targetport.h"
 
 #include <cstdint>
 #include <map>
--- a/src/workflows/targetport.h
+++ b/src/workflows/sessions/targetport.h
@@ -3,8 +3,8 @@
 #include "core/clock.h"
 #include "core/done.h"
 #include "core/enumnames.h"
-#include "workflows/runend.h"
-#include "workflows/targetidentity.h"
+#include "workflows/model/runend.h"
+#include "workflows/model/targetidentity.h"
 
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
--- a/src/workflows/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -1,6 +1,6 @@
-#include "workflows/targetsession.h"
+#include "workflows/sessions/targetsession.h"
 
-#include "workflows/decisionlog.h"
+#include "workflows/log/decisionlog.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/workflows/targetsession.h
+++ b/src/workflows/sessions/targetsession.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/clock.h"
-#include "workflows/runend.h"
-#include "workflows/targetidentity.h"
-#include "workflows/targetport.h"
+#include "workflows/model/runend.h"
+#include "workflows/model/targetidentity.h"
+#include "workflows/sessions/targetport.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/workflows/command.h
+++ b/src/workflows/store/command.h
@@ -1,18 +1,18 @@
 #pragma once
 
-#include "workflows/commands/acceptworkflow.h"
-#include "workflows/commands/cancelworkflow.h"
-#include "workflows/commands/endruns.h"
-#include "workflows/commands/evacuatedomain.h"
-#include "workflows/commands/forgetincarnation.h"
-#include "workflows/commands/forgetworkflows.h"
-#include "workflows/commands/markincarnationalive.h"
-#include "workflows/commands/markincarnationcrashed.h"
-#include "workflows/commands/placeruns.h"
-#include "workflows/commands/registerincarnation.h"
-#include "workflows/commands/resizeincarnation.h"
-#include "workflows/commands/setincarnationdraining.h"
-#include "workflows/commands/storedocument.h"
+#include "workflows/store/commands/acceptworkflow.h"
+#include "workflows/store/commands/cancelworkflow.h"
+#include "workflows/store/commands/endruns.h"
+#include "workflows/store/commands/evacuatedomain.h"
+#include "workflows/store/commands/forgetincarnation.h"
+#include "workflows/store/commands/forgetworkflows.h"
+#include "workflows/store/commands/markincarnationalive.h"
+#include "workflows/store/commands/markincarnationcrashed.h"
+#include "workflows/store/commands/placeruns.h"
+#include "workflows/store/commands/registerincarnation.h"
+#include "workflows/store/commands/resizeincarnation.h"
+#include "workflows/store/commands/setincarnationdraining.h"
+#include "workflows/store/commands/storedocument.h"
 
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/workflows/commands/acceptworkflow.h
+++ b/src/workflows/store/commands/acceptworkflow.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/workflowspec.h"
+#include "workflows/model/workflowspec.h"
 
 namespace guavavalve::workflows {
 
--- a/src/workflows/commands/endruns.h
+++ b/src/workflows/store/commands/endruns.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/runend.h"
+#include "workflows/model/runend.h"
 
 #include <cereal/types/vector.hpp>
 
--- a/src/workflows/commands/markincarnationcrashed.h
+++ b/src/workflows/store/commands/markincarnationcrashed.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/ids.h"
+#include "workflows/model/ids.h"
 
 #include <cstdint>
 
--- a/src/workflows/commands/resizeincarnation.h
+++ b/src/workflows/store/commands/resizeincarnation.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/resources.h"
-#include "workflows/ids.h"
+#include "workflows/model/ids.h"
 
 #include <cstdint>
 
--- a/src/workflows/incarnationtable.h
+++ b/src/workflows/store/incarnationtable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/targetidentity.h"
+#include "workflows/model/targetidentity.h"
 
 #include <map>
 #include <set>
--- a/src/workflows/targetlosstracker.cpp
+++ b/src/workflows/store/targetlosstracker.cpp
@@ -1,4 +1,4 @@
-#include "workflows/targetlosstracker.h"
+#include "workflows/store/targetlosstracker.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/workflows/targetlosstracker.h
+++ b/src/workflows/store/targetlosstracker.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "workflows/ids.h"
-#include "workflows/losscount.h"
+#include "workflows/model/ids.h"
+#include "workflows/model/losscount.h"
 
 #include <cereal/types/map.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/workflows/workflowstore.cpp
+++ b/src/workflows/store/workflowstore.cpp
@@ -1,4 +1,4 @@
-#include "workflows/workflowstore.h"
+#include "workflows/store/workflowstore.h"
 
 #include "core/codec.h"
 
--- a/src/workflows/workflowstore.h
+++ b/src/workflows/store/workflowstore.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/error.h"
-#include "workflows/command.h"
-#include "workflows/commandoutcome.h"
-#include "workflows/incarnationtable.h"
-#include "workflows/targetlosstracker.h"
-#include "workflows/workflow.h"
+#include "workflows/model/workflow.h"
+#include "workflows/store/command.h"
+#include "workflows/store/commandoutcome.h"
+#include "workflows/store/incarnationtable.h"
+#include "workflows/store/targetlosstracker.h"
 
 #include <cstdint>
 #include <map>
--- a/src/workflows/workflowstoremachine.cpp
+++ b/src/workflows/store/workflowstoremachine.cpp
@@ -1,4 +1,4 @@
-#include "workflows/workflowstoremachine.h"
+#include "workflows/store/workflowstoremachine.h"
 
 #include "core/codec.h"
 
--- a/src/workflows/workflowstoremachine.h
+++ b/src/workflows/store/workflowstoremachine.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "replicas/statemachine.h"
-#include "workflows/workflowstore.h"
+#include "workflows/store/workflowstore.h"
 
 #include <mutex>
 #include <utility>
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -4,9 +4,9 @@
 #include "core/codec.h"
 #include "platform/relay.h"
 #include "replicas/messenger.h"
-#include "workflows/controller.h"
-#include "workflows/reportaggregator.h"
-#include "workflows/workflowstore.h"
+#include "workflows/controller/controller.h"
+#include "workflows/reports/reportaggregator.h"
+#include "workflows/store/workflowstore.h"
 
 #include <nlohmann/json.hpp>
 
--- a/test/workflows/admissionquerybalancertest.cpp
+++ b/test/workflows/admissionquerybalancertest.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "workflows/admissionquerybalancer.h"
+#include "workflows/queries/admissionquerybalancer.h"
 
 #include <string>
 
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/planner.h"
+#include "workflows/planning/planner.h"
 #include "workflows/storefixture.h"
 
 #include <catch2/catch.hpp>
--- a/test/workflows/progressmonitortest.cpp
+++ b/test/workflows/progressmonitortest.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "workflows/progressmonitor.h"
+#include "workflows/sessions/progressmonitor.h"
 
 #include <vector>
 
--- a/test/workflows/reportfiltertest.cpp
+++ b/test/workflows/reportfiltertest.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "workflows/controller.h"
-#include "workflows/reportfilter.h"
+#include "workflows/controller/controller.h"
+#include "workflows/reports/reportfilter.h"
 
 using namespace guavavalve;
 using namespace guavavalve::workflows;
--- a/test/workflows/simulatedagents.h
+++ b/test/workflows/simulatedagents.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "replicas/messenger.h"
-#include "workflows/targetagents.h"
-#include "workflows/targetagentservice.h"
+#include "workflows/agents/targetagents.h"
+#include "workflows/agents/targetagentservice.h"
 #include "workflows/virtualloop.h"
 
 #include <map>
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -1,6 +1,6 @@
 #include "workflows/simulatedfleet.h"
 
-#include "workflows/decisionlog.h"
+#include "workflows/log/decisionlog.h"
 
 #include <algorithm>
 #include <memory>
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "workflows/targetport.h"
+#include "workflows/model/workflowspec.h"
+#include "workflows/sessions/targetport.h"
 #include "workflows/virtualloop.h"
-#include "workflows/workflowspec.h"
 
 #include <cstdint>
 #include <functional>
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -2,7 +2,7 @@
 
 #include "replicas/inmemorylog.h"
 #include "runtime/metrics.h"
-#include "workflows/controller.h"
+#include "workflows/controller/controller.h"
 #include "workflows/simulatedfleet.h"
 
 #include <memory>
--- a/test/workflows/slowadmissionservice.h
+++ b/test/workflows/slowadmissionservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "workflows/admissionport.h"
-#include "workflows/admissionquerybalancer.h"
+#include "workflows/queries/admissionport.h"
+#include "workflows/queries/admissionquerybalancer.h"
 #include "workflows/virtualloop.h"
 
 #include <cstddef>
--- a/test/workflows/storefixture.h
+++ b/test/workflows/storefixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "workflows/workflowstore.h"
+#include "workflows/store/workflowstore.h"
 
 #include <string>
 #include <utility>
--- a/test/workflows/targetagentstest.cpp
+++ b/test/workflows/targetagentstest.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "workflows/agentpool.h"
+#include "workflows/agents/agentpool.h"
 #include "workflows/randomrounds.h"
 #include "workflows/simulatedagents.h"
 #include "workflows/storefixture.h"
--- a/test/workflows/targethealthtest.cpp
+++ b/test/workflows/targethealthtest.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "workflows/targethealth.h"
+#include "workflows/health/targethealth.h"
 
 using namespace guavavalve;
 using namespace guavavalve::workflows;
--- a/test/workflows/targetlosstrackertest.cpp
+++ b/test/workflows/targetlosstrackertest.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
 #include "workflows/planfixture.h"
+#include "workflows/store/targetlosstracker.h"
 #include "workflows/storefixture.h"
-#include "workflows/targetlosstracker.h"
 
 using namespace guavavalve;
 using namespace guavavalve::workflows;
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include "workflows/sessions/targetsession.h"
 #include "workflows/storefixture.h"
-#include "workflows/targetsession.h"
 #include "workflows/virtualloop.h"
 
 #include <memory>
--- a/test/workflows/targetspeedstest.cpp
+++ b/test/workflows/targetspeedstest.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include "workflows/health/targetspeeds.h"
 #include "workflows/planfixture.h"
-#include "workflows/targetspeeds.h"
 
 #include <random>
 
--- a/test/workflows/waittimetrackertest.cpp
+++ b/test/workflows/waittimetrackertest.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "workflows/planfixture.h"
-#include "workflows/waittimetracker.h"
+#include "workflows/planning/waittimetracker.h"
 
 using namespace guavavalve;
 using namespace guavavalve::workflows;
--- a/test/workflows/workingsettest.cpp
+++ b/test/workflows/workingsettest.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include "workflows/planning/workingset.h"
 #include "workflows/simulation.h"
 #include "workflows/storefixture.h"
-#include "workflows/workingset.h"
 
 #include <spdlog/spdlog.h>
 
