--- a/src/replicas/messenger.h
+++ b/src/replicas/messenger.h
@@ -29,6 +29,7 @@
     Relay = 27,
     ReportSummary = 28, ///< targets that reported to another replica without new information
     TargetReport = 29, ///< a target's report, to a replica that may know its content already
+    RelayStamped = 30, ///< a caller's call, with the time at which it was received
     // From the controller to an entry instance.
     Dispatch = 40,
     RequestAdmission = 41,
@@ -38,6 +39,7 @@
     ReplicaStatus = 61,
     FormGroup = 62,
     Presence = 63,
+    TimedPresence = 65, ///< as Presence; the reply contains the controller's clock
     FindLeader = 64, ///< served by replicas: the address of the current leader; empty: none known
 };
 
--- a/src/replicas/presence.h
+++ b/src/replicas/presence.h
@@ -5,6 +5,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -37,4 +38,18 @@
     }
 };
 
+/// The reply to a presence report with the controller's clock.
+struct TimedPresenceReply
+{
+    PresenceReply reply;
+    std::uint64_t term = 0; ///< of the controller
+    std::int64_t controllerUs = 0; ///< its clock when it sent this reply, in microseconds
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->reply, this->term, this->controllerUs);
+    }
+};
+
 } // namespace guavavalve
