--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/done.h"
+#include "core/mechanism.h"
 #include "replicas/replicatedlog.h"
 #include "workflows/controller/workflowmetrics.h"
 #include "workflows/health/targethealth.h"
@@ -36,6 +37,7 @@
 struct ControllerOptions
 {
     SessionLimits session;
+    MechanismSet mechanisms;
     /// Reads the workflow policy from a configuration document.
     std::function<Result<Policy>(const std::string &document)> readPolicy;
     /// Runs an action on the loop.
