--- a/src/core/fairshare.cpp
+++ b/src/core/fairshare.cpp
@@ -21,16 +21,17 @@
     std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
         return wantedOf(a) * weightOf(b) < wantedOf(b) * weightOf(a);
     });
-    double unsatisfiedWeight = 0.0;
-    for (const std::size_t i : order)
-        unsatisfiedWeight += weightOf(i);
+    // Sums from each demand to the end: subtracting a huge weight from a total would leave nothing
+    // of the small ones.
+    std::vector<double> weightFrom(order.size() + 1, 0.0);
+    for (std::size_t k = order.size(); k > 0; --k)
+        weightFrom[k - 1] = weightFrom[k] + weightOf(order[k - 1]);
     double left = std::max(capacity, 0.0);
     std::vector<double> allotted(demands.size(), 0.0);
-    for (const std::size_t i : order) {
-        const double due = left * weightOf(i) / unsatisfiedWeight;
-        allotted[i] = std::min(wantedOf(i), due);
+    for (std::size_t k = 0; k < order.size(); ++k) {
+        const std::size_t i = order[k];
+        allotted[i] = std::min(wantedOf(i), left * weightOf(i) / weightFrom[k]);
         left -= allotted[i];
-        unsatisfiedWeight -= weightOf(i);
     }
     return allotted;
 }
