controller: waiting jobs are counted twice a second, for all queues at once

Change: one walk counts all queues, at most twice a second; the platform allows counts that are 2 s old.

--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -71,6 +71,7 @@
     this->admittedFractions.clear();
     this->claims.clear();
     this->waits.clear();
+    this->nextWaitingCount = {};
     this->incompleteGangsSince.clear();
     this->openQueries = 0;
     for (Pending &waiting : std::exchange(this->pending, {})) {
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -111,8 +111,8 @@
     /// long.
     Microseconds loopLag() const { return this->lag; }
     /// Number of unfinished workflows of \a queue of which, as far as is known here, no task has
-    /// started on a target.
-    std::size_t waitingIn(const std::string &queue) const;
+    /// started on a target. May be 0.5 s old: all live workflows are counted at once.
+    std::size_t waitingIn(const std::string &queue);
 
 private:
     struct Pending
@@ -154,6 +154,7 @@
                      std::int64_t atMs);
     void recordAlive(IncarnationId incarnation);
     bool hasBegun(const Workflow &workflow) const;
+    void countWaiting();
     void applyReport(IncarnationId incarnation, const TargetReport &report,
                      const Done<Nothing> &done);
     void setDraining(IncarnationId incarnation, bool isDraining, const Done<Nothing> &done);
@@ -229,6 +230,8 @@
     AdmittedFractions admittedFractions;
     ClaimTable claims;
     WaitTimeTracker waits;
+    std::map<std::string, std::size_t> waitingCounts; ///< by queue, for waitingIn()
+    Instant nextWaitingCount{};
     /// When each incomplete gang was first seen.
     std::map<StepAddress, Instant> incompleteGangsSince;
     Policy currentPolicy;
--- a/src/workflows/controller/controllercounts.cpp
+++ b/src/workflows/controller/controllercounts.cpp
@@ -2,13 +2,19 @@
 
 #include "workflows/log/decisionlog.h"
 
-#include <algorithm>
 #include <utility>
 
 // Counts for metrics and for callers.
 
 namespace guavavalve::workflows {
 
+namespace {
+
+/// Callers of each queue ask for its count at any rate, and the count walks all live workflows.
+constexpr Milliseconds waitingCountInterval{500};
+
+} // namespace
+
 /// Counts the occurrence as started if the tasks of this command are the only ones placed in it so
 /// far and this is their first run.
 void Controller::countFirstStart(const PlaceRuns &command, const WorkflowStore &store) const
@@ -45,15 +51,26 @@
     });
 }
 
-std::size_t Controller::waitingIn(const std::string &queue) const
+std::size_t Controller::waitingIn(const std::string &queue)
 {
-    return this->machine.read([&](const WorkflowStore &store) {
-        return static_cast<std::size_t>(
-            std::count_if(store.live().begin(), store.live().end(), [&](WorkflowId id) {
-                const Workflow *workflow = store.find(id);
-                return workflow->spec.queue == queue && !workflow->isOver()
-                    && !this->hasBegun(*workflow);
-            }));
+    const Instant now = this->options.clock();
+    if (now >= this->nextWaitingCount) {
+        this->nextWaitingCount = now + waitingCountInterval;
+        this->countWaiting();
+    }
+    const auto counted = this->waitingCounts.find(queue);
+    return counted == this->waitingCounts.end() ? 0 : counted->second;
+}
+
+void Controller::countWaiting()
+{
+    this->waitingCounts.clear();
+    this->machine.read([this](const WorkflowStore &store) {
+        for (const WorkflowId id : store.live()) {
+            const Workflow *workflow = store.find(id);
+            if (!workflow->isOver() && !this->hasBegun(*workflow))
+                ++this->waitingCounts[workflow->spec.queue];
+        }
     });
 }
 
--- a/test/workflows/countingtest.cpp
+++ b/test/workflows/countingtest.cpp
@@ -91,3 +91,15 @@
     REQUIRE(this->stateOf(job) == WorkflowState::Running);
     CHECK(this->controller().waitingIn("q") == 0);
 }
+
+// Guards against a count of waiting jobs that is kept too long.
+TEST_CASE_METHOD(CountingFixture, "jobs that have come meanwhile are counted within half a second",
+                 "[counting]")
+{
+    for (const char *name : {"t1", "t2"})
+        this->fleet.cut(name, false);
+    CHECK(this->controller().waitingIn("q") == 0);
+    this->submit(job, {StoreFixture::step(1)});
+    this->loop.runFor(Milliseconds(600));
+    CHECK(this->controller().waitingIn("q") == 1);
+}
