--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -132,6 +132,7 @@
         };
         hooks.post = [](const std::function<void()> &action) { action(); };
         hooks.answered = [](int, Microseconds) {};
+        hooks.stamp = [] { return CallStamp{}; };
         return std::make_unique<Relay>(std::move(link), *this, std::move(hooks), instance);
     }
 };
