A call stays with a controller that is heard, however slow it is

A call that timed out also made the link forget the leader.

Change: while calls are unresponsive, ControllerLink keeps asking the replicas who leads (as before) and watches what is heard from the one that has the call: replies, and any frame on the connection (Messenger::lastHeard(), heartbeats included). The attempt has the whole deadline. It is repeated only when the connection was lost, another leader is named, the replica refuses it, or nothing was heard from it for the attempt's timeout. A wrongly named leader that redirects the call back makes the first attempt the current one again. ControllerLiveness decides what counts as contact: frames of a replica that answered as the controller and has not refused a call since.

--- a/src/controller/controllerlink.cpp
+++ b/src/controller/controllerlink.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
 #include <utility>
 
 namespace guavavalve {
@@ -23,10 +24,19 @@
     Instant deadline;
     Done<std::string> done;
     bool mayHaveRun = false;
-    unsigned attempts = 0; ///< the last one's result counts, unless an earlier one succeeds
+    unsigned attempts = 0;
+    unsigned current = 0; ///< the attempt whose result counts, unless another one succeeds
     bool isSettled = false;
-    std::string address; ///< of the last attempt
-    Instant unresponsiveAt{}; ///< when the last attempt counts as unresponsive
+    std::string address; ///< of the current attempt
+    std::map<std::string, unsigned> open; ///< attempts without a reply, by address
+    Instant attemptedAt{}; ///< when the current attempt was made, or returned to
+    Instant unresponsiveAt{}; ///< when the current attempt counts as unresponsive
+
+    bool isWaiting() const { return this->open.count(this->address) != 0; }
+    bool isUnresponsive(Instant now) const
+    {
+        return this->isWaiting() && now >= this->unresponsiveAt;
+    }
 };
 
 ControllerLink::ControllerLink(Messenger &messenger, std::vector<std::string> replicas, Delay delay,
@@ -69,25 +79,69 @@
         return;
     }
     const std::string address = this->nextAddress();
+    if (this->isKeptAt(call, address, now))
+        return;
     unsigned attempt = 0;
     {
         const std::lock_guard lock(this->mutex);
         if (call->isSettled)
             return;
+        if (call->mayHaveRun)
+            ++this->repeats;
         attempt = ++call->attempts;
+        call->current = attempt;
         call->address = address;
+        call->open[address] = attempt;
+        call->attemptedAt = now;
         call->unresponsiveAt = now + this->limits.unresponsiveAfter;
     }
-    const Instant limit = std::min(call->deadline, now + this->limits.attemptTimeout);
+    const bool isMonitored = this->limits.unresponsiveAfter.count() > 0;
+    const Instant limit =
+        isMonitored ? call->deadline : std::min(call->deadline, now + this->limits.attemptTimeout);
     this->messenger.call(
         address, call->method, call->payload, limit,
         [self = this->shared_from_this(), call, address, attempt](Result<std::string> reply) {
             self->replyReceived(call, address, attempt, std::move(reply));
         });
-    if (this->limits.unresponsiveAfter.count() > 0)
+    if (isMonitored)
         this->monitor(call, address, attempt);
 }
 
+/// Whether \a address has the call already and has not replied. It then becomes the current attempt
+/// again: the connection orders and keeps what is sent on it, so a repetition would be in vain.
+bool ControllerLink::isKeptAt(const std::shared_ptr<Call> &call, const std::string &address,
+                              Instant now)
+{
+    unsigned attempt = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = call->open.find(address);
+        if (call->isSettled || found == call->open.end())
+            return false;
+        attempt = found->second;
+        call->current = attempt;
+        call->address = address;
+        call->attemptedAt = now;
+        call->unresponsiveAt = now + this->limits.unresponsiveAfter;
+    }
+    this->monitor(call, address, attempt);
+    return true;
+}
+
+/// Sends a call elsewhere, since nothing is heard from the replica that has it.
+void ControllerLink::abandon(const std::shared_ptr<Call> &call)
+{
+    std::string address;
+    {
+        const std::lock_guard lock(this->mutex);
+        call->mayHaveRun = true;
+        address = call->address;
+        this->liveness.denied(address);
+    }
+    this->updateLeader(address, {});
+    this->attempt(call);
+}
+
 Ran ControllerLink::ranOf(const std::shared_ptr<Call> &call) const
 {
     const std::lock_guard lock(this->mutex);
@@ -108,16 +162,25 @@
     const bool retryable = !reply && isRetryable(reply.error().code);
     {
         const std::lock_guard lock(this->mutex);
-        const bool isLatest = attempt == call->attempts;
-        if (call->isSettled || (!isLatest && !reply))
-            return; // already settled, or an earlier attempt failed and the latest one counts
-        if (reply && isLatest)
+        const auto open = call->open.find(address);
+        if (open != call->open.end() && open->second == attempt)
+            call->open.erase(open);
+        const bool isCurrent = attempt == call->current;
+        call->mayHaveRun |= !reply && reply.error().ran == Ran::Unknown;
+        if (call->isSettled || (!isCurrent && !reply))
+            return; // already settled, or another attempt failed and the current one counts
+        if (reply && isCurrent) {
             this->leader = address;
-        call->mayHaveRun |= retryable && reply.error().ran == Ran::Unknown;
+            this->liveness.answered(address, this->clock());
+        }
+        if (!reply && call->mayHaveRun)
+            reply.error().ran = Ran::Unknown;
     }
     if (retryable) {
-        const bool redirected = reply.error().code == ErrorCode::NotLeader;
-        this->updateLeader(address, redirected ? reply.error().message : std::string());
+        if (!this->keepsLeader(address, reply.error())) {
+            const bool redirected = reply.error().code == ErrorCode::NotLeader;
+            this->updateLeader(address, redirected ? reply.error().message : std::string());
+        }
         this->delay(this->limits.retryDelay,
                     [self = this->shared_from_this(), call] { self->attempt(call); });
         return;
@@ -126,6 +189,15 @@
         call->done(std::move(reply));
 }
 
+/// Whether the controller is still believed to be at \a address after a call to it has failed with
+/// \a error: one that is heard and did not answer in time is slow.
+bool ControllerLink::keepsLeader(const std::string &address, const Error &error) const
+{
+    const std::lock_guard lock(this->mutex);
+    return error.code == ErrorCode::DeadlineExceeded && this->limits.unresponsiveAfter.count() > 0
+        && this->clock() <= this->lastHeard(address) + this->limits.attemptTimeout;
+}
+
 /// Monitors an attempt, so that a call does not wait for the attempt's timeout at a suspended or
 /// partitioned controller. The other replicas elect a new one 0.3 to 0.6 s before that timeout, but
 /// do not notify the instances that callers reach.
@@ -142,64 +214,103 @@
                 [self = this->shared_from_this(), call, address, attempt] {
                     {
                         const std::lock_guard lock(self->mutex);
-                        const bool isOpen = !call->isSettled && call->attempts == attempt;
+                        const bool isOpen = !call->isSettled && call->current == attempt;
                         if (!isOpen || std::exchange(self->isProbing, true))
                             return;
                     }
-                    self->probeOtherReplicas(address);
+                    self->probe();
                 });
 }
 
-/// Whether a call to \a address has been without a response for too long.
-bool ControllerLink::isUnresponsive(const std::string &address) const
+/// The last frame from \a address. Call with the mutex locked.
+Instant ControllerLink::lastHeard(const std::string &address) const
 {
-    const Instant now = this->clock();
-    return std::any_of(this->inFlight.begin(), this->inFlight.end(), [&](const auto &call) {
-        return call->address == address && now >= call->unresponsiveAt;
-    });
+    const auto frame = this->messenger.lastHeard(address);
+    return std::max(this->liveness.lastHeard(address), frame.value_or(Instant{}));
+}
+
+/// Addresses at which a call has been without a reply for too long. Call with the mutex locked.
+std::set<std::string> ControllerLink::unresponsiveAddresses(Instant now) const
+{
+    std::set<std::string> found;
+    for (const auto &call : this->inFlight) {
+        if (call->isUnresponsive(now))
+            found.insert(call->address);
+    }
+    return found;
+}
+
+/// The replicas to ask who leads. The unresponsive ones are asked only if nothing has been heard
+/// from them for a while, to learn whether they are slow or lost. Call with the mutex locked.
+std::vector<std::string> ControllerLink::probedAddresses(const std::set<std::string> &unresponsive,
+                                                         Instant now) const
+{
+    std::vector<std::string> probed;
+    for (const std::string &replica : this->replicas) {
+        const bool isHeard = now < this->lastHeard(replica) + 2 * this->limits.unresponsiveAfter;
+        if (unresponsive.count(replica) == 0 || !isHeard)
+            probed.push_back(replica);
+    }
+    return probed;
 }
 
-void ControllerLink::probeOtherReplicas(const std::string &unresponsive)
+/// Asks the replicas who leads while calls are unresponsive, and abandons the attempts at replicas
+/// that are silent.
+void ControllerLink::probe()
 {
-    std::vector<std::string> others;
+    const Instant now = this->clock();
+    std::set<std::string> unresponsive;
+    std::vector<std::string> probed;
+    std::vector<std::shared_ptr<Call>> abandoned;
     {
         const std::lock_guard lock(this->mutex);
-        others = this->replicas;
+        unresponsive = this->unresponsiveAddresses(now);
+        this->isProbing = !unresponsive.empty();
+        if (!this->isProbing)
+            return;
+        probed = this->probedAddresses(unresponsive, now);
+        std::set<std::string> silent;
+        for (const std::string &address : unresponsive) {
+            if (now >= this->lastHeard(address) + this->limits.attemptTimeout)
+                silent.insert(address);
+        }
+        for (const auto &call : this->inFlight) {
+            if (silent.count(call->address) != 0 && call->isWaiting()
+                && now >= call->attemptedAt + this->limits.attemptTimeout)
+                abandoned.push_back(call);
+        }
     }
-    const Instant limit = this->clock() + this->limits.unresponsiveAfter;
-    for (const std::string &other : others) {
-        if (other == unresponsive)
-            continue;
-        this->messenger.call(
-            other, Method::FindLeader, {}, limit,
-            [self = this->shared_from_this(), unresponsive](const Result<std::string> &leads) {
-                self->leaderReported(unresponsive, leads);
-            });
+    for (const auto &call : abandoned)
+        this->abandon(call);
+    const Instant limit = now + this->limits.attemptTimeout;
+    for (const std::string &replica : probed) {
+        this->messenger.call(replica, Method::FindLeader, {}, limit,
+                             [self = this->shared_from_this(), unresponsive,
+                              replica](const Result<std::string> &leads) {
+                                 self->leaderReported(unresponsive, replica, leads);
+                             });
     }
-    this->delay(this->limits.unresponsiveAfter, [self = this->shared_from_this(), unresponsive] {
-        {
-            const std::lock_guard lock(self->mutex);
-            self->isProbing = self->isUnresponsive(unresponsive);
-            if (!self->isProbing)
-                return;
-        }
-        self->probeOtherReplicas(unresponsive);
-    });
+    this->delay(this->limits.unresponsiveAfter,
+                [self = this->shared_from_this()] { self->probe(); });
 }
 
 /// Handles a replica's reply about who leads. If it names another leader than the unresponsive one,
-/// the calls that wait there are sent to the new leader at once, without waiting for the attempt's
-/// timeout. A late reply to the earlier attempt is still accepted.
-void ControllerLink::leaderReported(const std::string &unresponsive,
-                                    const Result<std::string> &leads)
+/// the calls that wait there are sent to the new leader at once. A late reply to the earlier
+/// attempt is still accepted.
+void ControllerLink::leaderReported(const std::set<std::string> &unresponsive,
+                                    const std::string &by, const Result<std::string> &leads)
 {
-    if (!leads || leads.value().empty() || leads.value() == unresponsive)
+    if (!leads)
         return;
     std::vector<std::shared_ptr<Call>> affected;
     {
         const std::lock_guard lock(this->mutex);
+        this->liveness.heard(by, this->clock());
+        if (leads.value().empty())
+            return;
         for (const auto &call : this->inFlight) {
-            if (call->address != unresponsive)
+            const bool isAffected = call->isWaiting() && unresponsive.count(call->address) != 0;
+            if (!isAffected || call->address == leads.value())
                 continue;
             call->mayHaveRun = true;
             affected.push_back(call);
@@ -215,8 +326,18 @@
 void ControllerLink::setReplicas(std::vector<std::string> addresses)
 {
     const std::lock_guard lock(this->mutex);
-    if (!addresses.empty())
-        this->replicas = std::move(addresses);
+    if (addresses.empty())
+        return;
+    this->replicas = std::move(addresses);
+    this->liveness.keepOnly(this->replicas);
+}
+
+Instant ControllerLink::lastContact() const
+{
+    const std::lock_guard lock(this->mutex);
+    const std::string &controller = this->liveness.controller();
+    return controller.empty() ? this->liveness.lastContact()
+                              : std::max(this->liveness.lastContact(), this->lastHeard(controller));
 }
 
 std::string ControllerLink::controllerAddress() const
@@ -236,6 +357,7 @@
 void ControllerLink::updateLeader(const std::string &address, const std::string &leader)
 {
     const std::lock_guard lock(this->mutex);
+    this->liveness.denied(address);
     // Another call may have found the new controller in the meantime.
     if (this->leader.empty() || this->leader == address)
         this->leader = leader == address ? std::string() : leader;
--- a/src/controller/controllerlink.h
+++ b/src/controller/controllerlink.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "controller/controllerliveness.h"
 #include "core/clock.h"
 #include "core/done.h"
 #include "core/error.h"
 #include "replicas/messenger.h"
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -17,7 +20,9 @@
 /// Locates the controller among the replicas and sends calls to it. Thread safe.
 ///
 /// Requests are idempotent (submits by idempotency key, ends by attempt, operators' changes by
-/// request ID), so a call whose reply was lost is retried until its deadline.
+/// request ID), so a call whose reply was lost is retried until its deadline. While the controller
+/// is heard, a call stays with it and is not sent again, however slow the reply is: a second
+/// attempt would add to the load that makes it slow.
 class ControllerLink : public std::enable_shared_from_this<ControllerLink>
 {
 public:
@@ -26,8 +31,9 @@
 
     struct Limits
     {
-        /// Timeout of one attempt: long enough for an election to complete, short enough that
-        /// time is left to try another replica if the controller does not respond.
+        /// After this long without any frame from the controller, calls to it are sent to another
+        /// replica: long enough for an election to complete, short enough that time is left to try
+        /// the other. If unresponsiveAfter is zero, the timeout of each attempt.
         Milliseconds attemptTimeout{1500};
         Milliseconds retryDelay{50};
         /// When a call has had no response for this long, the other replicas are asked who leads;
@@ -45,6 +51,11 @@
     void setReplicas(std::vector<std::string> replicas);
     /// The last known address of the controller; empty if unknown.
     std::string controllerAddress() const;
+    /// When the controller was last heard of: it answered, or any other frame arrived from it after
+    /// an answer and it has not denied to lead since. The epoch if never.
+    Instant lastContact() const;
+    /// Calls sent again though an earlier attempt may have reached a controller.
+    std::uint64_t repeatedAttempts() const { return this->repeats; }
 
     /// Calls the controller. \errors the controller's own; Unavailable if no controller answered
     /// by \a deadline, with Ran::Unknown if the request may have been accepted.
@@ -54,14 +65,21 @@
     struct Call;
 
     void attempt(const std::shared_ptr<Call> &call);
+    bool isKeptAt(const std::shared_ptr<Call> &call, const std::string &address, Instant now);
+    void abandon(const std::shared_ptr<Call> &call);
+    bool keepsLeader(const std::string &address, const Error &error) const;
     void replyReceived(const std::shared_ptr<Call> &call, const std::string &address,
                        unsigned attempt, Result<std::string> reply);
     bool settle(const std::shared_ptr<Call> &call);
     Ran ranOf(const std::shared_ptr<Call> &call) const;
     void monitor(const std::shared_ptr<Call> &call, const std::string &address, unsigned attempt);
-    void probeOtherReplicas(const std::string &unresponsive);
-    void leaderReported(const std::string &unresponsive, const Result<std::string> &leads);
-    bool isUnresponsive(const std::string &address) const;
+    void probe();
+    std::set<std::string> unresponsiveAddresses(Instant now) const;
+    std::vector<std::string> probedAddresses(const std::set<std::string> &unresponsive,
+                                             Instant now) const;
+    void leaderReported(const std::set<std::string> &unresponsive, const std::string &by,
+                        const Result<std::string> &leads);
+    Instant lastHeard(const std::string &address) const;
     std::string nextAddress();
     void updateLeader(const std::string &address, const std::string &leader);
 
@@ -70,11 +88,13 @@
     Delay delay;
     Limits limits;
     Clock clock;
+    std::atomic<std::uint64_t> repeats{0};
     mutable std::mutex mutex;
+    ControllerLiveness liveness;
     std::string leader; ///< address; empty if unknown
     std::size_t nextReplica = 0;
     std::set<std::shared_ptr<Call>> inFlight; ///< calls whose response time is monitored
-    bool isProbing = false; ///< the other replicas are being asked who leads
+    bool isProbing = false; ///< the replicas are being asked who leads
 };
 
 } // namespace guavavalve
--- a/src/replicas/messenger.h
+++ b/src/replicas/messenger.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace guavavalve {
@@ -65,6 +66,13 @@
     /// DeadlineExceeded with Ran::Unknown if no reply came by \a deadline.
     virtual void call(const std::string &address, Method method, std::string payload,
                       Instant deadline, Done<std::string> done) = 0;
+
+    /// When the last frame, of whatever kind, arrived on the open connection to \a address; none if
+    /// there is no such connection or this is not known. Thread-safe.
+    virtual std::optional<Instant> lastHeard(const std::string & /*address*/) const
+    {
+        return std::nullopt;
+    }
 };
 
 } // namespace guavavalve
--- a/src/replicas/tcpconnection.cpp
+++ b/src/replicas/tcpconnection.cpp
@@ -123,6 +123,8 @@
     }
     this->lastHeard = monotonicNow();
     ++this->counters->framesReceived;
+    if (this->hooks.onHeard)
+        this->hooks.onHeard(this->lastHeard);
     const bool isFirst = !std::exchange(this->isReady, true);
     if (isFirst && this->hooks.onReady)
         this->hooks.onReady();
--- a/src/replicas/tcpconnection.h
+++ b/src/replicas/tcpconnection.h
@@ -29,6 +29,8 @@
     {
         std::function<void()> onReady; ///< the peer has proved that it knows the shared secret
         std::function<void(WireFrame frame)> onFrame;
+        /// Called when an authentic frame has arrived, heartbeats included; may be empty.
+        std::function<void(Instant now)> onHeard;
         /// Called exactly once, when the connection is closed. \a unsent: the ids of the calls that
         /// were not passed to the socket.
         std::function<void(const std::vector<std::uint64_t> &unsent)> onClosed;
--- a/src/replicas/tcphub.cpp
+++ b/src/replicas/tcphub.cpp
@@ -222,6 +222,13 @@
         });
 }
 
+std::optional<Instant> TcpHub::lastHeard(const std::string &address) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->peers.find(address);
+    return found == this->peers.end() ? std::nullopt : found->second->lastHeard();
+}
+
 std::shared_ptr<TcpPeer> TcpHub::peerAt(const std::string &address)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/replicas/tcphub.h
+++ b/src/replicas/tcphub.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,6 +35,7 @@
     void handle(Method method, Messenger::Handler handler);
     void call(const std::string &address, Method method, std::string payload, Instant deadline,
               Done<std::string> done);
+    std::optional<Instant> lastHeard(const std::string &address) const;
 
 private:
     using Tcp = boost::asio::ip::tcp;
@@ -53,7 +55,7 @@
     std::map<Method, Messenger::Handler> handlers; ///< not changed after start()
     std::vector<std::thread> threads;
 
-    std::mutex mutex;
+    mutable std::mutex mutex;
     bool isRunning = false;
     std::map<std::string, std::shared_ptr<TcpPeer>> peers;
     std::map<std::uint64_t, std::shared_ptr<Inbound>> inbound;
--- a/src/replicas/tcpmessenger.cpp
+++ b/src/replicas/tcpmessenger.cpp
@@ -46,4 +46,9 @@
     this->hub->call(address, method, std::move(payload), deadline, std::move(done));
 }
 
+std::optional<Instant> TcpMessenger::lastHeard(const std::string &address) const
+{
+    return this->hub->lastHeard(address);
+}
+
 } // namespace guavavalve
--- a/src/replicas/tcpmessenger.h
+++ b/src/replicas/tcpmessenger.h
@@ -35,6 +35,7 @@
     void handle(Method method, Handler handler) override;
     void call(const std::string &address, Method method, std::string payload, Instant deadline,
               Done<std::string> done) override;
+    std::optional<Instant> lastHeard(const std::string &address) const override;
 
 private:
     std::shared_ptr<internal::TcpHub> hub;
--- a/src/replicas/tcppeer.cpp
+++ b/src/replicas/tcppeer.cpp
@@ -122,6 +122,10 @@
         if (const auto self = weak.lock())
             self->onFrame(std::move(frame));
     };
+    hooks.onHeard = [weak](Instant now) {
+        if (const auto self = weak.lock())
+            self->heardAt = now.time_since_epoch().count();
+    };
     hooks.onClosed = [weak](const std::vector<std::uint64_t> &unsent) {
         if (const auto self = weak.lock())
             self->onClosed(unsent);
@@ -172,6 +176,7 @@
 void TcpPeer::onClosed(const std::vector<std::uint64_t> &unsent)
 {
     const bool wasReady = std::exchange(this->isReady, false);
+    this->heardAt = 0;
     this->connection.reset();
     if (this->isStopped)
         return;
@@ -190,6 +195,12 @@
     }
 }
 
+std::optional<Instant> TcpPeer::lastHeard() const
+{
+    const std::int64_t heard = this->heardAt;
+    return heard == 0 ? std::nullopt : std::optional(Instant(Microseconds(heard)));
+}
+
 void TcpPeer::finish(std::uint64_t id, Result<std::string> outcome)
 {
     const auto found = this->calls.find(id);
--- a/src/replicas/tcppeer.h
+++ b/src/replicas/tcppeer.h
@@ -9,9 +9,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -31,6 +33,8 @@
 
     const Strand &executor() const { return this->strand; }
     void call(Method method, std::string payload, Instant deadline, Done<std::string> done);
+    /// When the last frame arrived on the open connection; none if there is none. Thread-safe.
+    std::optional<Instant> lastHeard() const;
     /// Fails every pending call. Must run on the strand, or once no thread runs it any more.
     void stop();
 
@@ -67,6 +71,8 @@
     bool isStopped = false;
     Milliseconds backoff;
     Instant retryAt{};
+    /// Of the last frame on the open connection, as microseconds of an Instant; 0: not open.
+    std::atomic<std::int64_t> heardAt{0};
     std::uint64_t lastCallId = 0;
     std::size_t unsentBytes = 0;
     std::map<std::uint64_t, PendingCall> calls;
--- a/test/controller/controllerlinktest.cpp
+++ b/test/controller/controllerlinktest.cpp
@@ -3,6 +3,7 @@
 #include "controller/controllerlink.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,6 +31,8 @@
     void call(const std::string &address, Method method, std::string, Instant deadline,
               Done<std::string> done) override
     {
+        if (method != Method::FindLeader)
+            ++this->sent[address];
         if (this->frozen.count(address) != 0) {
             this->runAfter(std::chrono::duration_cast<Milliseconds>(deadline - this->now),
                            [done = std::move(done)] {
@@ -39,10 +42,24 @@
                            });
             return;
         }
-        auto answer = [this, address, method, done = std::move(done)] {
+        if (method != Method::FindLeader && this->now + this->latency > deadline) {
+            this->runAfter(std::chrono::duration_cast<Milliseconds>(deadline - this->now),
+                           [done = std::move(done)] {
+                               Error late = failure(ErrorCode::DeadlineExceeded, "no reply");
+                               late.ran = Ran::Unknown;
+                               done(late);
+                           });
+            return;
+        }
+        auto answer = [this, address, method, connection = this->connections[address],
+                       done = std::move(done)] {
             if (method == Method::FindLeader) {
                 ++this->leaderQueries;
-                done(this->leader);
+                done(this->named.count(address) != 0 ? this->named[address] : this->leader);
+            } else if (connection != this->connections[address]) {
+                Error lost = failure(ErrorCode::Unavailable, "the connection was lost");
+                lost.ran = Ran::Unknown;
+                done(lost);
             } else if (address == this->leader) {
                 ++this->served[address];
                 done(std::string("by " + address));
@@ -50,10 +67,23 @@
                 done(failure(ErrorCode::NotLeader, this->leader));
             }
         };
+        const bool isProbe = method == Method::FindLeader; // does not wait behind other calls
         if (this->latency.count() == 0)
             answer();
         else
-            this->runAfter(this->latency, std::move(answer));
+            this->runAfter(isProbe ? Milliseconds(1) : this->latency, std::move(answer));
+    }
+
+    /// Heartbeats arrive all the time from replicas that are not frozen.
+    std::optional<Instant> lastHeard(const std::string &address) const override
+    {
+        const auto stopped = this->frozenAt.find(address);
+        return stopped == this->frozenAt.end() ? this->now : stopped->second;
+    }
+    void freeze(const std::string &address)
+    {
+        this->frozen.insert(address);
+        this->frozenAt.emplace(address, this->now);
     }
 
     void runAfter(Milliseconds delay, std::function<void()> action)
@@ -84,6 +114,10 @@
     Milliseconds latency{1}; ///< zero: the reply arrives before the call returns
     std::multimap<Instant, std::function<void()>> due;
     std::set<std::string> frozen;
+    std::map<std::string, Instant> frozenAt;
+    std::map<std::string, int> connections; ///< a change means that the connection was lost
+    std::map<std::string, std::string> named; ///< the leader that a replica names, if another one
+    std::map<std::string, int> sent; ///< calls, by address
     std::string leader = "a";
     std::map<std::string, int> served;
     int leaderQueries = 0;
@@ -172,3 +206,104 @@
     this->runFor(Milliseconds(2000));
     CHECK(this->leaderQueries == queriesBefore);
 }
+
+// Guards against repeated attempts, which double the load of a controller under three times its
+// load: it answers after more than a second, but lives.
+TEST_CASE_METHOD(LinkFixture, "a call is sent once to a controller that is slow but heard",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->latency = Milliseconds(1300);
+    this->callController();
+    this->runFor(Milliseconds(1400));
+    REQUIRE(this->answers.size() == 2);
+    CHECK(this->answers.back() == "by a");
+    CHECK(this->sent["a"] == 2);
+    CHECK(this->sent["b"] + this->sent["c"] == 0);
+}
+
+// Guards against calls that wait until their deadline for a reply on a connection that is gone.
+TEST_CASE_METHOD(LinkFixture, "a call is sent again when its connection was lost", "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->latency = Milliseconds(100);
+    this->callController();
+    this->runFor(Milliseconds(10));
+    ++this->connections["a"];
+    this->runFor(Milliseconds(1000));
+    REQUIRE(this->answers.size() == 2);
+    CHECK(this->answers.back() == "by a");
+    CHECK(this->sent["a"] == 3);
+}
+
+// Guards against a replica that lags behind and names an earlier leader: the call returns to the
+// controller that has it already, without a second attempt.
+TEST_CASE_METHOD(LinkFixture, "a wrongly named leader causes no second attempt at the controller",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->latency = Milliseconds(600);
+    this->named["c"] = "b";
+    this->callController();
+    this->runFor(Milliseconds(2000));
+    REQUIRE(this->answers.size() == 2);
+    CHECK(this->answers.back() == "by a");
+    CHECK(this->sent["a"] == 2);
+    CHECK(this->sent["b"] == 1);
+}
+
+// Guards against calls that stay with a controller that is cut off while no replica names another.
+TEST_CASE_METHOD(LinkFixture, "a call leaves a silent controller after the attempt's timeout",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->freeze("a");
+    this->leader.clear();
+    this->callController();
+    this->runFor(Milliseconds(490));
+    CHECK(this->sent["b"] + this->sent["c"] > 0);
+    CHECK(this->sent["a"] == 2);
+}
+
+// Guards against entries that reject every caller because answers to presence reports are late.
+TEST_CASE_METHOD(LinkFixture, "a controller that is heard but answers late counts as in contact",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->latency = Milliseconds(5000);
+    for (int i = 0; i < 5; ++i) {
+        this->callController(Milliseconds(400)); // a presence report
+        this->runFor(Milliseconds(800));
+    }
+    CHECK(this->now - this->link->lastContact() < Milliseconds(500));
+    CHECK(this->link->controllerAddress() == "a");
+}
+
+// Guards against a replica that has lost its quorum: its frames arrive, but it does not lead.
+TEST_CASE_METHOD(LinkFixture, "frames of a replica that denies to lead are no contact",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->leader.clear();
+    for (int i = 0; i < 3; ++i) {
+        this->callController(Milliseconds(400));
+        this->runFor(Milliseconds(800));
+    }
+    CHECK(this->now - this->link->lastContact() > Milliseconds(2000));
+}
+
+TEST_CASE_METHOD(LinkFixture, "a frozen controller is not in contact", "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->freeze("a");
+    this->callController(Milliseconds(400));
+    this->runFor(Milliseconds(1600));
+    CHECK(this->now - this->link->lastContact() > Milliseconds(1500));
+}
--- a/test/replicas/tcpmessengertest.cpp
+++ b/test/replicas/tcpmessengertest.cpp
@@ -332,6 +332,29 @@
     CHECK(late == 10);
 }
 
+// Guards against a busy peer that counts as lost because its replies are late.
+TEST_CASE("a peer is heard while it answers no calls, until its connection is gone",
+          "[messenger][calls]")
+{
+    auto options = optionsOf("server");
+    options.heartbeat = Milliseconds(20);
+    TcpMessenger server(options);
+    server.handle(Method::Ping,
+                  [](const InstanceId &, const std::string &, const Done<std::string> &) {});
+    REQUIRE(server.start());
+    TcpMessenger caller(optionsOf("caller"));
+    REQUIRE(caller.start());
+    const std::string address = addressOf(server);
+    CHECK_FALSE(caller.lastHeard(address));
+    caller.call(address, Method::Ping, "", monotonicNow() + Milliseconds(60000),
+                [](const Result<std::string> &) {});
+    CHECK(waitFor([&] { return caller.lastHeard(address).has_value(); }));
+    const Instant later = monotonicNow() + Milliseconds(50);
+    CHECK(waitFor([&] { return caller.lastHeard(address).value_or(Instant{}) > later; }));
+    server.stop();
+    CHECK(waitFor([&] { return !caller.lastHeard(address); }));
+}
+
 TEST_CASE("a messenger that stops ends its pending calls", "[messenger]")
 {
     TcpMessenger server(optionsOf("server"));
