Entries hold callers' requests while no controller is in contact

Cause: an entry whose presence reports were answered late or not at all rejected every caller with 503 after 1.5 s, all with the same Retry-After; until then each call tried the replicas in turn by itself. Each unanswered call was a log line.

Without contact, requests that can still be served in time are held (HeldCalls: bounded in number and bytes, by deadline) and handed in a few at a time once there is a controller. A request that is held starts the search for one at once. New metrics: held calls, unanswered and repeated calls.

--- /dev/null
+++ b/src/controller/heldcalls.cpp
@@ -0,0 +1,58 @@
+#include "controller/heldcalls.h"
+
+#include <cassert>
+#include <utility>
+
+namespace guavavalve {
+
+HeldCalls::HeldCalls()
+    : HeldCalls(Options())
+{}
+
+HeldCalls::HeldCalls(Options options)
+    : options(options)
+{}
+
+bool HeldCalls::hold(Call &call, Instant now)
+{
+    const bool isFull = this->calls.size() >= this->options.maxCalls
+        || this->bytes + call.bytes > this->options.maxBytes;
+    if (isFull || call.deadline <= now + this->options.reserve)
+        return false;
+    this->bytes += call.bytes;
+    const Instant deadline = call.deadline;
+    this->calls.emplace(deadline, std::move(call));
+    return true;
+}
+
+std::vector<HeldCalls::Call> HeldCalls::takeExpired(Instant now)
+{
+    std::vector<Call> expired;
+    while (!this->calls.empty() && this->calls.begin()->first <= now + this->options.reserve)
+        expired.push_back(this->take(this->calls.begin()));
+    return expired;
+}
+
+std::optional<HeldCalls::Call> HeldCalls::takeNext()
+{
+    if (this->calls.empty() || this->inFlight >= this->options.maxInFlight)
+        return std::nullopt;
+    ++this->inFlight;
+    return this->take(this->calls.begin());
+}
+
+void HeldCalls::ended()
+{
+    assert(this->inFlight > 0 && "call ended() once for each call of takeNext()");
+    --this->inFlight;
+}
+
+HeldCalls::Call HeldCalls::take(std::multimap<Instant, Call>::iterator which)
+{
+    Call call = std::move(which->second);
+    this->calls.erase(which);
+    this->bytes -= call.bytes;
+    return call;
+}
+
+} // namespace guavavalve
--- /dev/null
+++ b/src/controller/heldcalls.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace guavavalve {
+
+/// Callers' requests that an instance holds while no controller is in contact, and hands in once
+/// one is, those with the earliest deadline first and only a few at a time: the requests of all
+/// instances reach a new controller together.
+///
+/// Pure: the owner reports the time and the ends of calls. A held call has never been sent, so that
+/// its rejection as not run is true.
+class HeldCalls
+{
+public:
+    struct Options
+    {
+        std::size_t maxCalls = 2000;
+        std::size_t maxBytes = 8U << 20U;
+        /// Calls handed in and not yet answered. With 40 instances, 320 calls are pending at the
+        /// controller, about as many as it stores in one batch.
+        std::size_t maxInFlight = 8;
+        /// Time that must be left before a call's deadline when it is handed in: several times what
+        /// a controller takes to store a request.
+        Milliseconds reserve{300};
+    };
+
+    struct Call
+    {
+        Instant deadline; ///< by which the caller needs an answer
+        std::size_t bytes = 0;
+        std::function<void()> handIn;
+        std::function<void()> reject;
+    };
+
+    HeldCalls();
+    explicit HeldCalls(Options options);
+
+    /// Holds \a call. Returns false, and does not take it, if too much is held already or no time
+    /// is left to serve it.
+    bool hold(Call &call, Instant now);
+    /// Removes the calls that can no longer be served in time.
+    std::vector<Call> takeExpired(Instant now);
+    /// Removes the next call to hand in, and counts it as in flight; none if enough are.
+    std::optional<Call> takeNext();
+    /// A call that was handed in has been answered.
+    void ended();
+
+    std::size_t size() const { return this->calls.size(); }
+    bool isEmpty() const { return this->calls.empty(); }
+
+private:
+    Call take(std::multimap<Instant, Call>::iterator which);
+
+    Options options;
+    std::multimap<Instant, Call> calls; ///< by deadline
+    std::size_t bytes = 0;
+    std::size_t inFlight = 0;
+};
+
+} // namespace guavavalve
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -109,6 +109,17 @@
      "use", "Calls and connections refused because the budget of their use was exhausted."},
     {Metric::LoopLagSeconds, "guavavalve_loop_lag_seconds", MetricType::Gauge, "seconds", "",
      "Delay with which the controller's loop ran its most recent periodic action."},
+    {Metric::HeldCalls, "guavavalve_held_calls", MetricType::Gauge, "calls", "",
+     "Callers' requests that this entry holds until a controller is in contact."},
+    {Metric::HeldCallsTotal, "guavavalve_held_calls_total", MetricType::Counter, "calls", "outcome",
+     "Callers' requests that arrived at this entry without a controller, by outcome: handed-in, "
+     "expired (given up before the caller's deadline), rejected (not held)."},
+    {Metric::CallsUnansweredTotal, "guavavalve_calls_unanswered_total", MetricType::Counter,
+     "calls", "ran",
+     "Forwarded requests that no controller answered by their deadline, by whether they may have "
+     "run: no (503), unknown (504)."},
+    {Metric::CallsRepeatedTotal, "guavavalve_calls_repeated_total", MetricType::Counter, "calls",
+     "", "Attempts to send a request to a controller after an earlier one that may have arrived."},
 }};
 
 constexpr bool inOrder()
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -12,7 +12,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 using namespace guavavalve;
 using namespace guavavalve::platform;
@@ -132,11 +134,84 @@
         };
         hooks.post = [](const std::function<void()> &action) { action(); };
         hooks.answered = [](int, Microseconds) {};
+        hooks.seekController = [] {};
+        hooks.runAfter = [](Milliseconds, const std::function<void()> &) {};
         hooks.stamp = [] { return CallStamp{}; };
         return std::make_unique<Relay>(std::move(link), *this, std::move(hooks), instance);
     }
 };
 
+/// An entry with a leader that answers at once, and may be of an earlier build.
+class FakeEntry : public Messenger
+{
+public:
+    explicit FakeEntry(bool holdsCalls = true)
+    {
+        auto link =
+            std::make_shared<ControllerLink>(*this, std::vector<std::string>{leaderAddress},
+                                             [](Milliseconds, const std::function<void()> &) {});
+        Relay::Hooks hooks;
+        hooks.localService = [] { return nullptr; };
+        hooks.hasController = [this] { return this->hasController; };
+        hooks.holdsCalls = holdsCalls;
+        hooks.seekController = [this] { ++this->searches; };
+        hooks.post = [](const std::function<void()> &action) { action(); };
+        hooks.runAfter = [this](Milliseconds, std::function<void()> action) {
+            this->timer = std::move(action);
+        };
+        hooks.answered = [](int, Microseconds) {};
+        hooks.stamp = [this] { return this->stamp; };
+        this->relay = std::make_unique<Relay>(std::move(link), *this, std::move(hooks), "entry");
+    }
+
+    void handle(Method, Handler) override {}
+    void call(const std::string &, Method method, std::string payload, Instant,
+              Done<std::string> done) override
+    {
+        if (method == Method::RelayStamped && this->isLeaderOlder) {
+            done(failure(ErrorCode::NotFound, "this instance does not serve the requested method"));
+            return;
+        }
+        this->calls.push_back(method);
+        if (method == Method::RelayStamped)
+            this->stamps.push_back(decode<StampedCall>(payload).value().stamp);
+        if (this->isLeaderSilent)
+            return;
+        RelayedAnswer answer;
+        answer.status = 200;
+        answer.body = "{}";
+        done(encode(answer));
+    }
+
+    void post(const std::string &job, const std::string &deadlineMs = "3000")
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/q/" + job;
+        request.headers["X-Deadline-Ms"] = deadlineMs;
+        this->relay->serveCaller(
+            request, [this](const HttpResponse &response) { this->answers.push_back(response); });
+    }
+    void fireTimer()
+    {
+        const auto action = std::move(this->timer);
+        this->timer = nullptr;
+        if (action)
+            action();
+    }
+
+    bool hasController = true;
+    bool isLeaderOlder = false;
+    bool isLeaderSilent = false;
+    CallStamp stamp{7, 1000};
+    std::function<void()> timer;
+    int searches = 0;
+    std::vector<Method> calls; ///< that the leader has received
+    std::vector<CallStamp> stamps;
+    std::vector<HttpResponse> answers;
+    std::unique_ptr<Relay> relay;
+};
+
 } // namespace
 
 // Guards against a leader whose work grows with the number of targets that report to all replicas.
@@ -196,3 +271,104 @@
     aggregator.returned(lost);
     CHECK(aggregator.take().heard.size() == 2);
 }
+
+// Guards against a rejection of everyone during a change of leader, after which all return
+// together.
+TEST_CASE("a request without a controller is held and handed in once there is one",
+          "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.hasController = false;
+    entry.post("a");
+    entry.fireTimer();
+    CHECK(entry.answers.empty());
+    CHECK(entry.calls.empty());
+    CHECK(entry.searches == 1);
+    entry.hasController = true;
+    entry.fireTimer();
+    REQUIRE(entry.answers.size() == 1);
+    CHECK(entry.answers.front().status == 200);
+}
+
+// Guards against a held request that passes for a new one: its age counts from its arrival.
+TEST_CASE("a held request keeps the stamp of its arrival", "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.hasController = false;
+    entry.post("a");
+    entry.stamp.controllerUs += 1000000;
+    entry.hasController = true;
+    entry.fireTimer();
+    REQUIRE(entry.stamps.size() == 1);
+    CHECK(entry.stamps.front().controllerUs == 1000);
+}
+
+// Guards against a refusal that is untrue: what was answered 503 must never have been sent.
+TEST_CASE("a held request that cannot be served in time is rejected and never sent",
+          "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.hasController = false;
+    entry.post("a", "400"); // 320 ms are left to answer it
+    const Instant end = monotonicNow() + Milliseconds(20000);
+    while (entry.answers.empty() && monotonicNow() < end)
+        entry.fireTimer();
+    REQUIRE(entry.answers.size() == 1);
+    CHECK(entry.answers.front().status == 503);
+    CHECK(entry.answers.front().headers.count("Retry-After") == 1);
+    entry.hasController = true;
+    entry.fireTimer();
+    CHECK(entry.calls.empty());
+}
+
+// Guards against a second flood: what was held must not reach the new leader all at once.
+TEST_CASE("held requests reach a new leader a few at a time", "[relay][calls]")
+{
+    constexpr std::size_t requests = 100;
+    constexpr std::size_t mostAtOnce = 10;
+    FakeEntry entry;
+    entry.hasController = false;
+    entry.isLeaderSilent = true;
+    for (std::size_t i = 0; i < requests; ++i)
+        entry.post("a" + std::to_string(i));
+    entry.hasController = true;
+    entry.fireTimer();
+    entry.fireTimer();
+    CHECK(!entry.calls.empty());
+    CHECK(entry.calls.size() <= mostAtOnce);
+}
+
+// Guards against a return of all rejected callers at the same time.
+TEST_CASE("rejections for want of a controller spread the return of the callers", "[relay][calls]")
+{
+    FakeEntry entry(false);
+    entry.hasController = false;
+    std::set<std::string> delays;
+    for (int i = 0; i < 50; ++i)
+        entry.post("a" + std::to_string(i));
+    REQUIRE(entry.answers.size() == 50);
+    for (const HttpResponse &answer : entry.answers) {
+        CHECK(answer.status == 503);
+        delays.insert(answer.headers.at("Retry-After"));
+    }
+    CHECK(delays.size() > 1);
+}
+
+// Guards against an entry that cannot use a leader of an earlier build.
+TEST_CASE("a leader that does not know stamped calls is sent unstamped ones", "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.isLeaderOlder = true;
+    entry.post("a");
+    REQUIRE(entry.answers.size() == 1);
+    CHECK(entry.answers.front().status == 200);
+    CHECK(entry.calls == std::vector<Method>{Method::Relay});
+}
+
+TEST_CASE("requests are sent unstamped while the controller's clock is not known", "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.stamp = {};
+    entry.post("a");
+    CHECK(entry.calls == std::vector<Method>{Method::Relay});
+}
