--- a/src/controller/controllerlink.cpp
+++ b/src/controller/controllerlink.cpp
@@ -214,7 +214,8 @@
                 [self = this->shared_from_this(), call, address, attempt] {
                     {
                         const std::lock_guard lock(self->mutex);
-                        const bool isOpen = !call->isSettled && call->current == attempt;
+                        const bool isOpen =
+                            !call->isSettled && (call->current == attempt || self->leader.empty());
                         if (!isOpen || std::exchange(self->isProbing, true))
                             return;
                     }
@@ -254,18 +255,20 @@
     return probed;
 }
 
-/// Asks the replicas who leads while calls are unresponsive, and abandons the attempts at replicas
-/// that are silent.
+/// Asks the replicas who leads while calls are unresponsive or no leader is known, and abandons the
+/// attempts at replicas that are silent.
 void ControllerLink::probe()
 {
     const Instant now = this->clock();
     std::set<std::string> unresponsive;
     std::vector<std::string> probed;
     std::vector<std::shared_ptr<Call>> abandoned;
+    bool isSearching = false;
     {
         const std::lock_guard lock(this->mutex);
         unresponsive = this->unresponsiveAddresses(now);
-        this->isProbing = !unresponsive.empty();
+        isSearching = this->leader.empty() && !this->inFlight.empty();
+        this->isProbing = isSearching || !unresponsive.empty();
         if (!this->isProbing)
             return;
         probed = this->probedAddresses(unresponsive, now);
@@ -290,7 +293,8 @@
                                  self->leaderReported(unresponsive, replica, leads);
                              });
     }
-    this->delay(this->limits.unresponsiveAfter,
+    // All instances search together while there is no leader.
+    this->delay(isSearching ? 2 * this->limits.unresponsiveAfter : this->limits.unresponsiveAfter,
                 [self = this->shared_from_this()] { self->probe(); });
 }
 
@@ -315,9 +319,9 @@
             call->mayHaveRun = true;
             affected.push_back(call);
         }
-        if (affected.empty())
-            return;
-        this->leader = leads.value();
+        // Calls between two attempts find the leader with their next one.
+        if (!affected.empty() || this->leader.empty())
+            this->leader = leads.value();
     }
     for (const auto &call : affected)
         this->attempt(call);
--- a/src/controller/heldcalls.cpp
+++ b/src/controller/heldcalls.cpp
@@ -1,6 +1,7 @@
 #include "controller/heldcalls.h"
 
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace guavavalve {
@@ -38,7 +39,7 @@
     if (this->calls.empty() || this->inFlight >= this->options.maxInFlight)
         return std::nullopt;
     ++this->inFlight;
-    return this->take(this->calls.begin());
+    return this->take(std::prev(this->calls.end()));
 }
 
 void HeldCalls::ended()
--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -11,8 +11,9 @@
 namespace guavavalve {
 
 /// Callers' requests that an instance holds while no controller is in contact, and hands in once
-/// one is, those with the earliest deadline first and only a few at a time: the requests of all
-/// instances reach a new controller together.
+/// one is, only a few at a time: the requests of all instances reach a new controller together.
+/// Those with the most time left come first. They can still be done in time, and would not be behind
+/// those that are late already.
 ///
 /// Pure: the owner reports the time and the ends of calls. A held call has never been sent, so that
 /// its rejection as not run is true.
@@ -23,12 +24,12 @@
     {
         std::size_t maxCalls = 2000;
         std::size_t maxBytes = 8U << 20U;
-        /// Calls handed in and not yet answered. With 40 instances, 320 calls are pending at the
-        /// controller, about as many as it stores in one batch.
-        std::size_t maxInFlight = 8;
+        /// Calls handed in and not yet answered. With 40 instances, 160 calls are pending at the
+        /// controller: fewer than it stores in one batch.
+        std::size_t maxInFlight = 4;
         /// Time that must be left before a call's deadline when it is handed in: several times what
         /// a controller takes to store a request.
-        Milliseconds reserve{300};
+        Milliseconds reserve{200};
     };
 
     struct Call
