--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -12,8 +12,8 @@
 
 /// Callers' requests that an instance holds while no controller is in contact, and hands in once
 /// one is, only a few at a time: the requests of all instances reach a new controller together.
-/// Those with the most time left come first. They can still be done in time, and would not be behind
-/// those that are late already.
+/// Those with the most time left come first. They can still be done in time, and would not be
+/// behind those that are late already.
 ///
 /// Pure: the owner reports the time and the ends of calls. A held call has never been sent, so that
 /// its rejection as not run is true.
--- /dev/null
+++ b/test/platform/leaderservicetest.cpp
@@ -0,0 +1,141 @@
+#include <catch2/catch.hpp>
+
+#include "platform/leaderservice.h"
+#include "replicas/inmemorylog.h"
+#include "workflows/sessions/targetport.h"
+#include "workflows/store/workflowstoremachine.h"
+
+#include <spdlog/spdlog.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace guavavalve;
+using namespace guavavalve::platform;
+using namespace guavavalve::workflows;
+
+namespace {
+
+class CountingLog : public InMemoryLog
+{
+public:
+    using InMemoryLog::InMemoryLog;
+
+    void propose(std::string command, Done<std::string> done) override
+    {
+        ++this->proposals;
+        InMemoryLog::propose(std::move(command), std::move(done));
+    }
+
+    int proposals = 0;
+};
+
+class NoTargets : public TargetPort
+{
+public:
+    void start(const TargetIdentity &, const StartOrder &, Instant, Done<OrderAnswer>) override {}
+    void stop(const TargetIdentity &, const StopOrder &, Instant, Done<OrderAnswer>) override {}
+    void hold(const TargetIdentity &, const HoldOrder &, Instant, Done<HoldAnswer>) override {}
+};
+
+class NoAdmissions : public AdmissionPort
+{
+public:
+    std::size_t querierCount() const override { return 0; }
+    std::optional<InstanceId> reserve(Milliseconds) override { return std::nullopt; }
+    void ask(const InstanceId &, const StepAddress &, const std::vector<std::string> &, Instant,
+             Done<Admitted>) override
+    {}
+};
+
+/// A leader without targets that has a configuration with one queue.
+class LeaderFixture
+{
+public:
+    LeaderFixture()
+        : controller(this->options(), this->log, this->machine, this->targets, this->admissions)
+        , service(this->controller, [] { return true; }, {})
+    {
+        spdlog::set_level(spdlog::level::off);
+        this->controller.leadershipChanged(true, 1);
+        this->call("PUT", "/config", "", R"({"Version": 3,
+            "Routes": [{"Name": "q", "Host": "jobs.example", "PathPrefix": "/q/", "TimeoutMs": 3000,
+                        "SloMs": 1000, "Priority": 1, "Service": "s", "Attempts": 2,
+                        "Stretch": 2.0}],
+            "Services": [{"Name": "s"}],
+            "Tenants": [{"Name": "t", "ApiKeys": ["key"], "Weight": 1},
+                        {"Name": "u", "ApiKeys": ["other"], "Weight": 1}]})");
+    }
+
+    ControllerOptions options()
+    {
+        ControllerOptions options;
+        options.readPolicy = [](const std::string &text) -> Result<Policy> {
+            return decodeConfiguration(text).value().policy;
+        };
+        options.post = [this](std::function<void()> action) {
+            this->posted.push_back(std::move(action));
+        };
+        options.runAfter = [](Microseconds, const std::function<void()> &) {};
+        options.calendarMs = [] { return 1000; };
+        return options;
+    }
+
+    /// Returns the status of the answer; 0: none.
+    int call(const std::string &method, const std::string &path, const std::string &host,
+             const std::string &body, const std::string &key = "key")
+    {
+        RelayedCall call;
+        call.method = method;
+        call.path = path;
+        call.host = host;
+        call.key = key;
+        call.body = body;
+        int status = 0;
+        this->service.serve(call, CallStamp{}, [&status](const Result<RelayedAnswer> &answer) {
+            status = answer ? answer.value().status : -1;
+        });
+        while (!this->posted.empty()) {
+            for (const auto &action : std::exchange(this->posted, {}))
+                action();
+        }
+        return status;
+    }
+    int submit(const std::string &key = "key")
+    {
+        return this->call("POST", "/q/5c0e7a21d94b36f8", "jobs.example",
+                          R"({"TaskSpec": "x", "Steps": [{"TaskCount": 3, "Cpu": 1000}]})", key);
+    }
+
+    std::vector<std::function<void()>> posted;
+    WorkflowStoreMachine machine;
+    CountingLog log{this->machine};
+    NoTargets targets;
+    NoAdmissions admissions;
+    Controller controller;
+    LeaderService service;
+};
+
+} // namespace
+
+// Guards against callers' repeats that take the place of new jobs in the log of a leader under
+// load.
+TEST_CASE_METHOD(LeaderFixture, "a repeat of a stored job is answered without a command",
+                 "[leaderservice][calls]")
+{
+    REQUIRE(this->submit() == 200);
+    const int before = this->log.proposals;
+    CHECK(this->submit() == 200);
+    CHECK(this->log.proposals == before);
+}
+
+// Guards against an acknowledgement by a replica whose leadership may have passed to another.
+TEST_CASE_METHOD(LeaderFixture, "a repeat is not answered from the store of a former leader",
+                 "[leaderservice][calls]")
+{
+    REQUIRE(this->submit() == 200);
+    this->log.setLeading(false);
+    CHECK(this->submit() == -1);
+}
