workflows: client accounts share room and query time by weight under contention

AccountPolicy::weight was read nowhere, so a flood of one account was everybody's loss. The planner now finds what each account is due (weighted max-min over dominant shares, by service and priority) and places steps beyond their account's share after the others of their priority. Contended are kinds of resource of which the waiting tasks need more than is free, and query time if no instance had time for a step in the previous plan. Use is the larger of what is placed and its mean over the last 3 s. Without contention, with one account or with the mechanism disabled the order is as before.

--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -164,6 +164,25 @@
     static_cast<prometheus::Gauge *>(this->d->find(metric, labels))->Set(value);
 }
 
+void Metrics::replace(Metric metric, const std::map<LabelValues, double> &values)
+{
+    assert(describe(metric).type == MetricType::Gauge && "replace() requires a gauge");
+    Series &family = this->d->series[static_cast<std::size_t>(metric)];
+    {
+        const std::lock_guard<std::mutex> lock(family.mutex);
+        for (auto one = family.seriesByLabels.begin(); one != family.seriesByLabels.end();) {
+            if (values.count(one->first) != 0) {
+                ++one;
+                continue;
+            }
+            family.gauges->Remove(static_cast<prometheus::Gauge *>(one->second));
+            one = family.seriesByLabels.erase(one);
+        }
+    }
+    for (const auto &[labels, value] : values)
+        this->set(metric, value, labels);
+}
+
 void Metrics::observe(Metric metric, double value, const LabelValues &labels)
 {
     assert(describe(metric).type == MetricType::Histogram && "observe() requires a histogram");
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -3,6 +3,7 @@
 #include "runtime/metrictable.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -36,6 +37,10 @@
     /// Sets a gauge.
     void set(Metric metric, double value, const LabelValues &labels = {});
 
+    /// Sets a gauge to exactly these series, and removes all others of it. No other thread may set
+    /// the same gauge meanwhile.
+    void replace(Metric metric, const std::map<LabelValues, double> &values);
+
     /// Adds an observation, in the metric's unit, to a histogram.
     void observe(Metric metric, double value, const LabelValues &labels = {});
 
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -109,6 +109,23 @@
      "use", "Calls and connections refused because the budget of their use was exhausted."},
     {Metric::LoopLagSeconds, "guavavalve_loop_lag_seconds", MetricType::Gauge, "seconds", "",
      "Delay with which the controller's loop ran its most recent periodic action."},
+    {Metric::AccountDueRatio, "guavavalve_account_due_ratio", MetricType::Gauge, "ratio",
+     "team,class",
+     "Dominant share, 0 to 1, that a client account is due of what work of this class and of more "
+     "urgent ones competes for; 1 while it may have all that it wants. Reported by the controller, "
+     "absent elsewhere and for accounts without work."},
+    {Metric::AccountPlacedRatio, "guavavalve_account_placed_ratio", MetricType::Gauge, "ratio",
+     "team,class",
+     "Dominant share of the same that the account's placed tasks have. Reported by the controller, "
+     "absent elsewhere and for accounts without work."},
+    {Metric::AccountTasksPlaced, "guavavalve_account_tasks_placed", MetricType::Gauge, "tasks",
+     "team,class",
+     "Placed tasks by client account and class. Reported by the controller, absent elsewhere and "
+     "for accounts without work."},
+    {Metric::AccountTasksWaiting, "guavavalve_account_tasks_waiting", MetricType::Gauge, "tasks",
+     "team,class",
+     "Ready tasks without a place by client account and class. Reported by the controller, absent "
+     "elsewhere and for accounts without work."},
 }};
 
 constexpr bool inOrder()
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -48,9 +48,13 @@
     CallsWaiting,
     CallsRefusedTotal,
     LoopLagSeconds,
+    AccountDueRatio,
+    AccountPlacedRatio,
+    AccountTasksPlaced,
+    AccountTasksWaiting,
 };
 
-inline constexpr std::size_t metricCount = 37;
+inline constexpr std::size_t metricCount = 41;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/codec.h"
 #include "workflows/log/decisionlog.h"
+#include "workflows/shares/accountshares.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,6 +15,7 @@
 constexpr Milliseconds silenceTimeout{15000};
 constexpr Milliseconds forgetInterval{2000};
 constexpr Milliseconds planLogInterval{1000};
+constexpr std::size_t maxAccountsInLog = 5;
 /// One in this many targets may be suspended at a time: if more of them fail, the cause lies
 /// elsewhere.
 constexpr std::size_t targetsPerSuspension = 4;
@@ -71,6 +73,8 @@
     this->admittedFractions.clear();
     this->claims.clear();
     this->waits.clear();
+    this->accountUse.clear();
+    this->shares.reset();
     this->incompleteGangsSince.clear();
     this->openQueries = 0;
     for (Pending &waiting : std::exchange(this->pending, {})) {
@@ -318,12 +322,23 @@
 void Controller::plan(std::vector<Pending> &batch)
 {
     const Plan made = this->machine.read([&](const WorkflowStore &store) {
-        return makePlan(
-            {store, this->currentPolicy, this->admissions, this->claims, this->openTargets(store),
-             this->options.clock(), this->options.calendarMs(), &this->admittedFractions,
-             this->admissionPort.querierCount(), this->openQueries,
-             [this](Milliseconds expected) { return this->admissionPort.reserve(expected); }});
+        PlanInput input{
+            store,
+            this->currentPolicy,
+            this->admissions,
+            this->claims,
+            this->openTargets(store),
+            this->options.clock(),
+            this->options.calendarMs(),
+            &this->admittedFractions,
+            this->admissionPort.querierCount(),
+            this->openQueries,
+            [this](Milliseconds expected) { return this->admissionPort.reserve(expected); }};
+        if (this->options.mechanisms.has(Mechanism::Shares))
+            input.accountUse = &this->accountUse;
+        return makePlan(input);
     });
+    this->shares = made.shares;
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
                              if (outcome)
@@ -335,9 +350,15 @@
     this->adjustWorkingSet(made);
     const Instant now = this->options.clock();
     this->waits.planned(made.waiting, now);
+    if (this->shares != nullptr) {
+        this->accountUse.observe(this->shares->accountLoads(), made.summary.queriesExhaustedFrom,
+                                 now);
+    }
     if (now < this->nextPlanLog)
         return;
     this->nextPlanLog = now + planLogInterval;
+    if (this->shares != nullptr)
+        logBeyondShare(this->shares->mostBeyondShare(maxAccountsInLog));
     const std::size_t live =
         this->machine.read([](const WorkflowStore &store) { return store.live().size(); });
     logPlan(made.summary, this->openQueries, live, this->resting.size());
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -15,6 +15,8 @@
 #include "workflows/sessions/progressmonitor.h"
 #include "workflows/sessions/targetport.h"
 #include "workflows/sessions/targetsession.h"
+#include "workflows/shares/accountstanding.h"
+#include "workflows/shares/accountuse.h"
 #include "workflows/store/workflowstoremachine.h"
 
 #include <cstdint>
@@ -34,6 +36,8 @@
 
 namespace guavavalve::workflows {
 
+class AccountShares;
+
 struct ControllerOptions
 {
     SessionLimits session;
@@ -113,6 +117,9 @@
     /// Number of unfinished workflows of \a queue of which, as far as is known here, no task has
     /// started on a target.
     std::size_t waitingIn(const std::string &queue) const;
+    /// What each client account is due, has and waits for, by queue, as of the latest plan. Empty
+    /// if shares are disabled.
+    std::vector<AccountStanding> accountStandings() const;
 
 private:
     struct Pending
@@ -229,6 +236,8 @@
     AdmittedFractions admittedFractions;
     ClaimTable claims;
     WaitTimeTracker waits;
+    AccountUse accountUse;
+    std::shared_ptr<const AccountShares> shares; ///< of the latest plan; null: none, or disabled
     /// When each incomplete gang was first seen.
     std::map<StepAddress, Instant> incompleteGangsSince;
     Policy currentPolicy;
--- a/src/workflows/controller/controllercounts.cpp
+++ b/src/workflows/controller/controllercounts.cpp
@@ -1,6 +1,7 @@
 #include "workflows/controller/controller.h"
 
 #include "workflows/log/decisionlog.h"
+#include "workflows/shares/accountshares.h"
 
 #include <algorithm>
 #include <utility>
@@ -57,6 +58,11 @@
     });
 }
 
+std::vector<AccountStanding> Controller::accountStandings() const
+{
+    return this->shares == nullptr ? std::vector<AccountStanding>() : this->shares->standings();
+}
+
 /// Guards against a count that is too low when targets have just become unreachable, and after a
 /// change of controller: a stored start does not imply that the start has arrived. Stored ends and
 /// checkpoints do, and so do the targets' answers and lists.
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -100,6 +100,20 @@
               {"live", std::to_string(live)}});
 }
 
+void logBeyondShare(const std::vector<AccountStanding> &beyond)
+{
+    if (beyond.empty())
+        return;
+    std::string accounts;
+    for (const AccountStanding &one : beyond) {
+        std::array<char, 96> shares{};
+        std::snprintf(shares.data(), shares.size(), " due=%.3f placed=%.3f recent=%.3f waiting=%zu",
+                      one.due, one.placed, one.recent, one.waitingTasks);
+        accounts += (accounts.empty() ? "" : ", ") + one.account + "/" + one.queue + shares.data();
+    }
+    logEvent(LogLevel::Information, "beyond-share", {{"accounts", accounts}});
+}
+
 void logLoopLag(Milliseconds lag)
 {
     logEvent(LogLevel::Warning, "loop-late", {{"lagMs", std::to_string(lag.count())}});
--- a/src/workflows/log/decisionlog.h
+++ b/src/workflows/log/decisionlog.h
@@ -10,6 +10,7 @@
 #include "workflows/model/workflow.h"
 #include "workflows/planning/planner.h"
 #include "workflows/planning/waittimetracker.h"
+#include "workflows/shares/accountstanding.h"
 #include "workflows/store/command.h"
 #include "workflows/store/commandoutcome.h"
 
@@ -42,6 +43,9 @@
 /// The state of the latest plan; written at most once a second.
 void logPlan(const PlanSummary &summary, std::size_t queries, std::size_t live,
              std::size_t resting);
+/// The client accounts that are most beyond their share, by queue; written at most once a second,
+/// and nothing if \a beyond is empty.
+void logBeyondShare(const std::vector<AccountStanding> &beyond);
 /// The controller's loop is behind schedule, which delays orders and answers.
 void logLoopLag(Milliseconds lag);
 void logPlacementRejected(const PlaceRuns &command, CommandOutcome outcome);
--- a/src/workflows/planning/internal/readystep.h
+++ b/src/workflows/planning/internal/readystep.h
@@ -3,6 +3,7 @@
 #include "workflows/model/policy.h"
 #include "workflows/model/workflow.h"
 #include "workflows/planning/admissions.h"
+#include "workflows/shares/accountloads.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -24,6 +25,10 @@
     /// on time.
     bool isLate = false;
     const StepAdmissions *admissions = nullptr; ///< null: no answer or pending query yet
+    AccountLoads::Row load = 0; ///< its account and queue in the table of loads
+    /// Its client account has or is about to have what it is due. Such steps come after all others
+    /// of their priority.
+    bool isBeyondShare = false;
 
     const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
     const StepProgress &progress() const { return this->workflow->step(this->address); }
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -4,9 +4,11 @@
 #include "workflows/planning/internal/admissionqueryplanner.h"
 #include "workflows/planning/internal/planroom.h"
 #include "workflows/planning/internal/readystep.h"
+#include "workflows/shares/accountshares.h"
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <tuple>
@@ -30,6 +32,8 @@
 /// Instances required for each such gang: keeping its tickets valid occupies one instance nearly
 /// all the time.
 constexpr std::size_t instancesPerGang = 4;
+/// Targets that a query about a step is expected to name, for the share of query time it needs.
+constexpr double expectedTargetsPerQuery = 30.0;
 
 bool hasWaiting(const StepSpec &spec, const StepProgress &progress)
 {
@@ -38,6 +42,12 @@
     return spec.gang ? waiting == progress.tasks.size() : waiting > 0;
 }
 
+void addTimes(Resources &to, const Resources &amount, std::size_t times)
+{
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+        to.amounts[kind] += static_cast<std::int64_t>(times) * amount.amounts[kind];
+}
+
 class Planner
 {
 public:
@@ -45,6 +55,7 @@
         : input(planInput)
         , room(planInput)
         , queries(planInput, this->room)
+        , loads(planInput.policy)
     {
         for (const OpenTarget &target : this->room.targets()) {
             this->plan.summary.capacity += target.identity->capacity;
@@ -61,6 +72,8 @@
             return std::tie(a.queue->priority, a.isLate, a.objectiveAtMs, a.address)
                 < std::tie(b.queue->priority, b.isLate, b.objectiveAtMs, b.address);
         });
+        if (this->input.accountUse != nullptr)
+            this->orderByShares(steps);
         for (const ReadyStep &step : steps)
             this->place(step);
         this->plan.summary.openTargets = this->room.targets().size();
@@ -72,19 +85,83 @@
     }
 
 private:
-    std::vector<ReadyStep> readySteps() const
+    std::vector<ReadyStep> readySteps()
     {
         std::vector<ReadyStep> steps;
         for (const WorkflowId id : this->input.store.live()) {
             const Workflow *workflow = this->input.store.find(id);
             const QueuePolicy *queue =
                 workflow == nullptr ? nullptr : this->input.policy.queue(workflow->spec.queue);
-            if (queue != nullptr && !workflow->isOver())
+            if (queue == nullptr)
+                continue;
+            if (this->input.accountUse != nullptr)
+                this->countPlaced(*workflow, *queue);
+            if (!workflow->isOver())
                 this->addReadySteps(*workflow, *queue, steps);
         }
         return steps;
     }
 
+    void countPlaced(const Workflow &workflow, const QueuePolicy &queue)
+    {
+        this->row = this->loads.row(workflow.spec.account, queue);
+        if (workflow.placed == 0)
+            return;
+        AccountLoad &load = this->loads[this->row];
+        for (const Workflow::Occurrence &occurrence : workflow.occurrences) {
+            for (std::size_t i = 0; i < occurrence.size(); ++i) {
+                addTimes(load.placed, workflow.spec.steps[i].reserved(), occurrence[i].placed);
+                load.placedTasks += occurrence[i].placed;
+            }
+        }
+    }
+
+    /// Expected processing time of the queries that the step needs before any of its tasks can
+    /// start.
+    static double missingQueryMs(const ReadyStep &step)
+    {
+        const bool hasAsked = step.admissions != nullptr
+            && (!step.admissions->admitted.empty() || !step.admissions->asked.empty());
+        return !step.queue->needsAdmission || hasAsked
+            ? 0.0
+            : step.queue->queryBaseMs + expectedTargetsPerQuery * step.queue->queryMsPerTarget;
+    }
+
+    /// Moves steps beyond their account's share to the end of their priority; \a steps are in the
+    /// order in which they would be placed without shares.
+    void orderByShares(std::vector<ReadyStep> &steps)
+    {
+        for (const ReadyStep &step : steps) {
+            AccountLoad &load = this->loads[step.load];
+            addTimes(load.waiting, step.spec().reserved(), step.waiting());
+            load.waitingTasks += step.waiting();
+            load.waitingQueryMs += missingQueryMs(step);
+        }
+        std::map<std::string, Resources> free;
+        for (const OpenTarget &target : this->room.targets()) {
+            Resources &ofService = free[target.identity->service];
+            for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+                ofService.amounts[kind] += std::max<std::int64_t>(0, target.free.amounts[kind]);
+        }
+        this->shares = std::make_shared<AccountShares>(this->input.policy, std::move(this->loads),
+                                                       *this->input.accountUse, free);
+        bool hasAnyBeyond = false;
+        for (ReadyStep &step : steps) {
+            Resources need;
+            addTimes(need, step.spec().reserved(), step.waiting());
+            step.isBeyondShare = this->shares->take(step.load, need, missingQueryMs(step));
+            hasAnyBeyond |= step.isBeyondShare;
+        }
+        if (hasAnyBeyond) {
+            std::stable_sort(steps.begin(), steps.end(),
+                             [](const ReadyStep &a, const ReadyStep &b) {
+                                 return std::tie(a.queue->priority, a.isBeyondShare)
+                                     < std::tie(b.queue->priority, b.isBeyondShare);
+                             });
+        }
+        this->plan.shares = this->shares;
+    }
+
     /// Cheap pre-check: most active workflows have no ready step left to place.
     static bool hasReadyStep(const Workflow &workflow)
     {
@@ -123,7 +200,7 @@
                 if (hasWaiting(workflow.spec.steps[i], progress) && workflow.isReady(address))
                     steps.push_back({address, &workflow, &queue, objectiveAtMs,
                                      this->input.calendarMs + criticalPaths[i] > objectiveAtMs,
-                                     this->admissionsOf(address)});
+                                     this->admissionsOf(address), this->row});
             }
         }
     }
@@ -185,8 +262,11 @@
             return;
         }
         bool isQueried = false;
-        if (step.queue->needsAdmission)
+        if (step.queue->needsAdmission) {
             isQueried = this->addQueries(step, step.spec().gang && this->isNextInLine(step));
+            if (!isQueried && this->queries.isExhaustedFor(step))
+                this->noteExhausted(step.queue->priority);
+        }
         const WaitCause cause = waitCauseOf(step, isQueried);
         this->plan.waiting.push_back({step.address, cause});
         const bool isAsking = isQueried || this->queries.isExhaustedFor(step)
@@ -197,13 +277,16 @@
             this->reserveRoomFor(step);
     }
 
+    void noteExhausted(std::uint32_t priority)
+    {
+        std::optional<std::uint32_t> &from = this->plan.summary.queriesExhaustedFrom;
+        from = std::min(priority, from.value_or(priority));
+    }
+
     void countWaiting(const ReadyStep &step, std::size_t tasks)
     {
         this->plan.summary.waitingTasks[step.queue->priority] += tasks;
-        Resources need = step.spec().reserved();
-        for (std::int64_t &amount : need.amounts)
-            amount *= static_cast<std::int64_t>(tasks);
-        this->plan.summary.waiting += need;
+        addTimes(this->plan.summary.waiting, step.spec().reserved(), tasks);
     }
 
     /// True for the first gangs in order, up to a fraction of the cell and of the instances.
@@ -244,6 +327,12 @@
         const std::size_t before = this->plan.queries.size();
         for (AdmissionQuery &query : this->queries.plan(step, isNextInLine)) {
             this->room.reserveRoom(step, query.claim);
+            if (this->shares != nullptr) {
+                this->shares->addQueryTime(step.load,
+                                           step.queue->queryBaseMs
+                                               + static_cast<double>(query.targets.size())
+                                                   * step.queue->queryMsPerTarget);
+            }
             this->plan.queries.push_back(std::move(query));
         }
         return this->plan.queries.size() > before;
@@ -448,6 +537,9 @@
     std::int64_t reservedMilliCores = 0; ///< for waiting gangs
     std::int64_t nextGangsMilliCores = 0; ///< needed by gangs whose tickets are kept valid
     std::size_t nextGangs = 0;
+    AccountLoads loads; ///< moved into the shares once all is counted
+    AccountLoads::Row row = 0; ///< of the workflow whose steps are being added
+    std::shared_ptr<AccountShares> shares;
     Plan plan;
 };
 
--- a/src/workflows/planning/planner.h
+++ b/src/workflows/planning/planner.h
@@ -13,11 +13,15 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
 namespace guavavalve::workflows {
 
+class AccountShares;
+class AccountUse;
+
 /// A target that may be given tasks now.
 struct OpenTarget
 {
@@ -56,6 +60,8 @@
     Resources waiting; ///< needed by the ready tasks without a place
     /// A step waits for room, and no query about further targets is pending or possible.
     bool isShort = false;
+    /// The most urgent priority of which a step was not queried because no instance had time.
+    std::optional<std::uint32_t> queriesExhaustedFrom;
 };
 
 struct Plan
@@ -64,6 +70,7 @@
     std::vector<AdmissionQuery> queries;
     std::vector<WaitingStep> waiting; ///< steps with ready tasks that were not placed
     PlanSummary summary;
+    std::shared_ptr<const AccountShares> shares; ///< null: the plan does not consider shares
 };
 
 /// Everything that a plan depends on.
@@ -81,11 +88,14 @@
     std::size_t openQueries = 0; ///< pending queries to the admission service
     /// Empty: every query can be sent. The most urgent steps reserve first.
     QuerierReservation reserveQuerier = nullptr;
+    /// What the client accounts have used recently; null: steps are placed regardless of shares.
+    const AccountUse *accountUse = nullptr;
 };
 
 /// Assigns ready tasks to targets. Pure.
 ///
-/// Steps are placed in the order of their queue's priority and then of their workflow's objective.
+/// Steps are placed in the order of their queue's priority and then of their workflow's objective;
+/// under contention, those beyond their client account's share come last in their priority.
 /// A gang is placed as a whole or not at all. A task goes to the target with the least free
 /// processor capacity (best fit), which keeps large gaps for large tasks, and preferably not to the
 /// target of its last unsuccessful run. Members of gangs and tasks of the most urgent queues go to
--- /dev/null
+++ b/src/workflows/shares/accountuse.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/clock.h"
+#include "workflows/shares/accountload.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace guavavalve::workflows {
+
+class AccountLoads;
+
+/// How long past use of an account counts: several times the run time of urgent tasks, which are
+/// too short for what is placed at one instant to say how much an account uses.
+inline constexpr Milliseconds useMemory{3000};
+
+/// What client accounts have used recently, by queue: a mean over useMemory in which earlier use
+/// has an exponentially smaller part.
+///
+/// Soft state of one controller. What is placed at the first observation counts as the use so far,
+/// so a new controller begins with what the store says. Bounded by the accounts that have work or
+/// had some recently.
+class AccountUse
+{
+public:
+    /// Records what is placed at \a now, and the query time reserved since the last observation.
+    /// \a queriesExhaustedFrom: the most urgent priority of which a step could not be queried.
+    void observe(const AccountLoads &loads, std::optional<std::uint32_t> queriesExhaustedFrom,
+                 Instant now);
+
+    /// Zero for accounts without recent use.
+    SharedAmounts recent(const std::string &account, const std::string &queue) const;
+    /// True if, in the latest observation, a step of \a priority or of a more urgent one could not
+    /// be queried because no instance had time.
+    bool areQueriesExhausted(std::uint32_t priority) const
+    {
+        return this->exhaustedFrom && *this->exhaustedFrom <= priority;
+    }
+
+    /// Number of accounts with recent use.
+    std::size_t size() const { return this->accounts.size(); }
+    void clear();
+
+private:
+    using ByQueue = std::map<std::string, SharedAmounts>;
+
+    void decay(double kept);
+    void dropNegligible();
+
+    std::map<std::string, ByQueue> accounts;
+    std::optional<Instant> observedAt;
+    std::optional<std::uint32_t> exhaustedFrom;
+};
+
+} // namespace guavavalve::workflows
--- a/test/workflows/planfixture.h
+++ b/test/workflows/planfixture.h
@@ -36,9 +36,19 @@
                      record.placed.size(),
                      this->slow.count(incarnation) != 0 ? SpeedGrade::Slow : SpeedGrade::Usual});
         }
-        return makePlan({this->store, this->policy, this->admissions, this->claims, open, this->now,
-                         this->calendarMs, this->admittedFractions, this->querierCount,
-                         this->openQueries, this->reserveQuerier});
+        PlanInput input{this->store,
+                        this->policy,
+                        this->admissions,
+                        this->claims,
+                        open,
+                        this->now,
+                        this->calendarMs,
+                        this->admittedFractions,
+                        this->querierCount,
+                        this->openQueries,
+                        this->reserveQuerier};
+        input.accountUse = this->accountUse;
+        return makePlan(input);
     }
 
     /// Makes a plan and applies its placements; returns the number of tasks placed.
@@ -53,12 +63,13 @@
     }
 
     /// Accepts a workflow of one step in addition to the fixture's own.
-    void add(unsigned id, const std::string &queue, const StepSpec &spec)
+    void add(unsigned id, const std::string &queue, const StepSpec &spec,
+             const std::string &account = "a")
     {
         WorkflowSpec workflow;
         workflow.id = static_cast<WorkflowId>(id);
         workflow.queue = queue;
-        workflow.account = "a";
+        workflow.account = account;
         workflow.steps = {spec};
         this->apply(AcceptWorkflow{workflow});
     }
@@ -87,6 +98,7 @@
     std::size_t querierCount = 1;
     std::size_t openQueries = 0;
     QuerierReservation reserveQuerier;
+    const AccountUse *accountUse = nullptr;
     Instant now{std::chrono::seconds(100)};
 };
 
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -58,6 +58,7 @@
         return this->loop.nowMs() / this->calendarStepMs * this->calendarStepMs;
     };
     options.metrics = &this->metrics;
+    options.mechanisms = this->mechanisms;
     options.clock = [this] { return this->loop.now(); };
     TargetPort &port = this->portOfController ? this->portOfController() : this->fleet;
     AdmissionPort &service = this->admissionsOfController == nullptr
@@ -142,12 +143,13 @@
         });
 }
 
-void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue)
+void Simulation::submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue,
+                        const std::string &account)
 {
     WorkflowSpec spec;
     spec.id = id;
     spec.queue = queue;
-    spec.account = "a";
+    spec.account = account;
     spec.payload = "work";
     spec.steps = std::move(steps);
     this->fleet.announce(spec);
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -90,7 +90,8 @@
     /// The failure domain of target "tN": targets alternate between "d0" and "d1".
     static std::string domainOf(const std::string &name);
 
-    void submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue = "q");
+    void submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue = "q",
+                const std::string &account = "a");
     void runFor(Milliseconds span);
     /// False if the workflow was submitted to a controller that had lost its leadership.
     bool isAccepted(WorkflowId id) const;
@@ -103,6 +104,7 @@
     bool renamesRestarted = false; ///< crashed targets return under new names
     /// The port through which the next controller sends its orders; empty: the fleet itself.
     std::function<TargetPort &()> portOfController;
+    MechanismSet mechanisms; ///< of the next controller
     /// The admission service of the next controller; null: one that admits every target.
     AdmissionPort *admissionsOfController = nullptr;
     Policy policy; ///< read from every configuration document
