shares: rows only for accounts and queues with work; one pass over the ready steps

A deployment with 45 configured queues and 350 accounts would have had 15,750 rows a plan. The needs of the steps are found while their workflows are being read.

--- a/src/core/fairshare.cpp
+++ b/src/core/fairshare.cpp
@@ -37,14 +37,16 @@
     });
     // How fast the demands from each position to the end use each resource. Subtracting a huge
     // weight from a total would leave nothing of the small ones.
-    std::vector<std::vector<double>> rateFrom(order.size() + 1,
-                                              std::vector<double>(room.size(), 0.0));
+    std::vector<double> rates((order.size() + 1) * room.size(), 0.0);
+    const auto rateFrom = [&](std::size_t k, std::size_t r) -> double & {
+        return rates[k * room.size() + r];
+    };
     for (std::size_t k = order.size(); k > 0; --k) {
         const MixedDemand &demand = demands[order[k - 1]];
         assert(demand.mixture.size() == room.size()
                && "give each demand the fraction of each resource in the room");
         for (std::size_t r = 0; r < room.size(); ++r)
-            rateFrom[k - 1][r] = rateFrom[k][r] + clampedWeight(demand.weight) * demand.mixture[r];
+            rateFrom(k - 1, r) = rateFrom(k, r) + clampedWeight(demand.weight) * demand.mixture[r];
     }
     std::vector<double> used(room.size(), 0.0);
     double level = 0.0;
@@ -53,13 +55,13 @@
         double exhaustedAt = std::numeric_limits<double>::infinity();
         for (std::size_t r = 0; r < room.size(); ++r) {
             const double left = std::max(0.0, room[r] * (1.0 + roundingTolerance) - used[r]);
-            if (rateFrom[k][r] > 0.0)
-                exhaustedAt = std::min(exhaustedAt, level + left / rateFrom[k][r]);
+            if (rateFrom(k, r) > 0.0)
+                exhaustedAt = std::min(exhaustedAt, level + left / rateFrom(k, r));
         }
         if (exhaustedAt < next)
             return exhaustedAt;
         for (std::size_t r = 0; r < room.size(); ++r)
-            used[r] += rateFrom[k][r] * (next - level);
+            used[r] += rateFrom(k, r) * (next - level);
         level = next;
     }
     return level;
--- a/src/workflows/planning/internal/readystep.h
+++ b/src/workflows/planning/internal/readystep.h
@@ -3,7 +3,6 @@
 #include "workflows/model/policy.h"
 #include "workflows/model/workflow.h"
 #include "workflows/planning/admissions.h"
-#include "workflows/shares/accountloads.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -25,7 +24,7 @@
     /// on time.
     bool isLate = false;
     const StepAdmissions *admissions = nullptr; ///< null: no answer or pending query yet
-    AccountLoads::Row load = 0; ///< its account and queue in the table of loads
+    std::size_t demand = 0; ///< its number among the steps of the plan, in the order of addition
     /// Its client account has or is about to have what it is due. Such steps come after all others
     /// of their priority.
     bool isBeyondShare = false;
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -48,6 +48,14 @@
         to.amounts[kind] += static_cast<std::int64_t>(times) * amount.amounts[kind];
 }
 
+/// What a ready step needs, for the shares of client accounts.
+struct StepDemand
+{
+    AccountLoads::Row row = 0; ///< its account and queue
+    Resources need; ///< of all its waiting tasks
+    double queryMs = 0.0; ///< query time that it needs before a task can start
+};
+
 class Planner
 {
 public:
@@ -55,7 +63,6 @@
         : input(planInput)
         , room(planInput)
         , queries(planInput, this->room)
-        , loads(planInput.policy)
     {
         for (const OpenTarget &target : this->room.targets()) {
             this->plan.summary.capacity += target.identity->capacity;
@@ -94,26 +101,41 @@
                 workflow == nullptr ? nullptr : this->input.policy.queue(workflow->spec.queue);
             if (queue == nullptr)
                 continue;
-            if (this->input.accountUse != nullptr)
-                this->countPlaced(*workflow, *queue);
+            const std::size_t before = steps.size();
             if (!workflow->isOver())
                 this->addReadySteps(*workflow, *queue, steps);
+            if (this->input.accountUse != nullptr)
+                this->addLoad(*workflow, steps, before);
         }
         return steps;
     }
 
-    void countPlaced(const Workflow &workflow, const QueuePolicy &queue)
+    /// Adds what the workflow has placed and what its ready steps need, those from \a first on, to
+    /// the load of its account.
+    void addLoad(const Workflow &workflow, std::vector<ReadyStep> &steps, std::size_t first)
     {
-        this->row = this->loads.row(workflow.spec.account, queue);
-        if (workflow.placed == 0)
+        if (workflow.placed == 0 && first == steps.size())
             return;
-        AccountLoad &load = this->loads[this->row];
-        for (const Workflow::Occurrence &occurrence : workflow.occurrences) {
+        const AccountLoads::Row row = this->loads.row(workflow.spec.account, workflow.spec.queue);
+        AccountLoad &load = this->loads[row];
+        for (std::size_t k = 0; workflow.placed > 0 && k < workflow.occurrences.size(); ++k) {
+            const Workflow::Occurrence &occurrence = workflow.occurrences[k];
             for (std::size_t i = 0; i < occurrence.size(); ++i) {
                 addTimes(load.placed, workflow.spec.steps[i].reserved(), occurrence[i].placed);
                 load.placedTasks += occurrence[i].placed;
             }
         }
+        for (std::size_t i = first; i < steps.size(); ++i) {
+            StepDemand demand;
+            demand.row = row;
+            addTimes(demand.need, steps[i].spec().reserved(), steps[i].waiting());
+            demand.queryMs = missingQueryMs(steps[i]);
+            load.waiting += demand.need;
+            load.waitingTasks += steps[i].waiting();
+            load.waitingQueryMs += demand.queryMs;
+            steps[i].demand = this->demands.size();
+            this->demands.push_back(demand);
+        }
     }
 
     /// Expected processing time of the queries that the step needs before any of its tasks can
@@ -131,12 +153,6 @@
     /// order in which they would be placed without shares.
     void orderByShares(std::vector<ReadyStep> &steps)
     {
-        for (const ReadyStep &step : steps) {
-            AccountLoad &load = this->loads[step.load];
-            addTimes(load.waiting, step.spec().reserved(), step.waiting());
-            load.waitingTasks += step.waiting();
-            load.waitingQueryMs += missingQueryMs(step);
-        }
         std::map<std::string, Resources> free;
         for (const OpenTarget &target : this->room.targets()) {
             Resources &ofService = free[target.identity->service];
@@ -147,9 +163,8 @@
                                                        *this->input.accountUse, free);
         bool hasAnyBeyond = false;
         for (ReadyStep &step : steps) {
-            Resources need;
-            addTimes(need, step.spec().reserved(), step.waiting());
-            step.isBeyondShare = this->shares->take(step.load, need, missingQueryMs(step));
+            const StepDemand &demand = this->demands[step.demand];
+            step.isBeyondShare = this->shares->take(demand.row, demand.need, demand.queryMs);
             hasAnyBeyond |= step.isBeyondShare;
         }
         if (hasAnyBeyond) {
@@ -200,7 +215,7 @@
                 if (hasWaiting(workflow.spec.steps[i], progress) && workflow.isReady(address))
                     steps.push_back({address, &workflow, &queue, objectiveAtMs,
                                      this->input.calendarMs + criticalPaths[i] > objectiveAtMs,
-                                     this->admissionsOf(address), this->row});
+                                     this->admissionsOf(address)});
             }
         }
     }
@@ -328,7 +343,7 @@
         for (AdmissionQuery &query : this->queries.plan(step, isNextInLine)) {
             this->room.reserveRoom(step, query.claim);
             if (this->shares != nullptr) {
-                this->shares->addQueryTime(step.load,
+                this->shares->addQueryTime(this->demands[step.demand].row,
                                            step.queue->queryBaseMs
                                                + static_cast<double>(query.targets.size())
                                                    * step.queue->queryMsPerTarget);
@@ -538,7 +553,7 @@
     std::int64_t nextGangsMilliCores = 0; ///< needed by gangs whose tickets are kept valid
     std::size_t nextGangs = 0;
     AccountLoads loads; ///< moved into the shares once all is counted
-    AccountLoads::Row row = 0; ///< of the workflow whose steps are being added
+    std::vector<StepDemand> demands; ///< of the ready steps, in the order of their addition
     std::shared_ptr<AccountShares> shares;
     Plan plan;
 };
--- a/src/workflows/shares/accountloads.cpp
+++ b/src/workflows/shares/accountloads.cpp
@@ -1,27 +1,28 @@
 #include "workflows/shares/accountloads.h"
 
-#include <cassert>
-
 namespace guavavalve::workflows {
 
-AccountLoads::AccountLoads(const Policy &policy)
+std::size_t AccountLoads::numberOf(const std::string &name, Numbers &numbers,
+                                   std::vector<std::string> &names)
 {
-    for (const auto &[name, queue] : policy.queues) {
-        this->queueIndex.emplace(&queue, this->queueNames.size());
-        this->queueNames.push_back(name);
-    }
+    const auto [found, isNew] = numbers.try_emplace(name, names.size());
+    if (isNew)
+        names.push_back(name);
+    return found->second;
 }
 
-AccountLoads::Row AccountLoads::row(const std::string &account, const QueuePolicy &queue)
+AccountLoads::Row AccountLoads::row(const std::string &account, const std::string &queue)
 {
-    const auto known = this->queueIndex.find(&queue);
-    assert(known != this->queueIndex.end() && "pass a queue of the policy that the table is for");
-    const auto [found, isNew] = this->accountIndex.try_emplace(account, this->accountNames.size());
-    if (isNew) {
-        this->accountNames.push_back(account);
-        this->loads.resize(this->accountNames.size() * this->queueNames.size());
+    const std::size_t accountNumber = numberOf(account, this->accountNumbers, this->accountNames);
+    const std::size_t queueNumber = numberOf(queue, this->queueNumbers, this->queueNames);
+    this->rowsOfAccount.resize(this->accountNames.size());
+    for (const Row row : this->rowsOfAccount[accountNumber]) { // an account uses few queues
+        if (this->entries[row].queue == queueNumber)
+            return row;
     }
-    return this->row(found->second, known->second);
+    this->rowsOfAccount[accountNumber].push_back(this->entries.size());
+    this->entries.push_back({accountNumber, queueNumber, {}});
+    return this->entries.size() - 1;
 }
 
 } // namespace guavavalve::workflows
--- a/src/workflows/shares/accountloads.h
+++ b/src/workflows/shares/accountloads.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "workflows/model/policy.h"
 #include "workflows/shares/accountload.h"
 
 #include <cstddef>
@@ -10,36 +9,44 @@
 
 namespace guavavalve::workflows {
 
-/// What each client account has and wants in each queue, as found while a plan is made.
+/// What each client account has and wants in each queue in which it has work, as found while a plan
+/// is made. Accounts and queues are numbered in the order in which they were added.
 class AccountLoads
 {
 public:
-    /// Position of one account and queue in the table.
+    /// One account's work in one queue, by position in the table.
     using Row = std::size_t;
 
-    explicit AccountLoads(const Policy &policy);
+    /// Adds the row if it is not in the table yet.
+    Row row(const std::string &account, const std::string &queue);
 
-    /// Adds the account if it is not in the table yet. \a queue: one of the policy's.
-    Row row(const std::string &account, const QueuePolicy &queue);
-
-    AccountLoad &operator[](Row row) { return this->loads[row]; }
-    const AccountLoad &operator[](Row row) const { return this->loads[row]; }
-    Row row(std::size_t account, std::size_t queue) const
-    {
-        return account * this->queueNames.size() + queue;
-    }
-    std::size_t accountOf(Row row) const { return row / this->queueNames.size(); }
-    std::size_t queueOf(Row row) const { return row % this->queueNames.size(); }
+    std::size_t size() const { return this->entries.size(); }
+    AccountLoad &operator[](Row row) { return this->entries[row].load; }
+    const AccountLoad &operator[](Row row) const { return this->entries[row].load; }
+    std::size_t accountOf(Row row) const { return this->entries[row].account; }
+    std::size_t queueOf(Row row) const { return this->entries[row].queue; }
 
     const std::vector<std::string> &accounts() const { return this->accountNames; }
     const std::vector<std::string> &queues() const { return this->queueNames; }
 
 private:
-    std::vector<std::string> queueNames;
-    std::unordered_map<const QueuePolicy *, std::size_t> queueIndex;
+    struct Entry
+    {
+        std::size_t account = 0;
+        std::size_t queue = 0;
+        AccountLoad load;
+    };
+    using Numbers = std::unordered_map<std::string, std::size_t>;
+
+    static std::size_t numberOf(const std::string &name, Numbers &numbers,
+                                std::vector<std::string> &names);
+
+    Numbers accountNumbers;
+    Numbers queueNumbers;
     std::vector<std::string> accountNames;
-    std::unordered_map<std::string, std::size_t> accountIndex;
-    std::vector<AccountLoad> loads; ///< by account and then by queue
+    std::vector<std::string> queueNames;
+    std::vector<Entry> entries;
+    std::vector<std::vector<Row>> rowsOfAccount;
 };
 
 } // namespace guavavalve::workflows
--- a/src/workflows/shares/accountshares.cpp
+++ b/src/workflows/shares/accountshares.cpp
@@ -4,6 +4,8 @@
 #include "workflows/shares/accountuse.h"
 
 #include <algorithm>
+#include <cassert>
+#include <chrono>
 #include <utility>
 
 namespace guavavalve::workflows {
@@ -45,88 +47,91 @@
     : loads(std::move(accountLoads))
 {
     this->addLevels(policy);
-    std::vector<SharedAmounts> recent; // by row
-    for (const std::string &account : this->loads.accounts()) {
-        for (const std::string &queue : this->loads.queues())
-            recent.push_back(use.recent(account, queue));
-    }
+    this->addClaims(policy, use);
     for (Level &level : this->levels) {
-        this->addClaims(level, policy, recent);
+        for (std::size_t account = 0; account < level.claims.size(); ++account)
+            sumUp(level.claims[account], policyOf(policy, this->loads.accounts()[account]).limit);
         const auto room = free.find(level.service);
-        this->findScarce(level, room == free.end() ? Resources{} : room->second,
-                         use.areQueriesExhausted(level.priority));
+        findScarce(level, room == free.end() ? Resources{} : room->second,
+                   use.areQueriesExhausted(level.priority));
         if (level.isContended)
             this->allot(level, policy);
     }
     this->taken.resize(this->loads.accounts().size() * this->services);
 }
 
+/// Adds a level for each service and priority with work.
 void AccountShares::addLevels(const Policy &policy)
 {
     std::map<std::pair<std::string, std::uint32_t>, std::size_t> known;
-    std::map<std::string, std::size_t> serviceIndex;
-    for (const auto &[name, queue] : policy.queues) {
+    std::map<std::string, std::size_t> serviceNumbers;
+    for (const std::string &name : this->loads.queues()) {
+        const QueuePolicy *queue = policy.queue(name);
+        assert(queue != nullptr && "add loads only for queues of the policy");
         const auto [found, isNew] =
-            known.try_emplace({queue.service, queue.priority}, this->levels.size());
+            known.try_emplace({queue->service, queue->priority}, this->levels.size());
         this->levelOfQueue.push_back(found->second);
         if (!isNew)
             continue;
         Level level;
-        level.service = queue.service;
-        level.priority = queue.priority;
+        level.service = queue->service;
+        level.serviceNumber =
+            serviceNumbers.try_emplace(queue->service, serviceNumbers.size()).first->second;
+        level.priority = queue->priority;
+        level.claims.resize(this->loads.accounts().size());
         this->levels.push_back(std::move(level));
-        this->serviceOfLevel.push_back(
-            serviceIndex.try_emplace(queue.service, serviceIndex.size()).first->second);
-    }
-    this->services = serviceIndex.size();
-    for (Level &level : this->levels) {
-        std::size_t index = 0;
-        for (const auto &[name, queue] : policy.queues) {
-            if (queue.service == level.service && queue.priority <= level.priority)
-                level.queues.push_back(index);
-            ++index;
-        }
     }
+    this->services = serviceNumbers.size();
 }
 
-void AccountShares::addClaims(Level &level, const Policy &policy,
-                              const std::vector<SharedAmounts> &recent) const
+void AccountShares::addClaims(const Policy &policy, const AccountUse &use)
 {
-    const std::vector<std::string> &accounts = this->loads.accounts();
-    level.claims.resize(accounts.size());
-    for (std::size_t account = 0; account < accounts.size(); ++account) {
-        Claim &claim = level.claims[account];
-        SharedAmounts waiting{};
-        for (const std::size_t queue : level.queues) {
-            const AccountLoads::Row row = this->loads.row(account, queue);
-            const AccountLoad &load = this->loads[row];
+    for (AccountLoads::Row row = 0; row < this->loads.size(); ++row) {
+        const AccountLoad &load = this->loads[row];
+        const QueuePolicy &queue = *policy.queue(this->loads.queues()[this->loads.queueOf(row)]);
+        for (Level &level : this->levels) {
+            if (!level.counts(queue))
+                continue;
+            Claim &claim = level.claims[this->loads.accountOf(row)];
             add(claim.placed, load.placed);
-            add(claim.recent, recent[row]);
-            add(waiting, load.waiting);
-            waiting[queryTimeKind] += queryRate(load.waitingQueryMs);
+            add(claim.waiting, load.waiting);
+            claim.waiting[queryTimeKind] += queryRate(load.waitingQueryMs);
         }
-        const Resources &limit = policyOf(policy, accounts[account]).limit;
-        for (std::size_t kind = 0; kind < sharedKindCount; ++kind) {
-            claim.used[kind] = std::max(claim.placed[kind], claim.recent[kind]);
-            claim.wanted[kind] = claim.used[kind] + waiting[kind];
-            if (kind < resourceKindCount)
-                claim.wanted[kind] =
-                    std::min(claim.wanted[kind],
-                             std::max(claim.used[kind], static_cast<double>(limit.amounts[kind])));
+    }
+    for (std::size_t account = 0; account < this->loads.accounts().size(); ++account) {
+        for (const auto &[name, recent] : use.recent(this->loads.accounts()[account])) {
+            const QueuePolicy *queue = policy.queue(name);
+            if (queue == nullptr)
+                continue; // the queue was removed
+            for (Level &level : this->levels) {
+                if (level.counts(*queue))
+                    add(level.claims[account].recent, recent);
+            }
         }
     }
 }
 
-void AccountShares::findScarce(Level &level, const Resources &free, bool areQueriesExhausted) const
+void AccountShares::sumUp(Claim &claim, const Resources &limit)
+{
+    for (std::size_t kind = 0; kind < sharedKindCount; ++kind) {
+        claim.used[kind] = std::max(claim.placed[kind], claim.recent[kind]);
+        claim.wanted[kind] = claim.used[kind] + claim.waiting[kind];
+        if (kind < resourceKindCount) {
+            const auto most = static_cast<double>(limit.amounts[kind]);
+            claim.wanted[kind] = std::min(claim.wanted[kind], std::max(claim.used[kind], most));
+        }
+    }
+}
+
+void AccountShares::findScarce(Level &level, const Resources &free, bool areQueriesExhausted)
 {
     SharedAmounts placed{};
     SharedAmounts waiting{};
     SharedAmounts recent{};
-    for (std::size_t account = 0; account < level.claims.size(); ++account) {
-        add(placed, level.claims[account].placed);
-        add(recent, level.claims[account].recent);
-        for (const std::size_t queue : level.queues)
-            add(waiting, this->loads[this->loads.row(account, queue)].waiting);
+    for (const Claim &claim : level.claims) {
+        add(placed, claim.placed);
+        add(waiting, claim.waiting);
+        add(recent, claim.recent);
     }
     for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
         const double left = std::max(0.0, static_cast<double>(free.amounts[kind]));
@@ -181,10 +186,8 @@
 bool AccountShares::take(AccountLoads::Row row, const Resources &need, double queryMs)
 {
     const std::size_t account = this->loads.accountOf(row);
-    const std::size_t levelIndex = this->levelOfQueue[this->loads.queueOf(row)];
-    const Level &level = this->levels[levelIndex];
-    SharedAmounts &before =
-        this->taken[account * this->services + this->serviceOfLevel[levelIndex]];
+    const Level &level = this->levels[this->levelOfQueue[this->loads.queueOf(row)]];
+    SharedAmounts &before = this->taken[account * this->services + level.serviceNumber];
     bool isBeyond = false;
     if (level.isContended && !level.claims[account].isSatisfied) {
         SharedAmounts had = level.claims[account].used;
@@ -199,24 +202,21 @@
 std::vector<AccountStanding> AccountShares::standings() const
 {
     std::vector<AccountStanding> all;
-    for (std::size_t account = 0; account < this->loads.accounts().size(); ++account) {
-        for (std::size_t queue = 0; queue < this->loads.queues().size(); ++queue) {
-            const AccountLoad &load = this->loads[this->loads.row(account, queue)];
-            if (load.placedTasks == 0 && load.waitingTasks == 0)
-                continue;
-            const Level &level = this->levels[this->levelOfQueue[queue]];
-            const Claim &claim = level.claims[account];
-            AccountStanding standing;
-            standing.account = this->loads.accounts()[account];
-            standing.queue = this->loads.queues()[queue];
-            standing.isContended = level.isContended;
-            standing.due = level.isContended && !claim.isSatisfied ? claim.due : 1.0;
-            standing.placed = dominantShare(level, claim.placed);
-            standing.recent = dominantShare(level, claim.recent);
-            standing.placedTasks = load.placedTasks;
-            standing.waitingTasks = load.waitingTasks;
-            all.push_back(std::move(standing));
-        }
+    all.reserve(this->loads.size());
+    for (AccountLoads::Row row = 0; row < this->loads.size(); ++row) {
+        const AccountLoad &load = this->loads[row];
+        const Level &level = this->levels[this->levelOfQueue[this->loads.queueOf(row)]];
+        const Claim &claim = level.claims[this->loads.accountOf(row)];
+        AccountStanding standing;
+        standing.account = this->loads.accounts()[this->loads.accountOf(row)];
+        standing.queue = this->loads.queues()[this->loads.queueOf(row)];
+        standing.isContended = level.isContended;
+        standing.due = level.isContended && !claim.isSatisfied ? claim.due : 1.0;
+        standing.placed = dominantShare(level, claim.placed);
+        standing.recent = dominantShare(level, claim.recent);
+        standing.placedTasks = load.placedTasks;
+        standing.waitingTasks = load.waitingTasks;
+        all.push_back(std::move(standing));
     }
     return all;
 }
--- a/src/workflows/shares/accountshares.h
+++ b/src/workflows/shares/accountshares.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "workflows/model/policy.h"
 #include "workflows/shares/accountloads.h"
 #include "workflows/shares/accountstanding.h"
 
@@ -30,12 +31,6 @@
     AccountShares(const Policy &policy, AccountLoads accountLoads, const AccountUse &use,
                   const std::map<std::string, Resources> &free);
 
-    /// True if the steps of the row may be beyond their account's share.
-    bool isContended(AccountLoads::Row row) const
-    {
-        return this->levels[this->levelOfQueue[this->loads.queueOf(row)]].isContended;
-    }
-
     /// Takes \a need and \a queryMs of query time for a step; call in the order of the steps, the
     /// most urgent first. True if its account already had or had taken what it is due: a step that
     /// begins below the share may exceed it, so that a gang is not held back by its size.
@@ -58,6 +53,7 @@
         SharedAmounts placed{};
         SharedAmounts used{}; ///< the larger of what it has placed and what it used recently
         SharedAmounts recent{};
+        SharedAmounts waiting{};
         SharedAmounts wanted{}; ///< what it has used and what it waits for, up to its limit
         double due = 0.0;
         bool isSatisfied = true; ///< it may have all that it wants
@@ -66,8 +62,14 @@
     struct Level
     {
         std::string service;
+        std::size_t serviceNumber = 0;
         std::uint32_t priority = 0;
-        std::vector<std::size_t> queues; ///< of the service, of this priority or more urgent
+        /// True if work of the queue competes for the same: that of the service and of this
+        /// priority or a more urgent one.
+        bool counts(const QueuePolicy &queue) const
+        {
+            return queue.service == this->service && queue.priority <= this->priority;
+        }
         bool isContended = false;
         SharedAmounts room{}; ///< used as the whole of each kind
         std::array<bool, sharedKindCount> isScarce{};
@@ -75,9 +77,9 @@
     };
 
     void addLevels(const Policy &policy);
-    void addClaims(Level &level, const Policy &policy,
-                   const std::vector<SharedAmounts> &recent) const;
-    void findScarce(Level &level, const Resources &free, bool areQueriesExhausted) const;
+    void addClaims(const Policy &policy, const AccountUse &use);
+    static void sumUp(Claim &claim, const Resources &limit);
+    static void findScarce(Level &level, const Resources &free, bool areQueriesExhausted);
     void allot(Level &level, const Policy &policy) const;
     /// The largest part of a kind that \a amounts take. While nothing is contended, all kinds
     /// count.
@@ -85,10 +87,9 @@
 
     AccountLoads loads;
     std::vector<Level> levels;
-    std::vector<std::size_t> levelOfQueue;
+    std::vector<std::size_t> levelOfQueue; ///< by number of the queue in the loads
     /// Taken by the steps so far, by account and service.
     std::vector<SharedAmounts> taken;
-    std::vector<std::size_t> serviceOfLevel;
     std::size_t services = 0;
 };
 
--- a/src/workflows/shares/accountuse.cpp
+++ b/src/workflows/shares/accountuse.cpp
@@ -28,17 +28,15 @@
     const double kept = std::exp(-since / memory);
     const double added = this->observedAt ? 1.0 - kept : 1.0;
     this->decay(kept);
-    for (std::size_t account = 0; account < loads.accounts().size(); ++account) {
-        ByQueue &queues = this->accounts[loads.accounts()[account]];
-        for (std::size_t queue = 0; queue < loads.queues().size(); ++queue) {
-            const AccountLoad &load = loads[loads.row(account, queue)];
-            if (load.placedTasks == 0 && load.queryMs <= 0.0)
-                continue;
-            SharedAmounts &use = queues[loads.queues()[queue]];
-            for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
-                use[kind] += added * static_cast<double>(load.placed.amounts[kind]);
-            use[queryTimeKind] += load.queryMs / memory;
-        }
+    for (AccountLoads::Row row = 0; row < loads.size(); ++row) {
+        const AccountLoad &load = loads[row];
+        if (load.placedTasks == 0 && load.queryMs <= 0.0)
+            continue;
+        SharedAmounts &use = this->accounts[loads.accounts()[loads.accountOf(row)]]
+                                           [loads.queues()[loads.queueOf(row)]];
+        for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+            use[kind] += added * static_cast<double>(load.placed.amounts[kind]);
+        use[queryTimeKind] += load.queryMs / memory;
     }
     this->dropNegligible();
     this->observedAt = now;
@@ -69,13 +67,11 @@
     }
 }
 
-SharedAmounts AccountUse::recent(const std::string &account, const std::string &queue) const
+const AccountUse::ByQueue &AccountUse::recent(const std::string &account) const
 {
+    static const ByQueue none;
     const auto queues = this->accounts.find(account);
-    if (queues == this->accounts.end())
-        return {};
-    const auto found = queues->second.find(queue);
-    return found == queues->second.end() ? SharedAmounts{} : found->second;
+    return queues == this->accounts.end() ? none : queues->second;
 }
 
 void AccountUse::clear()
--- a/src/workflows/shares/accountuse.h
+++ b/src/workflows/shares/accountuse.h
@@ -31,8 +31,10 @@
     void observe(const AccountLoads &loads, std::optional<std::uint32_t> queriesExhaustedFrom,
                  Instant now);
 
-    /// Zero for accounts without recent use.
-    SharedAmounts recent(const std::string &account, const std::string &queue) const;
+    using ByQueue = std::map<std::string, SharedAmounts>;
+
+    /// What the account has used recently, by queue; empty for accounts without recent use.
+    const ByQueue &recent(const std::string &account) const;
     /// True if, in the latest observation, a step of \a priority or of a more urgent one could not
     /// be queried because no instance had time.
     bool areQueriesExhausted(std::uint32_t priority) const
@@ -45,8 +47,6 @@
     void clear();
 
 private:
-    using ByQueue = std::map<std::string, SharedAmounts>;
-
     void decay(double kept);
     void dropNegligible();
 
--- a/test/workflows/accountfloodtest.cpp
+++ b/test/workflows/accountfloodtest.cpp
@@ -131,7 +131,9 @@
     {
         double &owed = this->owedCounts[{account, queue}];
         owed += count;
-        for (; owed >= 1.0; owed -= 1.0) {
+        const auto now = static_cast<unsigned>(owed);
+        owed -= now;
+        for (unsigned i = 0; i < now; ++i) {
             StepSpec step = StoreFixture::step(tasks);
             step.estimatedMs = 1600;
             const auto id = static_cast<WorkflowId>(++this->lastId);
--- a/test/workflows/accountsharestest.cpp
+++ b/test/workflows/accountsharestest.cpp
@@ -57,9 +57,9 @@
 
     AccountLoads table()
     {
-        AccountLoads table(this->policy);
+        AccountLoads table;
         for (const auto &[key, load] : this->loads)
-            table[table.row(key.first, this->policy.queues.at(key.second))] = load;
+            table[table.row(key.first, key.second)] = load;
         return table;
     }
 
@@ -72,7 +72,7 @@
     std::size_t within(AccountShares &shares, const std::string &account, const std::string &queue)
     {
         AccountLoads rows = this->table();
-        const AccountLoads::Row row = rows.row(account, this->policy.queues.at(queue));
+        const AccountLoads::Row row = rows.row(account, queue);
         std::size_t count = 0;
         for (std::size_t i = 0; i < rows[row].waitingTasks; ++i)
             count += shares.take(row, milliCores(1000), 0.0) ? 0 : 1;
@@ -158,7 +158,7 @@
     this->load("b", "batch", 0, 80);
     AccountShares shares = this->shares(100);
     AccountLoads rows = this->table();
-    const AccountLoads::Row row = rows.row("a", this->policy.queues.at("batch"));
+    const AccountLoads::Row row = rows.row("a", "batch");
     CHECK_FALSE(shares.take(row, milliCores(79000), 0.0));
     CHECK(shares.take(row, milliCores(1000), 0.0));
 }
@@ -248,19 +248,33 @@
     this->load("a", "batch", 0, 50, 50000.0);
     this->load("b", "batch", 0, 5, 5000.0);
     AccountLoads queried = this->table();
-    const AccountLoads::Row row = queried.row("a", this->policy.queues.at("batch"));
+    const AccountLoads::Row row = queried.row("a", "batch");
     queried[row].queryMs = 8000.0;
     this->use.observe(queried, 2, begin);
     AccountShares shares = this->shares(100);
     CHECK(shares.take(row, milliCores(1000), 1000.0));
-    CHECK_FALSE(
-        shares.take(queried.row("b", this->policy.queues.at("batch")), milliCores(1000), 1000.0));
+    CHECK_FALSE(shares.take(queried.row("b", "batch"), milliCores(1000), 1000.0));
 
     this->use.observe(queried, {}, begin + Milliseconds(100));
     AccountShares uncontended = this->shares(100);
     CHECK_FALSE(uncontended.take(row, milliCores(1000), 1000.0));
 }
 
+// Guards against a crash when a queue is removed of which an account has recent use.
+TEST_CASE_METHOD(SharesFixture, "use of a queue that is no longer in the policy does not count",
+                 "[shares]")
+{
+    this->load("a", "urgent", 80, 0);
+    this->use.observe(this->table(), {}, begin);
+    this->loads.clear();
+    this->policy.queues.erase("urgent");
+    this->load("a", "batch", 0, 500);
+    this->load("b", "batch", 0, 500);
+    AccountShares shares = this->shares(100);
+    CHECK(this->within(shares, "a", "batch") == 50);
+    CHECK(this->within(shares, "b", "batch") == 50);
+}
+
 TEST_CASE_METHOD(SharesFixture, "standings say what each account is due, has and waits for",
                  "[shares]")
 {
@@ -280,9 +294,8 @@
 {
     this->load("a", "urgent", 80, 0);
     this->use.observe(this->table(), {}, begin);
-    CHECK(this->use.recent("a", "urgent")[0] == Approx(80000.0));
-    CHECK(this->use.recent("a", "batch")[0] == 0.0);
-    CHECK(this->use.recent("b", "urgent")[0] == 0.0);
+    CHECK(this->use.recent("a").at("urgent")[0] == Approx(80000.0));
+    CHECK(this->use.recent("b").empty());
 }
 
 TEST_CASE_METHOD(SharesFixture, "use becomes recent use as time passes", "[shares]")
@@ -290,9 +303,9 @@
     this->use.observe(this->table(), {}, begin);
     this->load("a", "urgent", 80, 0);
     this->use.observe(this->table(), {}, begin + Milliseconds(10));
-    CHECK(this->use.recent("a", "urgent")[0] < 1000.0);
+    CHECK(this->use.recent("a").at("urgent")[0] < 1000.0);
     this->use.observe(this->table(), {}, begin + 4 * useMemory);
-    CHECK(this->use.recent("a", "urgent")[0] > 75000.0);
+    CHECK(this->use.recent("a").at("urgent")[0] > 75000.0);
 }
 
 // Guards against a table that grows with every account that ever had work.
