--- a/test/runtime/metricstest.cpp
+++ b/test/runtime/metricstest.cpp
@@ -88,3 +88,17 @@
     CHECK(contains(text, "guavavalve_frames_rejected_total 5"));
     CHECK(contains(text, "guavavalve_control_memory_bytes "));
 }
+
+// Guards against gauges of accounts that no longer have work, with the values they had last.
+TEST_CASE("Replacing a gauge removes the series that are gone")
+{
+    Metrics metrics;
+    metrics.replace(Metric::AccountTasksWaiting, {{{"a", "q"}, 3.0}, {{"b", "q"}, 4.0}});
+    metrics.replace(Metric::AccountTasksWaiting, {{{"b", "q"}, 5.0}, {{"c", "q"}, 6.0}});
+    const std::string text = metrics.exposition();
+    CHECK_FALSE(contains(text, "team=\"a\""));
+    CHECK(contains(text, "guavavalve_account_tasks_waiting{class=\"q\",team=\"b\"} 5"));
+    CHECK(contains(text, "guavavalve_account_tasks_waiting{class=\"q\",team=\"c\"} 6"));
+    metrics.replace(Metric::AccountTasksWaiting, {});
+    CHECK_FALSE(contains(metrics.exposition(), "guavavalve_account_tasks_waiting{"));
+}
