--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -120,6 +120,23 @@
      "run: no (503), unknown (504)."},
     {Metric::CallsRepeatedTotal, "guavavalve_calls_repeated_total", MetricType::Counter, "calls",
      "", "Attempts to send a request to a controller after an earlier one that may have arrived."},
+    {Metric::AccountDueRatio, "guavavalve_account_due_ratio", MetricType::Gauge, "ratio",
+     "team,class",
+     "Dominant share, 0 to 1, that a client account is due of what work of this class and of more "
+     "urgent ones competes for; 1 while it may have all that it wants. Reported by the controller, "
+     "absent elsewhere and for accounts without work."},
+    {Metric::AccountPlacedRatio, "guavavalve_account_placed_ratio", MetricType::Gauge, "ratio",
+     "team,class",
+     "Dominant share of the same that the account's placed tasks have. Reported by the controller, "
+     "absent elsewhere and for accounts without work."},
+    {Metric::AccountTasksPlaced, "guavavalve_account_tasks_placed", MetricType::Gauge, "tasks",
+     "team,class",
+     "Placed tasks by client account and class. Reported by the controller, absent elsewhere and "
+     "for accounts without work."},
+    {Metric::AccountTasksWaiting, "guavavalve_account_tasks_waiting", MetricType::Gauge, "tasks",
+     "team,class",
+     "Ready tasks without a place by client account and class. Reported by the controller, absent "
+     "elsewhere and for accounts without work."},
 }};
 
 constexpr bool inOrder()
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -52,9 +52,13 @@
     HeldCallsTotal,
     CallsUnansweredTotal,
     CallsRepeatedTotal,
+    AccountDueRatio,
+    AccountPlacedRatio,
+    AccountTasksPlaced,
+    AccountTasksWaiting,
 };
 
-inline constexpr std::size_t metricCount = 41;
+inline constexpr std::size_t metricCount = 45;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/planning/internal/readystep.h
+++ b/src/workflows/planning/internal/readystep.h
@@ -24,6 +24,10 @@
     /// on time.
     bool isLate = false;
     const StepAdmissions *admissions = nullptr; ///< null: no answer or pending query yet
+    std::size_t demand = 0; ///< its number among the steps of the plan, in the order of addition
+    /// Its client account has or is about to have what it is due. Such steps come after all others
+    /// of their priority.
+    bool isBeyondShare = false;
 
     const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
     const StepProgress &progress() const { return this->workflow->step(this->address); }
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -4,10 +4,12 @@
 #include "workflows/planning/internal/admissionqueryplanner.h"
 #include "workflows/planning/internal/planroom.h"
 #include "workflows/planning/internal/readystep.h"
+#include "workflows/shares/accountshares.h"
 
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <tuple>
@@ -31,6 +33,8 @@
 /// Instances required for each such gang: keeping its tickets valid occupies one instance nearly
 /// all the time.
 constexpr std::size_t instancesPerGang = 4;
+/// Targets that a query about a step is expected to name, for the share of query time it needs.
+constexpr double expectedTargetsPerQuery = 30.0;
 
 bool hasWaiting(const StepSpec &spec, const StepProgress &progress)
 {
@@ -39,6 +43,20 @@
     return spec.gang ? waiting == progress.tasks.size() : waiting > 0;
 }
 
+void addTimes(Resources &to, const Resources &amount, std::size_t times)
+{
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+        to.amounts[kind] += static_cast<std::int64_t>(times) * amount.amounts[kind];
+}
+
+/// What a ready step needs, for the shares of client accounts.
+struct StepDemand
+{
+    AccountLoads::Row row = 0; ///< its account and queue
+    Resources need; ///< of all its waiting tasks
+    double queryMs = 0.0; ///< query time that it needs before a task can start
+};
+
 class Planner
 {
 public:
@@ -62,6 +80,8 @@
             return std::tie(a.queue->priority, a.isLate, a.objectiveAtMs, a.address)
                 < std::tie(b.queue->priority, b.isLate, b.objectiveAtMs, b.address);
         });
+        if (this->input.accountUse != nullptr)
+            this->orderByShares(steps);
         for (const ReadyStep &step : steps)
             this->place(step);
         this->plan.summary.openTargets = this->room.targets().size();
@@ -73,7 +93,7 @@
     }
 
 private:
-    std::vector<ReadyStep> readySteps() const
+    std::vector<ReadyStep> readySteps()
     {
         std::vector<ReadyStep> steps;
         const std::uint32_t maxPriority = this->input.scope == PlanScope::All
@@ -83,12 +103,84 @@
             const Workflow *workflow = this->input.store.find(id);
             const QueuePolicy *queue =
                 workflow == nullptr ? nullptr : this->input.policy.queue(workflow->spec.queue);
-            if (queue != nullptr && queue->priority <= maxPriority && !workflow->isOver())
+            if (queue == nullptr || queue->priority > maxPriority)
+                continue;
+            const std::size_t before = steps.size();
+            if (!workflow->isOver())
                 this->addReadySteps(*workflow, *queue, steps);
+            if (this->input.accountUse != nullptr)
+                this->addLoad(*workflow, steps, before);
         }
         return steps;
     }
 
+    /// Adds what the workflow has placed and what its ready steps need, those from \a first on, to
+    /// the load of its account.
+    void addLoad(const Workflow &workflow, std::vector<ReadyStep> &steps, std::size_t first)
+    {
+        if (workflow.placed == 0 && first == steps.size())
+            return;
+        const AccountLoads::Row row = this->loads.row(workflow.spec.account, workflow.spec.queue);
+        AccountLoad &load = this->loads[row];
+        for (std::size_t k = 0; workflow.placed > 0 && k < workflow.occurrences.size(); ++k) {
+            const Workflow::Occurrence &occurrence = workflow.occurrences[k];
+            for (std::size_t i = 0; i < occurrence.size(); ++i) {
+                addTimes(load.placed, workflow.spec.steps[i].reserved(), occurrence[i].placed);
+                load.placedTasks += occurrence[i].placed;
+            }
+        }
+        for (std::size_t i = first; i < steps.size(); ++i) {
+            StepDemand demand;
+            demand.row = row;
+            addTimes(demand.need, steps[i].spec().reserved(), steps[i].waiting());
+            demand.queryMs = missingQueryMs(steps[i]);
+            load.waiting += demand.need;
+            load.waitingTasks += steps[i].waiting();
+            load.waitingQueryMs += demand.queryMs;
+            steps[i].demand = this->demands.size();
+            this->demands.push_back(demand);
+        }
+    }
+
+    /// Expected processing time of the queries that the step needs before any of its tasks can
+    /// start.
+    static double missingQueryMs(const ReadyStep &step)
+    {
+        const bool hasAsked = step.admissions != nullptr
+            && (!step.admissions->admitted.empty() || !step.admissions->asked.empty());
+        return !step.queue->needsAdmission || hasAsked
+            ? 0.0
+            : step.queue->queryBaseMs + expectedTargetsPerQuery * step.queue->queryMsPerTarget;
+    }
+
+    /// Moves steps beyond their account's share to the end of their priority; \a steps are in the
+    /// order in which they would be placed without shares.
+    void orderByShares(std::vector<ReadyStep> &steps)
+    {
+        std::map<std::string, Resources> free;
+        for (const OpenTarget &target : this->room.targets()) {
+            Resources &ofService = free[target.identity->service];
+            for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
+                ofService.amounts[kind] += std::max<std::int64_t>(0, target.free.amounts[kind]);
+        }
+        this->shares = std::make_shared<AccountShares>(this->input.policy, std::move(this->loads),
+                                                       *this->input.accountUse, free);
+        bool hasAnyBeyond = false;
+        for (ReadyStep &step : steps) {
+            const StepDemand &demand = this->demands[step.demand];
+            step.isBeyondShare = this->shares->take(demand.row, demand.need, demand.queryMs);
+            hasAnyBeyond |= step.isBeyondShare;
+        }
+        if (hasAnyBeyond) {
+            std::stable_sort(steps.begin(), steps.end(),
+                             [](const ReadyStep &a, const ReadyStep &b) {
+                                 return std::tie(a.queue->priority, a.isBeyondShare)
+                                     < std::tie(b.queue->priority, b.isBeyondShare);
+                             });
+        }
+        this->plan.shares = this->shares;
+    }
+
     /// Cheap pre-check: most active workflows have no ready step left to place.
     static bool hasReadyStep(const Workflow &workflow)
     {
@@ -189,8 +281,11 @@
             return;
         }
         bool isQueried = false;
-        if (step.queue->needsAdmission)
+        if (step.queue->needsAdmission) {
             isQueried = this->addQueries(step, step.spec().gang && this->isNextInLine(step));
+            if (!isQueried && this->queries.isExhaustedFor(step))
+                this->noteExhausted(step.queue->priority);
+        }
         const WaitCause cause = waitCauseOf(step, isQueried);
         this->plan.waiting.push_back({step.address, cause});
         const bool isAsking = isQueried || this->queries.isExhaustedFor(step)
@@ -201,13 +296,16 @@
             this->reserveRoomFor(step);
     }
 
+    void noteExhausted(std::uint32_t priority)
+    {
+        std::optional<std::uint32_t> &from = this->plan.summary.queriesExhaustedFrom;
+        from = std::min(priority, from.value_or(priority));
+    }
+
     void countWaiting(const ReadyStep &step, std::size_t tasks)
     {
         this->plan.summary.waitingTasks[step.queue->priority] += tasks;
-        Resources need = step.spec().reserved();
-        for (std::int64_t &amount : need.amounts)
-            amount *= static_cast<std::int64_t>(tasks);
-        this->plan.summary.waiting += need;
+        addTimes(this->plan.summary.waiting, step.spec().reserved(), tasks);
     }
 
     /// True for the first gangs in order, up to a fraction of the cell and of the instances.
@@ -248,6 +346,12 @@
         const std::size_t before = this->plan.queries.size();
         for (AdmissionQuery &query : this->queries.plan(step, isNextInLine)) {
             this->room.reserveRoom(step, query.claim);
+            if (this->shares != nullptr) {
+                this->shares->addQueryTime(this->demands[step.demand].row,
+                                           step.queue->queryBaseMs
+                                               + static_cast<double>(query.targets.size())
+                                                   * step.queue->queryMsPerTarget);
+            }
             this->plan.queries.push_back(std::move(query));
         }
         return this->plan.queries.size() > before;
@@ -452,6 +556,9 @@
     std::int64_t reservedMilliCores = 0; ///< for waiting gangs
     std::int64_t nextGangsMilliCores = 0; ///< needed by gangs whose tickets are kept valid
     std::size_t nextGangs = 0;
+    AccountLoads loads; ///< moved into the shares once all is counted
+    std::vector<StepDemand> demands; ///< of the ready steps, in the order of their addition
+    std::shared_ptr<AccountShares> shares;
     Plan plan;
 };
 
