--- a/src/decisions/headroom.h
+++ b/src/decisions/headroom.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "decisions/decayingrate.h"
+#include "core/decayingrate.h"
 #include "decisions/ledger.h"
 #include "decisions/movingmean.h"
 
--- a/src/decisions/teamrecord.h
+++ b/src/decisions/teamrecord.h
@@ -2,7 +2,7 @@
 
 #include "core/resources.h"
 #include "core/workclass.h"
-#include "decisions/decayingrate.h"
+#include "core/decayingrate.h"
 #include "decisions/indexes.h"
 #include "decisions/teampolicy.h"
 
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -109,6 +109,14 @@
      "use", "Calls and connections refused because the budget of their use was exhausted."},
     {Metric::LoopLagSeconds, "guavavalve_loop_lag_seconds", MetricType::Gauge, "seconds", "",
      "Delay with which the controller's loop ran its most recent periodic action."},
+    {Metric::IntakeRefusedTotal, "guavavalve_intake_refused_total", MetricType::Counter, "requests",
+     "account,queue,cause",
+     "Requests refused under overload, by cause: beyond-share, too-late, store-full, repeat. "
+     "Reported by the controller."},
+    {Metric::ExpectedWaitSeconds, "guavavalve_expected_wait_seconds", MetricType::Gauge, "seconds",
+     "queue",
+     "Time until the work that waits in the queue will have been started, at the current rate; 0 "
+     "unless it waits for room or queries. Reported by the controller."},
 }};
 
 constexpr bool inOrder()
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -84,6 +84,7 @@
     this->isBatchPending = false;
     if (!nowLeads)
         return;
+    this->intake.begin(newTerm, this->options.clock());
     this->refreshPolicy();
     this->openSessions();
     this->needsPlan = true;
@@ -117,7 +118,18 @@
 void Controller::submit(WorkflowSpec spec, Done<CommandOutcome> done)
 {
     spec.acceptedAtMs = this->options.calendarMs();
-    this->enqueue(AcceptWorkflow{std::move(spec)}, std::move(done));
+    const WorkflowId id = spec.id;
+    const bool isStored =
+        this->machine.read([id](const WorkflowStore &store) { return store.find(id) != nullptr; });
+    if (this->leads && !isStored)
+        this->intake.accepted(spec, this->options.clock());
+    this->enqueue(AcceptWorkflow{std::move(spec)},
+                  [this, id, done = std::move(done)](const Result<CommandOutcome> &outcome) {
+                      // After other errors it may still be stored, until the next term begins.
+                      if (outcome || outcome.error().code == ErrorCode::WriteRefused)
+                          this->intake.settled(id, this->options.clock());
+                      done(outcome);
+                  });
 }
 
 void Controller::cancel(WorkflowId id, Done<CommandOutcome> done)
@@ -324,6 +336,11 @@
              this->admissionPort.querierCount(), this->openQueries,
              [this](Milliseconds expected) { return this->admissionPort.reserve(expected); }});
     });
+    this->intake.planned(
+        made.summary.queues,
+        made.summary.free[ResourceKind::MilliCores] - made.summary.claimedMilliCores
+            - made.summary.reservedMilliCores,
+        acceptedIn(batch), this->options.clock());
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
                              if (outcome)
@@ -429,6 +446,7 @@
     this->startNextResting();
     this->stopIncompleteGangs();
     this->forgetOld();
+    this->reportIntake();
     this->needsPlan = true; // tasks become due and queries have to be repeated as time passes
     this->flush();
     this->options.runAfter(this->options.tick, [this, alive = this->alive, inTerm] {
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -7,6 +7,7 @@
 #include "workflows/controller/workflowmetrics.h"
 #include "workflows/health/targethealth.h"
 #include "workflows/health/targetspeeds.h"
+#include "workflows/intake/intake.h"
 #include "workflows/model/incarnationend.h"
 #include "workflows/planning/planner.h"
 #include "workflows/planning/waittimetracker.h"
@@ -80,6 +81,10 @@
     /// True while no later controller can have made decisions yet: the store is then up to date.
     bool isCurrent() const;
 
+    /// Decides whether a workflow that was requested by a call with this stamp is to be submitted.
+    /// One that is stored or about to be is never refused.
+    IntakeDecision decideIntake(const WorkflowSpec &spec, const CallStamp &stamp);
+
     /// \errors those of ReplicatedLog::propose(), also for the next three functions.
     void submit(WorkflowSpec spec, Done<CommandOutcome> done);
     void cancel(WorkflowId id, Done<CommandOutcome> done);
@@ -144,6 +149,9 @@
     void batchStored(const Proposed &proposed, const Result<std::string> &outcome);
     static void reportOutcomes(const Proposed &proposed, const Result<CommandOutcomes> &outcomes);
     void plan(std::vector<Pending> &batch);
+    /// The workflows that the batch is to store.
+    static std::vector<const WorkflowSpec *> acceptedIn(const std::vector<Pending> &batch);
+    void reportIntake();
     std::vector<OpenTarget> openTargets(const WorkflowStore &store) const;
     void placed(const PlaceRuns &command, CommandOutcome outcome);
     void countFirstStart(const PlaceRuns &command, const WorkflowStore &store) const;
@@ -229,6 +237,9 @@
     AdmittedFractions admittedFractions;
     ClaimTable claims;
     WaitTimeTracker waits;
+    Intake intake;
+    Instant nextIntakeReport{};
+    std::size_t refusalLines = 0; ///< logged since the last report
     /// When each incomplete gang was first seen.
     std::map<StepAddress, Instant> incompleteGangsSince;
     Policy currentPolicy;
--- a/src/workflows/controller/workflowmetrics.cpp
+++ b/src/workflows/controller/workflowmetrics.cpp
@@ -55,6 +55,21 @@
                              {std::string(enumName(runOutcomeNames, end.outcome))});
 }
 
+void WorkflowMetrics::refused(const WorkflowSpec &spec, IntakeCause cause) const
+{
+    if (this->metrics != nullptr) {
+        this->metrics->count(Metric::IntakeRefusedTotal,
+                             {spec.account, spec.queue,
+                              std::string(enumName(intakeCauseNames, cause))});
+    }
+}
+
+void WorkflowMetrics::expectedWait(const std::string &queue, Milliseconds wait) const
+{
+    if (this->metrics != nullptr)
+        this->metrics->set(Metric::ExpectedWaitSeconds, seconds(wait), {queue});
+}
+
 void WorkflowMetrics::targetCrashed() const
 {
     if (this->metrics != nullptr)
--- a/src/workflows/controller/workflowmetrics.h
+++ b/src/workflows/controller/workflowmetrics.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/clock.h"
+#include "workflows/intake/intakedecision.h"
 #include "workflows/model/runend.h"
 #include "workflows/model/workflow.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace guavavalve {
@@ -27,6 +29,9 @@
     void started(const WorkflowSpec &spec, std::uint32_t occurrence, std::int64_t nowMs) const;
     void over(const Workflow &workflow, std::int64_t nowMs) const;
     void runsOver(const std::vector<RunEnd> &ends) const;
+    void refused(const WorkflowSpec &spec, IntakeCause cause) const;
+    /// How long the work that waits in \a queue waits until it starts.
+    void expectedWait(const std::string &queue, Milliseconds wait) const;
     /// A target's process ended while it had work.
     void targetCrashed() const;
     /// A batch of commands was committed; \a took: time from its proposal to its outcomes.
--- /dev/null
+++ b/src/workflows/intake/intake.cpp
@@ -0,0 +1,302 @@
+#include "workflows/intake/intake.h"
+
+#include "workflows/model/objective.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace guavavalve::workflows {
+
+namespace {
+
+/// A result that comes after this many times the objective is of no use to the caller.
+constexpr std::int64_t usefulObjectives = 3;
+/// Part of the time that the objective leaves a request, as a divisor: run times are estimates, and
+/// targets differ in speed, so that work which uses up its whole margin waiting is late.
+constexpr std::int64_t slackDivisor = 2;
+/// The same of the objective, for objectives that leave nearly no time besides the run time.
+constexpr std::int64_t objectiveDivisor = 4;
+/// A caller waits for 2 s to learn that its request is stored; half of it is for the way.
+constexpr Milliseconds maxStoreDelay{1000};
+/// Rates of a new controller, or of a queue that was idle, say nothing before this.
+constexpr Milliseconds minObservation{2000};
+/// A queue counts as short until no plan has found it so for this long.
+constexpr Milliseconds shortageEnd{500};
+constexpr Milliseconds maxWait{60000}; ///< of queues whose work does not start at all
+/// While refused callers wait to come back, requests that have not waited yet may use this part of
+/// their account's share.
+constexpr double newcomersPart = 0.5;
+/// Queues and accounts with a line of their own in a report.
+constexpr std::size_t maxReportKeys = 64;
+
+double workOf(const StepSpec &step)
+{
+    return static_cast<double>(step.tasks) * step.workOfTask();
+}
+
+double workOf(const WorkflowSpec &spec)
+{
+    double work = 0.0;
+    for (const StepSpec &step : spec.steps)
+        work += workOf(step);
+    return work;
+}
+
+/// Needed by the steps that can start at once.
+std::int64_t firstMilliCores(const WorkflowSpec &spec)
+{
+    std::int64_t milliCores = 0;
+    for (const StepSpec &step : spec.steps) {
+        if (step.dependencies.empty())
+            milliCores += step.tasks * step.reserved()[ResourceKind::MilliCores];
+    }
+    return milliCores;
+}
+
+/// Scheduled work starts later, and long-running work has no end that could be late.
+bool hasObjective(const WorkflowSpec &spec)
+{
+    return !spec.isScheduled()
+        && std::none_of(spec.steps.begin(), spec.steps.end(),
+                        [](const StepSpec &step) { return step.longRunning; });
+}
+
+Milliseconds toMilliseconds(Microseconds time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time);
+}
+
+Instant instantOf(const CallStamp &stamp)
+{
+    return Instant(Microseconds(stamp.controllerUs));
+}
+
+} // namespace
+
+void Intake::begin(std::uint64_t newTerm, Instant now)
+{
+    this->term = newTerm;
+    this->beganAt = now;
+    this->queues.clear();
+    this->requests = AccountRates();
+    this->storeDelay = SustainedDelay();
+    this->beingStored.clear();
+    this->refusals.clear();
+    this->report = {};
+}
+
+IntakeDecision Intake::decide(const WorkflowSpec &spec, const CallStamp &stamp,
+                              const Policy &policy, std::size_t live, Instant now)
+{
+    if (this->isBeingStored(spec.id))
+        return {};
+    if (stamp.isKnown() && stamp.term != this->term)
+        return {IntakeVerdict::OtherTerm};
+    const Microseconds age = std::max(Microseconds(0), now - instantOf(stamp));
+    if (stamp.isKnown() && age > this->limits.attemptLifetime)
+        return {IntakeVerdict::TooOld};
+    const auto refusal = this->refusals.find(spec.id, now);
+    const bool isRepeat = refusal && refusal->promisedUntil > now
+        && (!stamp.isKnown() || instantOf(stamp) <= refusal->lastAt);
+    if (isRepeat && this->refusals.hasSpaceFor(spec.id, now)) {
+        // The call's own age is unknown without a stamp, so the caller should come back after the
+        // refusal has been forgotten.
+        const Milliseconds left = toMilliseconds(refusal->retryAt - now);
+        const Milliseconds retryAfter = stamp.isKnown()
+            ? std::max(left, this->limits.minRetryAfter)
+            : this->limits.attemptLifetime;
+        return this->refuse(spec, IntakeCause::Repeat, Milliseconds(0), retryAfter, now);
+    }
+    const QueuePolicy *queue = policy.queue(spec.queue);
+    if (!stamp.isKnown() || queue == nullptr || !this->refusals.hasSpaceFor(spec.id, now))
+        return {};
+    if (live + this->beingStored.size() >= this->limits.maxLiveWorkflows) {
+        return this->refuse(spec, IntakeCause::StoreFull, Milliseconds(0),
+                            this->spreadRetryAfter(spec.id, this->limits.maxRetryAfter), now);
+    }
+    if (!hasObjective(spec))
+        return {};
+    const Outlook expected = this->outlook(spec, *queue, toMilliseconds(age), now);
+    if (!expected.isQueueOverloaded && !expected.isControllerOverloaded)
+        return {IntakeVerdict::Accept, IntakeCause::None, expected.wait};
+    const Milliseconds waited =
+        refusal ? toMilliseconds(now - refusal->firstAt) : Milliseconds(0);
+    if (waited + expected.wait > expected.useful) {
+        return this->refuse(spec, IntakeCause::TooLate, expected.wait,
+                            this->spreadRetryAfter(spec.id, this->limits.maxRetryAfter), now);
+    }
+    if (this->isBeyondShare(spec, expected, waited, policy, now)) {
+        const Milliseconds excess = expected.wait - expected.target;
+        return this->refuse(spec, IntakeCause::BeyondShare, expected.wait,
+                            this->spreadRetryAfter(spec.id, excess), now);
+    }
+    return {IntakeVerdict::Accept, IntakeCause::None, expected.wait};
+}
+
+Intake::Outlook Intake::outlook(const WorkflowSpec &spec, const QueuePolicy &policy,
+                                Milliseconds age, Instant now) const
+{
+    const std::vector<std::int64_t> paths = criticalPathsFrom(spec);
+    const std::int64_t pathMs = paths.empty() ? 0 : *std::max_element(paths.begin(), paths.end());
+    const std::int64_t objectiveMs = objectiveOf(policy, pathMs);
+    Outlook expected;
+    if (objectiveMs <= 0)
+        return expected; // the operators have set none
+    expected.target = Milliseconds(std::max((objectiveMs - pathMs) / slackDivisor,
+                                            objectiveMs / objectiveDivisor));
+    expected.useful =
+        Milliseconds(std::max<std::int64_t>(0, usefulObjectives * objectiveMs - pathMs));
+    const Milliseconds storing =
+        this->beingStored.empty() ? Milliseconds(0) : this->storeDelay.at(now);
+    expected.isControllerOverloaded = storing > std::min(expected.target, maxStoreDelay);
+    expected.wait = age + storing;
+    const auto found = this->queues.find(spec.queue);
+    if (found == this->queues.end() || !this->isShort(found->second, firstMilliCores(spec)))
+        return expected;
+    const Milliseconds queueWait = this->expectedWait(spec.queue, now);
+    // A shortage shorter than what these callers can bear may be over before they notice.
+    const Instant shortFrom = found->second.shortSince + std::max(expected.target, shortageEnd);
+    expected.isQueueOverloaded = queueWait > expected.target && now >= shortFrom
+        && now >= this->beganAt + minObservation;
+    if (expected.isQueueOverloaded)
+        expected.wait += queueWait;
+    return expected;
+}
+
+/// False if the queue has no shortage, or all of its work and \a milliCores more have room.
+bool Intake::isShort(const Queue &queue, std::int64_t milliCores) const
+{
+    if (queue.shortSince == Instant())
+        return false;
+    return queue.load.isShortOfQueriers
+        || queue.load.waitingMilliCores + queue.unplannedMilliCores + milliCores
+        > queue.freeMilliCores;
+}
+
+bool Intake::isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
+                           const Policy &policy, Instant now) const
+{
+    const AccountRates::WeightOf weightOf = [&](const std::string &account) {
+        const auto known = policy.accounts.find(account);
+        return known == policy.accounts.end() ? AccountPolicy().weight : known->second.weight;
+    };
+    // Who has waited longest goes first: the longer a caller has waited, the more of the share.
+    double part = 1.0;
+    if (this->refusals.waiting(spec.queue, spec.account) > 0 && expected.useful.count() > 0) {
+        const double served = static_cast<double>(waited.count())
+            / static_cast<double>(expected.useful.count());
+        part = newcomersPart + (1.0 - newcomersPart) * std::min(1.0, served);
+    }
+    const double capacityFactor = std::min(1.0,
+                                           static_cast<double>(expected.target.count())
+                                               / static_cast<double>(expected.wait.count()));
+    if (expected.isControllerOverloaded
+        && this->requests.isBeyondShare(spec.account, capacityFactor, part, weightOf, now))
+        return true;
+    const auto queue = this->queues.find(spec.queue);
+    return expected.isQueueOverloaded && queue != this->queues.end()
+        && queue->second.rates.isBeyondShare(spec.account, capacityFactor, part, weightOf, now);
+}
+
+IntakeDecision Intake::refuse(const WorkflowSpec &spec, IntakeCause cause, Milliseconds wait,
+                              Milliseconds retryAfter, Instant now)
+{
+    RefusedRequests::Refusal refusal;
+    const auto before = this->refusals.find(spec.id, now);
+    refusal.firstAt = before ? before->firstAt : now;
+    refusal.lastAt = now;
+    refusal.promisedUntil = now + this->limits.attemptLifetime;
+    refusal.retryAt = now + retryAfter;
+    this->refusals.refused(spec.id, spec.queue, spec.account, refusal);
+    IntakeReport::Key key{spec.queue, spec.account, cause};
+    if (this->report.refused.size() >= maxReportKeys && this->report.refused.count(key) == 0)
+        key = {"other", "other", cause};
+    ++this->report.refused[std::move(key)];
+    return {IntakeVerdict::Refuse, cause, wait, retryAfter};
+}
+
+/// At least \a excess, spread over as long again so that those who were refused together do not
+/// come back together.
+Milliseconds Intake::spreadRetryAfter(WorkflowId id, Milliseconds excess) const
+{
+    const Milliseconds base =
+        std::clamp(excess, this->limits.minRetryAfter, this->limits.maxRetryAfter);
+    const auto hash = static_cast<std::int64_t>(std::hash<WorkflowId>()(id) >> 1U);
+    return std::min(this->limits.maxRetryAfter, base + Milliseconds(hash % base.count()));
+}
+
+void Intake::accepted(const WorkflowSpec &spec, Instant now)
+{
+    if (!this->beingStored.emplace(spec.id, now).second)
+        return;
+    this->refusals.accepted(spec.id);
+    this->requests.accepted(spec.account, 1.0, now);
+    this->queues[spec.queue].rates.accepted(spec.account, workOf(spec), now);
+    this->addUnplanned(spec);
+}
+
+void Intake::addUnplanned(const WorkflowSpec &spec)
+{
+    Queue &queue = this->queues[spec.queue];
+    for (const StepSpec &step : spec.steps) {
+        if (step.dependencies.empty())
+            queue.unplannedWork += workOf(step);
+    }
+    queue.unplannedMilliCores += firstMilliCores(spec);
+}
+
+void Intake::settled(WorkflowId id, Instant now)
+{
+    const auto found = this->beingStored.find(id);
+    if (found == this->beingStored.end())
+        return;
+    this->storeDelay.observed(toMilliseconds(now - found->second), now);
+    this->beingStored.erase(found);
+    this->requests.served(1.0, now);
+}
+
+void Intake::planned(const std::map<std::string, QueueLoad> &loads, std::int64_t freeMilliCores,
+                     const std::vector<const WorkflowSpec *> &unplanned, Instant now)
+{
+    for (const auto &[name, load] : loads)
+        this->queues[name].load = load;
+    for (auto &[name, queue] : this->queues) {
+        const auto found = loads.find(name);
+        queue.load = found == loads.end() ? QueueLoad() : found->second;
+        queue.unplannedWork = 0.0;
+        queue.unplannedMilliCores = 0;
+        queue.freeMilliCores = freeMilliCores;
+        if (queue.load.startedWork > 0.0)
+            queue.rates.served(queue.load.startedWork, now);
+        if (queue.load.isShortOfRoom || queue.load.isShortOfQueriers) {
+            queue.lastShortAt = now;
+            if (queue.shortSince == Instant())
+                queue.shortSince = now;
+        } else if (now > queue.lastShortAt + shortageEnd) {
+            queue.shortSince = Instant();
+        }
+    }
+    for (const WorkflowSpec *spec : unplanned)
+        this->addUnplanned(*spec);
+}
+
+Milliseconds Intake::expectedWait(const std::string &name, Instant now) const
+{
+    const auto found = this->queues.find(name);
+    if (found == this->queues.end() || found->second.shortSince == Instant())
+        return Milliseconds(0);
+    const Queue &queue = found->second;
+    const double work = queue.load.waitingWork + queue.unplannedWork;
+    const double perMs = queue.rates.servedPerSecond(now) / 1000.0;
+    if (work >= perMs * static_cast<double>(maxWait.count()))
+        return work > 0.0 ? maxWait : Milliseconds(0);
+    return Milliseconds(static_cast<std::int64_t>(work / perMs));
+}
+
+IntakeReport Intake::takeReport()
+{
+    return std::exchange(this->report, IntakeReport());
+}
+
+} // namespace guavavalve::workflows
--- /dev/null
+++ b/src/workflows/intake/intake.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "controller/callstamp.h"
+#include "core/clock.h"
+#include "workflows/intake/accountrates.h"
+#include "workflows/intake/intakedecision.h"
+#include "workflows/intake/intakelimits.h"
+#include "workflows/intake/intakereport.h"
+#include "workflows/intake/refusedrequests.h"
+#include "workflows/intake/sustaineddelay.h"
+#include "workflows/model/policy.h"
+#include "workflows/model/workflowspec.h"
+#include "workflows/planning/queueload.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace guavavalve::workflows {
+
+/// Decides which new requests a controller accepts. Pure: a request, what is known of the load, and
+/// a time in, a decision out.
+///
+/// Everything is accepted unless a queue is overloaded: its work waits for room or for queries, or
+/// the store takes so long, that a new request would use up half of the time that its objective
+/// leaves it. Then requests of accounts beyond their weighted max-min fair share are refused, and
+/// other requests only if their result would be of no use any more.
+///
+/// A refusal guarantees that the request does not run, although other attempts of it may be under
+/// way: those sent before the refusal are refused too, and a request is never refused if it is
+/// stored or may become so. See docs/design/hard-load.md.
+class Intake
+{
+public:
+    explicit Intake(IntakeLimits limits = IntakeLimits())
+        : limits(limits)
+        , refusals(limits.maxRefusedRequests)
+    {}
+
+    /// The controller begins to lead in \a term; everything learned before is forgotten.
+    void begin(std::uint64_t term, Instant now);
+
+    /// Decides on a request that is not stored.
+    /// \a live: number of unfinished workflows in the store.
+    IntakeDecision decide(const WorkflowSpec &spec, const CallStamp &stamp, const Policy &policy,
+                          std::size_t live, Instant now);
+
+    /// The workflow is to be stored; it was not before.
+    void accepted(const WorkflowSpec &spec, Instant now);
+    /// It has been stored, or could not be.
+    void settled(WorkflowId id, Instant now);
+    bool isBeingStored(WorkflowId id) const { return this->beingStored.count(id) != 0; }
+
+    /// A plan was made. \a unplanned: accepted workflows that it did not know of yet.
+    /// \a freeMilliCores: of open targets, after its placements, and not reserved.
+    void planned(const std::map<std::string, QueueLoad> &loads, std::int64_t freeMilliCores,
+                 const std::vector<const WorkflowSpec *> &unplanned, Instant now);
+
+    /// Time until the work that waits in \a queue now has been started; zero unless it waits for
+    /// room or for queries.
+    Milliseconds expectedWait(const std::string &queue, Instant now) const;
+    /// The refusals since the last report.
+    IntakeReport takeReport();
+
+private:
+    struct Queue
+    {
+        QueueLoad load; ///< of the last plan
+        double unplannedWork = 0.0; ///< accepted since then
+        std::int64_t unplannedMilliCores = 0;
+        std::int64_t freeMilliCores = 0;
+        Instant shortSince{}; ///< zero: it is not short
+        Instant lastShortAt{};
+        AccountRates rates;
+    };
+
+    /// What a new request can expect.
+    struct Outlook
+    {
+        Milliseconds wait{0};
+        Milliseconds target{0}; ///< a longer wait counts as overload
+        Milliseconds useful{0}; ///< after a longer wait the result is of no use
+        bool isQueueOverloaded = false;
+        bool isControllerOverloaded = false;
+    };
+
+    Outlook outlook(const WorkflowSpec &spec, const QueuePolicy &policy, Milliseconds age,
+                    Instant now) const;
+    bool isShort(const Queue &queue, std::int64_t milliCores) const;
+    bool isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
+                       const Policy &policy, Instant now) const;
+    IntakeDecision refuse(const WorkflowSpec &spec, IntakeCause cause, Milliseconds wait,
+                          Milliseconds retryAfter, Instant now);
+    Milliseconds spreadRetryAfter(WorkflowId id, Milliseconds excess) const;
+    void addUnplanned(const WorkflowSpec &spec);
+
+    IntakeLimits limits;
+    std::uint64_t term = 0;
+    Instant beganAt{};
+    std::map<std::string, Queue> queues;
+    AccountRates requests; ///< accepted and stored, all queues
+    SustainedDelay storeDelay; ///< from acceptance until stored
+    std::map<WorkflowId, Instant> beingStored; ///< and since when
+    RefusedRequests refusals;
+    IntakeReport report;
+};
+
+} // namespace guavavalve::workflows
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -221,6 +221,34 @@
               {"runs", std::to_string(runs)}});
 }
 
+void logIntakeRefusal(const WorkflowSpec &spec, const IntakeDecision &decision)
+{
+    logEvent(LogLevel::Information, "job-refused",
+             {{"job", workflowName(spec.id)},
+              {"queue", spec.queue},
+              {"account", spec.account},
+              {"verdict", std::string(enumName(intakeVerdictNames, decision.verdict))},
+              {"cause", std::string(enumName(intakeCauseNames, decision.cause))},
+              {"waitMs", std::to_string(decision.expectedWait.count())},
+              {"retryAfterMs", std::to_string(decision.retryAfter.count())}});
+}
+
+void logIntakeReport(const IntakeReport &report)
+{
+    if (report.isEmpty())
+        return;
+    std::size_t total = 0;
+    std::string counts;
+    for (const auto &[key, count] : report.refused) {
+        const auto &[queue, account, cause] = key;
+        counts += (counts.empty() ? "" : ",") + queue + "/" + account + "/"
+            + std::string(enumName(intakeCauseNames, cause)) + ":" + std::to_string(count);
+        total += count;
+    }
+    logEvent(LogLevel::Information, "jobs-refused",
+             {{"count", std::to_string(total)}, {"by", counts}});
+}
+
 void logConfigurationInForce(std::int64_t version, const Policy &policy)
 {
     logEvent(LogLevel::Information, "configuration-in-force",
--- a/src/workflows/log/decisionlog.h
+++ b/src/workflows/log/decisionlog.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "workflows/health/targethealth.h"
+#include "workflows/intake/intakereport.h"
 #include "workflows/model/incarnationend.h"
 #include "workflows/model/losscount.h"
 #include "workflows/model/policy.h"
@@ -68,6 +69,10 @@
 /// \a runs: number of runs on these targets or on their way there.
 void logDomainEvacuation(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
                          std::size_t runs);
+/// A request was not accepted. Written for a bounded number of requests a second.
+void logIntakeRefusal(const WorkflowSpec &spec, const IntakeDecision &decision);
+/// All refusals of about a second, by queue, account and cause; nothing if there were none.
+void logIntakeReport(const IntakeReport &report);
 void logConfigurationInForce(std::int64_t version, const Policy &policy);
 void logConfigurationUnreadable(std::int64_t version, const Error &error);
 
--- a/src/workflows/model/stepspec.h
+++ b/src/workflows/model/stepspec.h
@@ -5,6 +5,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -40,6 +41,14 @@
         return room;
     }
 
+    /// Processor time of a task by its estimate, in milli-core-milliseconds; never zero.
+    double workOfTask() const
+    {
+        const std::int64_t milliCores = this->reserved()[ResourceKind::MilliCores];
+        return static_cast<double>(std::max<std::int64_t>(1, milliCores))
+            * static_cast<double>(std::max<std::uint32_t>(1, this->estimatedMs));
+    }
+
     template<typename Archive>
     void serialize(Archive &archive)
     {
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -61,8 +61,12 @@
             return std::tie(a.queue->priority, a.isLate, a.objectiveAtMs, a.address)
                 < std::tie(b.queue->priority, b.isLate, b.objectiveAtMs, b.address);
         });
-        for (const ReadyStep &step : steps)
+        for (const ReadyStep &step : steps) {
+            const std::size_t placementsBefore = this->plan.placements.size();
+            const std::size_t waitingBefore = this->plan.waiting.size();
             this->place(step);
+            this->countLoad(step, placementsBefore, waitingBefore);
+        }
         this->plan.summary.openTargets = this->room.targets().size();
         for (const OpenTarget &target : this->room.targets())
             this->plan.summary.free += target.free;
@@ -197,6 +201,26 @@
             this->reserveRoomFor(step);
     }
 
+    /// Adds what place() has done with the step to the load of its queue.
+    void countLoad(const ReadyStep &step, std::size_t placementsBefore, std::size_t waitingBefore)
+    {
+        QueueLoad &load = this->plan.summary.queues[step.workflow->spec.queue];
+        std::size_t started = 0;
+        for (std::size_t i = placementsBefore; i < this->plan.placements.size(); ++i)
+            started += this->plan.placements[i].placements.size();
+        load.startedWork += static_cast<double>(started) * step.spec().workOfTask();
+        const bool isWaiting = this->plan.waiting.size() > waitingBefore;
+        const WaitCause cause = isWaiting ? this->plan.waiting.back().cause : WaitCause::Verdict;
+        if (!isWaiting || step.isLate || cause == WaitCause::Limit || cause == WaitCause::Verdict)
+            return;
+        const std::size_t tasks = step.waiting() - started;
+        load.waitingWork += static_cast<double>(tasks) * step.spec().workOfTask();
+        load.waitingMilliCores += static_cast<std::int64_t>(tasks)
+            * step.spec().reserved()[ResourceKind::MilliCores];
+        load.isShortOfRoom |= cause == WaitCause::Room;
+        load.isShortOfQueriers |= cause == WaitCause::Querier;
+    }
+
     void countWaiting(const ReadyStep &step, std::size_t tasks)
     {
         this->plan.summary.waitingTasks[step.queue->priority] += tasks;
--- a/src/workflows/planning/planner.h
+++ b/src/workflows/planning/planner.h
@@ -7,6 +7,7 @@
 #include "workflows/model/waitcause.h"
 #include "workflows/planning/admissions.h"
 #include "workflows/planning/claims.h"
+#include "workflows/planning/queueload.h"
 #include "workflows/store/workflowstore.h"
 
 #include <cstddef>
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -56,6 +58,7 @@
     Resources waiting; ///< needed by the ready tasks without a place
     /// A step waits for room, and no query about further targets is pending or possible.
     bool isShort = false;
+    std::map<std::string, QueueLoad> queues; ///< by name; those with ready tasks
 };
 
 struct Plan
--- /dev/null
+++ b/test/workflows/intaketest.cpp
@@ -0,0 +1,369 @@
+#include <catch2/catch.hpp>
+
+#include "workflows/intake/intake.h"
+#include "workflows/storefixture.h"
+
+#include <set>
+#include <string>
+#include <utility>
+
+using namespace guavavalve;
+using namespace guavavalve::workflows;
+
+namespace {
+
+constexpr std::uint64_t term = 3;
+constexpr std::int64_t jobMilliCores = 1000;
+constexpr std::uint32_t jobMs = 600;
+constexpr double jobWork = static_cast<double>(jobMilliCores) * jobMs;
+
+/// An intake whose queue "urgent" has an objective of 1.2 s and starts 100 jobs a second.
+class IntakeFixture
+{
+public:
+    explicit IntakeFixture(IntakeLimits limits = IntakeLimits())
+        : intake(limits)
+    {
+        QueuePolicy queue;
+        queue.stretch = 1.5;
+        queue.slackMs = 300;
+        this->policy.queues["urgent"] = queue;
+        queue.stretch = 100.0;
+        this->policy.queues["patient"] = queue;
+        this->policy.accounts["a"].weight = 1.0;
+        this->policy.accounts["b"].weight = 1.0;
+        this->intake.begin(term, this->now);
+    }
+
+    WorkflowSpec job(std::uint64_t id, const std::string &account = "a",
+                     const std::string &queue = "urgent") const
+    {
+        WorkflowSpec spec;
+        spec.id = static_cast<WorkflowId>(id);
+        spec.queue = queue;
+        spec.account = account;
+        spec.steps = {StoreFixture::step(1)};
+        spec.steps[0].estimatedMs = jobMs;
+        return spec;
+    }
+
+    CallStamp stampAt(Instant when) const { return {term, when.time_since_epoch().count()}; }
+
+    /// A new attempt that arrives at once.
+    IntakeDecision decide(const WorkflowSpec &spec)
+    {
+        return this->intake.decide(spec, this->stampAt(this->now), this->policy, 0, this->now);
+    }
+    IntakeDecision decide(const WorkflowSpec &spec, const CallStamp &stamp)
+    {
+        return this->intake.decide(spec, stamp, this->policy, 0, this->now);
+    }
+
+    /// Accepts and stores the job if the intake accepts it.
+    bool submit(const WorkflowSpec &spec)
+    {
+        if (this->decide(spec).verdict != IntakeVerdict::Accept)
+            return false;
+        this->intake.accepted(spec, this->now);
+        this->intake.settled(spec.id, this->now);
+        return true;
+    }
+
+    /// A plan that starts \a started jobs of \a queue, leaves \a waiting for want of room, and
+    /// leaves \a freeMilliCores.
+    void plan(double started, std::int64_t waiting, std::int64_t freeMilliCores = 0,
+              const std::string &queue = "urgent")
+    {
+        QueueLoad load;
+        load.startedWork = started * jobWork;
+        load.waitingWork = static_cast<double>(waiting) * jobWork;
+        load.waitingMilliCores = waiting * jobMilliCores;
+        load.isShortOfRoom = waiting > 0;
+        this->intake.planned({{queue, load}}, freeMilliCores, {}, this->now);
+    }
+
+    void advance(Milliseconds by) { this->now += by; }
+
+    /// For 4 s, "a" hands in \a ofA and "b" \a ofB jobs every 100 ms, of which ten are started.
+    /// Returns how many of each were accepted in the last second.
+    std::pair<std::size_t, std::size_t> play(std::size_t ofA, std::size_t ofB)
+    {
+        std::pair<std::size_t, std::size_t> taken;
+        for (int i = 0; i < 40; ++i) {
+            for (std::size_t k = 0; k < std::max(ofA, ofB); ++k) {
+                const bool isLast = i >= 30;
+                if (k < ofA && this->submit(this->job(++this->lastId, "a"))) {
+                    ++this->backlog;
+                    taken.first += isLast ? 1 : 0;
+                }
+                if (k < ofB && this->submit(this->job(++this->lastId, "b"))) {
+                    ++this->backlog;
+                    taken.second += isLast ? 1 : 0;
+                }
+            }
+            const std::int64_t started = std::min<std::int64_t>(10, this->backlog);
+            this->backlog -= started;
+            this->advance(Milliseconds(100));
+            this->plan(static_cast<double>(started), this->backlog);
+        }
+        return taken;
+    }
+
+    /// The queue is overloaded, and "a" beyond its share.
+    void overload() { this->play(40, 5); }
+
+    Instant now{std::chrono::seconds(1000)};
+    Policy policy;
+    Intake intake;
+    std::int64_t backlog = 0;
+    std::uint64_t lastId = 1000;
+};
+
+} // namespace
+
+// Load: three times what can be served, handed in by one account of two.
+TEST_CASE("a flood of one account costs that account, not the others", "[intake]")
+{
+    IntakeFixture cell;
+    const auto [ofA, ofB] = cell.play(27, 3);
+    CHECK(ofB == 30); // everything within its share
+    CHECK(ofA > 40);
+    CHECK(ofA < 90);
+}
+
+// Load: both accounts hand in more than the cell can serve.
+TEST_CASE("accounts beyond their share get room by weight", "[intake]")
+{
+    IntakeFixture cell;
+    cell.policy.accounts["b"].weight = 3.0;
+    const auto [ofA, ofB] = cell.play(20, 20);
+    CHECK(static_cast<double>(ofB) > 2.0 * static_cast<double>(ofA));
+    CHECK(ofA + ofB < 130);
+    CHECK(ofA + ofB > 60);
+}
+
+// Guards against a backlog that all callers pay for: what is accepted is bounded by what starts in
+// time.
+TEST_CASE("the backlog under three times the load stays within what callers can wait", "[intake]")
+{
+    IntakeFixture cell;
+    cell.play(15, 15);
+    CHECK(cell.intake.expectedWait("urgent", cell.now) < Milliseconds(1200));
+}
+
+// Guards against the worst refusal, one beside idle targets.
+TEST_CASE("nothing is refused while targets have room", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    cell.plan(10, 20, 30 * jobMilliCores);
+    CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
+    cell.plan(10, 20, 10 * jobMilliCores);
+    CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
+}
+
+// Guards against refusing a burst that the next plans place.
+TEST_CASE("a short shortage is not an overload", "[intake]")
+{
+    IntakeFixture cell;
+    for (int i = 0; i < 30; ++i) {
+        cell.advance(Milliseconds(100));
+        cell.plan(10, 0);
+    }
+    cell.advance(Milliseconds(100));
+    cell.plan(0, 100);
+    CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
+}
+
+// Guards against refusing work that has minutes.
+TEST_CASE("work that can wait is accepted", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    for (int i = 0; i < 30; ++i) {
+        cell.advance(Milliseconds(100));
+        cell.plan(10, 1000, 0, "patient");
+    }
+    CHECK(cell.decide(cell.job(1, "a", "patient")).verdict == IntakeVerdict::Accept);
+}
+
+// Guards against callers that are turned away after the load has passed.
+TEST_CASE("everything is accepted again soon after an overload", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
+    cell.plan(10, 0);
+    cell.advance(Milliseconds(600));
+    cell.plan(10, 0);
+    CHECK(cell.decide(cell.job(2)).verdict == IntakeVerdict::Accept);
+}
+
+// Guards against a new controller that refuses because it has seen nothing start yet.
+TEST_CASE("a new controller accepts until it has observed the load", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    cell.intake.begin(term, cell.now);
+    for (int i = 0; i < 10; ++i) {
+        cell.advance(Milliseconds(100));
+        cell.plan(0, 500);
+    }
+    CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
+}
+
+// Guards against a request that runs after a 503, because an earlier attempt was delayed.
+TEST_CASE("an attempt sent before the refusal of a later one is refused", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    const CallStamp first = cell.stampAt(cell.now - Milliseconds(300));
+    REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
+    cell.plan(10, 0);
+    cell.advance(Milliseconds(1000));
+    cell.plan(10, 0);
+    const IntakeDecision late = cell.decide(cell.job(1), first);
+    CHECK(late.verdict == IntakeVerdict::Refuse);
+    CHECK(late.cause == IntakeCause::Repeat);
+    cell.advance(Milliseconds(1));
+    CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
+}
+
+// Guards against the same when the refusal has been forgotten: the attempt is too old by then.
+TEST_CASE("no attempt outlives the memory of a refusal", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    const CallStamp first = cell.stampAt(cell.now);
+    cell.advance(Milliseconds(1));
+    REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
+    for (int i = 0; i < 100; ++i) {
+        cell.advance(Milliseconds(100));
+        cell.plan(10, 0);
+        REQUIRE(cell.decide(cell.job(1), first).verdict != IntakeVerdict::Accept);
+    }
+}
+
+// Guards against an attempt that a killed or frozen controller refused, delivered to the next one.
+TEST_CASE("a call stamped for another controller is neither accepted nor refused", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    const CallStamp before = cell.stampAt(cell.now);
+    REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
+    cell.intake.begin(term + 1, cell.now);
+    CHECK(cell.decide(cell.job(1), before).verdict == IntakeVerdict::OtherTerm);
+}
+
+// Guards against an instance of an earlier build, whose calls have no stamp.
+TEST_CASE("a call without a stamp is refused only if its identity was", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    CHECK(cell.decide(cell.job(1), CallStamp{}).verdict == IntakeVerdict::Accept);
+    REQUIRE(cell.decide(cell.job(2)).verdict == IntakeVerdict::Refuse);
+    const IntakeDecision repeat = cell.decide(cell.job(2), CallStamp{});
+    CHECK(repeat.verdict == IntakeVerdict::Refuse);
+    cell.advance(repeat.retryAfter);
+    CHECK(cell.decide(cell.job(2), CallStamp{}).verdict == IntakeVerdict::Accept);
+}
+
+// Guards against a 503 for a request whose first attempt is being stored.
+TEST_CASE("a request that is being stored is not refused", "[intake]")
+{
+    IntakeFixture cell;
+    cell.intake.accepted(cell.job(1), cell.now);
+    cell.overload();
+    CHECK(cell.decide(cell.job(1), cell.stampAt(cell.now - Milliseconds(9000))).verdict
+          == IntakeVerdict::Accept);
+}
+
+// Guards against refusals that could not be kept: a full table must not forget a promise.
+TEST_CASE("nothing is refused that would not be remembered", "[intake]")
+{
+    IntakeLimits limits;
+    limits.maxRefusedRequests = 5;
+    IntakeFixture cell(limits);
+    cell.overload();
+    std::size_t refused = 0;
+    for (std::uint64_t id = 1; id <= 10; ++id)
+        refused += cell.decide(cell.job(id)).verdict == IntakeVerdict::Refuse ? 1 : 0;
+    CHECK(refused <= 5);
+}
+
+// Guards against a store that grows without a bound while batch work waits for minutes.
+TEST_CASE("a full store refuses work of all queues", "[intake]")
+{
+    IntakeFixture cell;
+    const IntakeLimits limits;
+    const WorkflowSpec spec = cell.job(1, "a", "patient");
+    const auto decide = [&](std::size_t live) {
+        return cell.intake.decide(spec, cell.stampAt(cell.now), cell.policy, live, cell.now);
+    };
+    CHECK(decide(limits.maxLiveWorkflows - 1).verdict == IntakeVerdict::Accept);
+    CHECK(decide(limits.maxLiveWorkflows).cause == IntakeCause::StoreFull);
+}
+
+// Guards against a second flood when all refused callers come back at the same time.
+TEST_CASE("refused callers come back spread over time and within bounds", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    const IntakeLimits limits;
+    std::set<std::int64_t> seconds;
+    for (std::uint64_t id = 1; id <= 50; ++id) {
+        const IntakeDecision decision = cell.decide(cell.job(id));
+        REQUIRE(decision.verdict == IntakeVerdict::Refuse);
+        CHECK(decision.retryAfter >= limits.minRetryAfter);
+        CHECK(decision.retryAfter <= limits.maxRetryAfter);
+        seconds.insert((decision.retryAfter.count() + 999) / 1000);
+    }
+    CHECK(seconds.size() > 1);
+}
+
+// Guards against callers that are overtaken by newcomers each time they come back.
+TEST_CASE("who has waited goes before newcomers of the same account", "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
+    IntakeVerdict returner = IntakeVerdict::Refuse;
+    IntakeVerdict newcomer = IntakeVerdict::Refuse;
+    for (std::uint64_t id = 2; returner == IntakeVerdict::Refuse && id < 40; ++id) {
+        cell.advance(Milliseconds(100));
+        cell.plan(10, 40);
+        newcomer = cell.decide(cell.job(id)).verdict;
+        returner = cell.decide(cell.job(1)).verdict;
+    }
+    CHECK(returner == IntakeVerdict::Accept);
+    CHECK(newcomer == IntakeVerdict::Refuse);
+}
+
+// Guards against weights that are kept from an earlier configuration.
+TEST_CASE("a new weight, or an account that is gone, counts at once", "[intake]")
+{
+    IntakeFixture cell;
+    cell.play(20, 20);
+    REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
+    cell.policy.accounts["a"].weight = 1000.0;
+    cell.policy.accounts.erase("b");
+    CHECK(cell.decide(cell.job(2)).verdict == IntakeVerdict::Accept);
+}
+
+// Load: the controller stores less than is handed in, while the targets are idle.
+TEST_CASE("a slow store costs the account with most of the requests", "[intake]")
+{
+    IntakeFixture cell;
+    std::uint64_t id = 0;
+    for (int i = 0; i < 30; ++i) {
+        for (int k = 0; k < 10; ++k) {
+            cell.intake.accepted(cell.job(++id, k < 9 ? "a" : "b"), cell.now);
+            if (id > 60)
+                cell.intake.settled(static_cast<WorkflowId>(id - 60), cell.now);
+        }
+        cell.advance(Milliseconds(100));
+        cell.plan(10, 0, 1000000);
+    }
+    CHECK(cell.decide(cell.job(9001, "a")).cause == IntakeCause::BeyondShare);
+    CHECK(cell.decide(cell.job(9002, "b")).verdict == IntakeVerdict::Accept);
+}
