Intake: the controller decides what it accepts, and its refusals are true

Change: src/workflows/intake decides on each new request, in pure code. A queue is overloaded when its work, at the rate at which it is started, waits longer than half of the time that the objective leaves; the controller is, when storing takes as long. Then an account whose waiting work exceeds its max-min fair part of what may wait is refused at once with a Retry-After. Refused identities are remembered while an earlier attempt may arrive; calls stamped for another term are stamped anew by their instance.

--- a/src/decisions/teamrecord.h
+++ b/src/decisions/teamrecord.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/decayingrate.h"
 #include "core/resources.h"
 #include "core/workclass.h"
-#include "core/decayingrate.h"
 #include "decisions/indexes.h"
 #include "decisions/teampolicy.h"
 
--- a/src/workflows/controller/workflowmetrics.cpp
+++ b/src/workflows/controller/workflowmetrics.cpp
@@ -58,9 +58,9 @@
 void WorkflowMetrics::refused(const WorkflowSpec &spec, IntakeCause cause) const
 {
     if (this->metrics != nullptr) {
-        this->metrics->count(Metric::IntakeRefusedTotal,
-                             {spec.account, spec.queue,
-                              std::string(enumName(intakeCauseNames, cause))});
+        this->metrics->count(
+            Metric::IntakeRefusedTotal,
+            {spec.account, spec.queue, std::string(enumName(intakeCauseNames, cause))});
     }
 }
 
--- a/src/workflows/intake/intake.cpp
+++ b/src/workflows/intake/intake.cpp
@@ -3,7 +3,6 @@
 #include "workflows/model/objective.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace guavavalve::workflows {
@@ -17,6 +16,9 @@
 constexpr std::int64_t slackDivisor = 2;
 /// The same of the objective, for objectives that leave nearly no time besides the run time.
 constexpr std::int64_t objectiveDivisor = 4;
+/// An overload ends when the wait is below this part of the target. In between, accounts get their
+/// share, not what they happen to hand in first.
+constexpr std::int64_t overloadEndDivisor = 2;
 /// A caller waits for 2 s to learn that its request is stored; half of it is for the way.
 constexpr Milliseconds maxStoreDelay{1000};
 /// Rates of a new controller, or of a queue that was idle, say nothing before this.
@@ -26,7 +28,7 @@
 constexpr Milliseconds maxWait{60000}; ///< of queues whose work does not start at all
 /// While refused callers wait to come back, requests that have not waited yet may use this part of
 /// their account's share.
-constexpr double newcomersPart = 0.5;
+constexpr double newcomersPart = 0.8;
 /// Queues and accounts with a line of their own in a report.
 constexpr std::size_t maxReportKeys = 64;
 
@@ -35,14 +37,6 @@
     return static_cast<double>(step.tasks) * step.workOfTask();
 }
 
-double workOf(const WorkflowSpec &spec)
-{
-    double work = 0.0;
-    for (const StepSpec &step : spec.steps)
-        work += workOf(step);
-    return work;
-}
-
 /// Needed by the steps that can start at once.
 std::int64_t firstMilliCores(const WorkflowSpec &spec)
 {
@@ -79,7 +73,8 @@
     this->term = newTerm;
     this->beganAt = now;
     this->queues.clear();
-    this->requests = AccountRates();
+    this->unstored = AccountBacklog();
+    this->stored = DecayingRate(rateSeconds);
     this->storeDelay = SustainedDelay();
     this->beingStored.clear();
     this->refusals.clear();
@@ -103,9 +98,8 @@
         // The call's own age is unknown without a stamp, so the caller should come back after the
         // refusal has been forgotten.
         const Milliseconds left = toMilliseconds(refusal->retryAt - now);
-        const Milliseconds retryAfter = stamp.isKnown()
-            ? std::max(left, this->limits.minRetryAfter)
-            : this->limits.attemptLifetime;
+        const Milliseconds retryAfter = stamp.isKnown() ? std::max(left, this->limits.minRetryAfter)
+                                                        : this->limits.attemptLifetime;
         return this->refuse(spec, IntakeCause::Repeat, Milliseconds(0), retryAfter, now);
     }
     const QueuePolicy *queue = policy.queue(spec.queue);
@@ -120,22 +114,21 @@
     const Outlook expected = this->outlook(spec, *queue, toMilliseconds(age), now);
     if (!expected.isQueueOverloaded && !expected.isControllerOverloaded)
         return {IntakeVerdict::Accept, IntakeCause::None, expected.wait};
-    const Milliseconds waited =
-        refusal ? toMilliseconds(now - refusal->firstAt) : Milliseconds(0);
-    if (waited + expected.wait > expected.useful) {
-        return this->refuse(spec, IntakeCause::TooLate, expected.wait,
-                            this->spreadRetryAfter(spec.id, this->limits.maxRetryAfter), now);
-    }
+    const Milliseconds waited = refusal ? toMilliseconds(now - refusal->firstAt) : Milliseconds(0);
+    const Milliseconds excess = expected.wait - expected.target;
     if (this->isBeyondShare(spec, expected, waited, policy, now)) {
-        const Milliseconds excess = expected.wait - expected.target;
         return this->refuse(spec, IntakeCause::BeyondShare, expected.wait,
                             this->spreadRetryAfter(spec.id, excess), now);
     }
+    if (waited + expected.waitWithinShare > expected.useful) {
+        return this->refuse(spec, IntakeCause::TooLate, expected.wait,
+                            this->spreadRetryAfter(spec.id, excess), now);
+    }
     return {IntakeVerdict::Accept, IntakeCause::None, expected.wait};
 }
 
 Intake::Outlook Intake::outlook(const WorkflowSpec &spec, const QueuePolicy &policy,
-                                Milliseconds age, Instant now) const
+                                Milliseconds age, Instant now)
 {
     const std::vector<std::int64_t> paths = criticalPathsFrom(spec);
     const std::int64_t pathMs = paths.empty() ? 0 : *std::max_element(paths.begin(), paths.end());
@@ -143,24 +136,33 @@
     Outlook expected;
     if (objectiveMs <= 0)
         return expected; // the operators have set none
-    expected.target = Milliseconds(std::max((objectiveMs - pathMs) / slackDivisor,
-                                            objectiveMs / objectiveDivisor));
+    expected.target = Milliseconds(
+        std::max((objectiveMs - pathMs) / slackDivisor, objectiveMs / objectiveDivisor));
     expected.useful =
         Milliseconds(std::max<std::int64_t>(0, usefulObjectives * objectiveMs - pathMs));
     const Milliseconds storing =
         this->beingStored.empty() ? Milliseconds(0) : this->storeDelay.at(now);
     expected.isControllerOverloaded = storing > std::min(expected.target, maxStoreDelay);
     expected.wait = age + storing;
+    expected.waitWithinShare = expected.wait;
     const auto found = this->queues.find(spec.queue);
     if (found == this->queues.end() || !this->isShort(found->second, firstMilliCores(spec)))
         return expected;
     const Milliseconds queueWait = this->expectedWait(spec.queue, now);
     // A shortage shorter than what these callers can bear may be over before they notice.
     const Instant shortFrom = found->second.shortSince + std::max(expected.target, shortageEnd);
-    expected.isQueueOverloaded = queueWait > expected.target && now >= shortFrom
-        && now >= this->beganAt + minObservation;
-    if (expected.isQueueOverloaded)
-        expected.wait += queueWait;
+    const bool isObserved = now >= shortFrom && now >= this->beganAt + minObservation;
+    Milliseconds &overloadTarget = found->second.overloadTarget;
+    if (isObserved && queueWait > expected.target) {
+        const bool isFirst = overloadTarget == Milliseconds(0);
+        overloadTarget = isFirst ? expected.target : std::min(overloadTarget, expected.target);
+    }
+    expected.isQueueOverloaded =
+        overloadTarget > Milliseconds(0) && queueWait > expected.target / overloadEndDivisor;
+    if (!expected.isQueueOverloaded)
+        return expected;
+    expected.wait += queueWait;
+    expected.waitWithinShare += std::min(queueWait, expected.target);
     return expected;
 }
 
@@ -169,34 +171,38 @@
 {
     if (queue.shortSince == Instant())
         return false;
-    return queue.load.isShortOfQueriers
-        || queue.load.waitingMilliCores + queue.unplannedMilliCores + milliCores
-        > queue.freeMilliCores;
+    return queue.isShortOfQueriers || queue.waitingMilliCores + milliCores > queue.freeMilliCores;
 }
 
 bool Intake::isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
                            const Policy &policy, Instant now) const
 {
-    const AccountRates::WeightOf weightOf = [&](const std::string &account) {
+    const AccountBacklog::WeightOf weightOf = [&](const std::string &account) {
         const auto known = policy.accounts.find(account);
         return known == policy.accounts.end() ? AccountPolicy().weight : known->second.weight;
     };
     // Who has waited longest goes first: the longer a caller has waited, the more of the share.
     double part = 1.0;
     if (this->refusals.waiting(spec.queue, spec.account) > 0 && expected.useful.count() > 0) {
-        const double served = static_cast<double>(waited.count())
-            / static_cast<double>(expected.useful.count());
+        const double served =
+            static_cast<double>(waited.count()) / static_cast<double>(expected.useful.count());
         part = newcomersPart + (1.0 - newcomersPart) * std::min(1.0, served);
     }
-    const double capacityFactor = std::min(1.0,
-                                           static_cast<double>(expected.target.count())
-                                               / static_cast<double>(expected.wait.count()));
+    // What waits in all may take as long as the target to be served.
+    const auto allowed = [&](const DecayingRate &served, Milliseconds target) {
+        return served.at(now) * std::chrono::duration<double>(target).count();
+    };
     if (expected.isControllerOverloaded
-        && this->requests.isBeyondShare(spec.account, capacityFactor, part, weightOf, now))
+        && this->unstored.isBeyondShare(
+            spec.account, allowed(this->stored, std::min(expected.target, maxStoreDelay)), part,
+            weightOf, now))
         return true;
-    const auto queue = this->queues.find(spec.queue);
-    return expected.isQueueOverloaded && queue != this->queues.end()
-        && queue->second.rates.isBeyondShare(spec.account, capacityFactor, part, weightOf, now);
+    const auto found = this->queues.find(spec.queue);
+    if (!expected.isQueueOverloaded || found == this->queues.end())
+        return false;
+    const Queue &queue = found->second;
+    return queue.waiting.isBeyondShare(spec.account, allowed(queue.started, expected.target), part,
+                                       weightOf, now);
 }
 
 IntakeDecision Intake::refuse(const WorkflowSpec &spec, IntakeCause cause, Milliseconds wait,
@@ -209,6 +215,10 @@
     refusal.promisedUntil = now + this->limits.attemptLifetime;
     refusal.retryAt = now + retryAfter;
     this->refusals.refused(spec.id, spec.queue, spec.account, refusal);
+    this->unstored.refused(spec.account, now);
+    const auto queue = this->queues.find(spec.queue);
+    if (queue != this->queues.end())
+        queue->second.waiting.refused(spec.account, now);
     IntakeReport::Key key{spec.queue, spec.account, cause};
     if (this->report.refused.size() >= maxReportKeys && this->report.refused.count(key) == 0)
         key = {"other", "other", cause};
@@ -216,23 +226,24 @@
     return {IntakeVerdict::Refuse, cause, wait, retryAfter};
 }
 
-/// At least \a excess, spread over as long again so that those who were refused together do not
-/// come back together.
+/// At least \a excess, and for part of the callers up to twice that, so that those who were refused
+/// together do not come back together. In whole seconds, as callers are told.
 Milliseconds Intake::spreadRetryAfter(WorkflowId id, Milliseconds excess) const
 {
-    const Milliseconds base =
+    const Milliseconds bounded =
         std::clamp(excess, this->limits.minRetryAfter, this->limits.maxRetryAfter);
-    const auto hash = static_cast<std::int64_t>(std::hash<WorkflowId>()(id) >> 1U);
-    return std::min(this->limits.maxRetryAfter, base + Milliseconds(hash % base.count()));
+    const std::uint64_t seconds = (static_cast<std::uint64_t>(bounded.count()) + 999) / 1000;
+    const std::uint64_t mixed = idValue(id) * 0x9E3779B97F4A7C15U; // Fibonacci hashing
+    const std::uint64_t extra = (mixed >> 32U) % (seconds + 1);
+    return std::min(this->limits.maxRetryAfter, Milliseconds(1000 * (seconds + extra)));
 }
 
 void Intake::accepted(const WorkflowSpec &spec, Instant now)
 {
-    if (!this->beingStored.emplace(spec.id, now).second)
+    if (!this->beingStored.try_emplace(spec.id, Storing{now, spec.account}).second)
         return;
     this->refusals.accepted(spec.id);
-    this->requests.accepted(spec.account, 1.0, now);
-    this->queues[spec.queue].rates.accepted(spec.account, workOf(spec), now);
+    this->unstored.add(spec.account, 1.0);
     this->addUnplanned(spec);
 }
 
@@ -241,9 +252,9 @@
     Queue &queue = this->queues[spec.queue];
     for (const StepSpec &step : spec.steps) {
         if (step.dependencies.empty())
-            queue.unplannedWork += workOf(step);
+            queue.waiting.add(spec.account, workOf(step));
     }
-    queue.unplannedMilliCores += firstMilliCores(spec);
+    queue.waitingMilliCores += firstMilliCores(spec);
 }
 
 void Intake::settled(WorkflowId id, Instant now)
@@ -251,44 +262,57 @@
     const auto found = this->beingStored.find(id);
     if (found == this->beingStored.end())
         return;
-    this->storeDelay.observed(toMilliseconds(now - found->second), now);
+    this->storeDelay.observed(toMilliseconds(now - found->second.since), now);
+    this->unstored.remove(found->second.account, 1.0);
+    this->stored.add(now);
     this->beingStored.erase(found);
-    this->requests.served(1.0, now);
+    if (this->beingStored.empty())
+        this->unstored.clear(now);
 }
 
 void Intake::planned(const std::map<std::string, QueueLoad> &loads, std::int64_t freeMilliCores,
                      const std::vector<const WorkflowSpec *> &unplanned, Instant now)
 {
     for (const auto &[name, load] : loads)
-        this->queues[name].load = load;
+        this->queues.try_emplace(name);
     for (auto &[name, queue] : this->queues) {
         const auto found = loads.find(name);
-        queue.load = found == loads.end() ? QueueLoad() : found->second;
-        queue.unplannedWork = 0.0;
-        queue.unplannedMilliCores = 0;
+        const QueueLoad load = found == loads.end() ? QueueLoad() : found->second;
+        queue.waiting.clear(now);
+        for (const auto &[account, work] : load.waitingWork)
+            queue.waiting.add(account, work);
+        queue.waitingMilliCores = load.waitingMilliCores;
         queue.freeMilliCores = freeMilliCores;
-        if (queue.load.startedWork > 0.0)
-            queue.rates.served(queue.load.startedWork, now);
-        if (queue.load.isShortOfRoom || queue.load.isShortOfQueriers) {
-            queue.lastShortAt = now;
-            if (queue.shortSince == Instant())
-                queue.shortSince = now;
-        } else if (now > queue.lastShortAt + shortageEnd) {
-            queue.shortSince = Instant();
-        }
+        queue.isShortOfQueriers = load.isShortOfQueriers;
+        if (load.startedWork > 0.0)
+            queue.started.add(now, load.startedWork);
+        this->updateShortage(name, queue, !load.waitingWork.empty(), now);
     }
     for (const WorkflowSpec *spec : unplanned)
         this->addUnplanned(*spec);
 }
 
+void Intake::updateShortage(const std::string &name, Queue &queue, bool isWaiting, Instant now)
+{
+    if (isWaiting) {
+        queue.lastShortAt = now;
+        if (queue.shortSince == Instant())
+            queue.shortSince = now;
+    } else if (now > queue.lastShortAt + shortageEnd) {
+        queue.shortSince = Instant();
+    }
+    if (this->expectedWait(name, now) <= queue.overloadTarget / overloadEndDivisor)
+        queue.overloadTarget = Milliseconds(0);
+}
+
 Milliseconds Intake::expectedWait(const std::string &name, Instant now) const
 {
     const auto found = this->queues.find(name);
     if (found == this->queues.end() || found->second.shortSince == Instant())
         return Milliseconds(0);
     const Queue &queue = found->second;
-    const double work = queue.load.waitingWork + queue.unplannedWork;
-    const double perMs = queue.rates.servedPerSecond(now) / 1000.0;
+    const double work = queue.waiting.total();
+    const double perMs = queue.started.at(now) / 1000.0;
     if (work >= perMs * static_cast<double>(maxWait.count()))
         return work > 0.0 ? maxWait : Milliseconds(0);
     return Milliseconds(static_cast<std::int64_t>(work / perMs));
--- a/src/workflows/intake/intake.h
+++ b/src/workflows/intake/intake.h
@@ -2,7 +2,8 @@
 
 #include "controller/callstamp.h"
 #include "core/clock.h"
-#include "workflows/intake/accountrates.h"
+#include "core/decayingrate.h"
+#include "workflows/intake/accountbacklog.h"
 #include "workflows/intake/intakedecision.h"
 #include "workflows/intake/intakelimits.h"
 #include "workflows/intake/intakereport.h"
@@ -65,21 +66,31 @@
     IntakeReport takeReport();
 
 private:
+    /// Short enough to follow a change of load while callers still wait, and several plans long.
+    static constexpr double rateSeconds = 2.0;
+
     struct Queue
     {
-        QueueLoad load; ///< of the last plan
-        double unplannedWork = 0.0; ///< accepted since then
-        std::int64_t unplannedMilliCores = 0;
+        AccountBacklog waiting; ///< found by the last plan, or accepted since; milli-core-ms
+        DecayingRate started{rateSeconds}; ///< milli-core-ms per second
+        std::int64_t waitingMilliCores = 0;
         std::int64_t freeMilliCores = 0;
+        bool isShortOfQueriers = false;
         Instant shortSince{}; ///< zero: it is not short
         Instant lastShortAt{};
-        AccountRates rates;
+        Milliseconds overloadTarget{0}; ///< of the request that found it overloaded; 0: it is not
+    };
+    struct Storing
+    {
+        Instant since{};
+        std::string account;
     };
 
     /// What a new request can expect.
     struct Outlook
     {
         Milliseconds wait{0};
+        Milliseconds waitWithinShare{0}; ///< of work within the shares, which is served first
         Milliseconds target{0}; ///< a longer wait counts as overload
         Milliseconds useful{0}; ///< after a longer wait the result is of no use
         bool isQueueOverloaded = false;
@@ -87,22 +98,24 @@
     };
 
     Outlook outlook(const WorkflowSpec &spec, const QueuePolicy &policy, Milliseconds age,
-                    Instant now) const;
+                    Instant now);
     bool isShort(const Queue &queue, std::int64_t milliCores) const;
     bool isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
                        const Policy &policy, Instant now) const;
     IntakeDecision refuse(const WorkflowSpec &spec, IntakeCause cause, Milliseconds wait,
                           Milliseconds retryAfter, Instant now);
     Milliseconds spreadRetryAfter(WorkflowId id, Milliseconds excess) const;
+    void updateShortage(const std::string &name, Queue &queue, bool isWaiting, Instant now);
     void addUnplanned(const WorkflowSpec &spec);
 
     IntakeLimits limits;
     std::uint64_t term = 0;
     Instant beganAt{};
     std::map<std::string, Queue> queues;
-    AccountRates requests; ///< accepted and stored, all queues
+    AccountBacklog unstored; ///< accepted requests of all queues that are not stored yet
+    DecayingRate stored{rateSeconds}; ///< requests per second
     SustainedDelay storeDelay; ///< from acceptance until stored
-    std::map<WorkflowId, Instant> beingStored; ///< and since when
+    std::map<WorkflowId, Storing> beingStored;
     RefusedRequests refusals;
     IntakeReport report;
 };
--- a/src/workflows/planning/queueload.h
+++ b/src/workflows/planning/queueload.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace guavavalve::workflows {
 
@@ -9,12 +11,11 @@
 struct QueueLoad
 {
     double startedWork = 0.0; ///< of the tasks that the plan placed
-    /// Of the ready tasks that were not placed and can still meet their objective; without those
-    /// whose account is at its limit, or whose targets are in doubt.
-    double waitingWork = 0.0;
+    /// By client account, of the ready tasks that wait for room or for an instance that can query,
+    /// and that can still meet their objective.
+    std::map<std::string, double> waitingWork;
     std::int64_t waitingMilliCores = 0; ///< needed by these tasks
-    bool isShortOfRoom = false; ///< some of these tasks wait for room
-    bool isShortOfQueriers = false; ///< some wait for an instance that can query for them
+    bool isShortOfQueriers = false; ///< some of them wait for an instance that can query
 };
 
 } // namespace guavavalve::workflows
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -70,6 +70,11 @@
         if (address != leaderAddress)
             return;
         ++this->leaderCalls;
+        if (method == Method::RelayStamped
+            && decode<StampedCall>(payload).value().stamp.term != this->leaderTerm) {
+            done(failure(otherTermError, "stamped for another controller"));
+            return;
+        }
         RelayedAnswer answer;
         answer.status = 200;
         answer.body = "{}";
@@ -104,6 +109,9 @@
     std::unique_ptr<Relay> spare; ///< of an instance that has no copy of the stored state
     bool isMemberUp = true;
     std::size_t leaderCalls = 0;
+    std::uint64_t leaderTerm = 7;
+    std::uint64_t answeredTerm = 7; ///< of the controller that answers questions for its clock
+    CallStamp stamp; ///< unknown: the controller is of an earlier build
 
 private:
     bool answers(const TargetReport &report)
@@ -132,7 +140,11 @@
         };
         hooks.post = [](const std::function<void()> &action) { action(); };
         hooks.answered = [](int, Microseconds) {};
-        hooks.stamp = [] { return CallStamp{}; };
+        hooks.stamp = [this] { return this->stamp; };
+        hooks.refreshClock = [this](const std::function<void()> &done) {
+            this->stamp.term = this->answeredTerm;
+            done();
+        };
         return std::make_unique<Relay>(std::move(link), *this, std::move(hooks), instance);
     }
 };
@@ -178,6 +190,37 @@
     CHECK(group.leaderCalls == 2);
 }
 
+// Guards against requests lost with a change of leader: the new one takes no call of before.
+TEST_CASE("a request stamped for an earlier controller is stamped anew and sent again", "[relay]")
+{
+    FakeGroup group;
+    group.stamp = {6, 1000};
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/q/0123456789abcdef";
+    int status = 0;
+    const HttpReply reply = [&](const HttpResponse &response) { status = response.status; };
+    group.spare->serveCaller(request, reply);
+    CHECK(status == 200);
+    CHECK(group.leaderCalls == 2);
+}
+
+// Guards against endless repeats while the controller's clock cannot be learned.
+TEST_CASE("a request is not sent again with the stamp that was not taken", "[relay]")
+{
+    FakeGroup group;
+    group.stamp = {6, 1000};
+    group.answeredTerm = 6;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/q/0123456789abcdef";
+    int status = 0;
+    const HttpReply reply = [&](const HttpResponse &response) { status = response.status; };
+    group.spare->serveCaller(request, reply);
+    CHECK(status == 503);
+    CHECK(group.leaderCalls == 1);
+}
+
 TEST_CASE("a report goes to the leader if the replica that may answer it is down", "[relay]")
 {
     FakeGroup group;
--- a/test/workflows/intaketest.cpp
+++ b/test/workflows/intaketest.cpp
@@ -3,6 +3,10 @@
 #include "workflows/intake/intake.h"
 #include "workflows/storefixture.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -66,19 +70,20 @@
             return false;
         this->intake.accepted(spec, this->now);
         this->intake.settled(spec.id, this->now);
+        this->waiting.emplace_back(this->now, spec.account);
         return true;
     }
 
-    /// A plan that starts \a started jobs of \a queue, leaves \a waiting for want of room, and
-    /// leaves \a freeMilliCores.
-    void plan(double started, std::int64_t waiting, std::int64_t freeMilliCores = 0,
-              const std::string &queue = "urgent")
+    /// A plan that starts \a started jobs of \a queue, and leaves \a waiting and \a freeMilliCores.
+    void plan(double started, const std::map<std::string, std::int64_t> &waiting,
+              std::int64_t freeMilliCores = 0, const std::string &queue = "urgent")
     {
         QueueLoad load;
         load.startedWork = started * jobWork;
-        load.waitingWork = static_cast<double>(waiting) * jobWork;
-        load.waitingMilliCores = waiting * jobMilliCores;
-        load.isShortOfRoom = waiting > 0;
+        for (const auto &[account, jobs] : waiting) {
+            load.waitingWork[account] = static_cast<double>(jobs) * jobWork;
+            load.waitingMilliCores += jobs * jobMilliCores;
+        }
         this->intake.planned({{queue, load}}, freeMilliCores, {}, this->now);
     }
 
@@ -91,31 +96,50 @@
         std::pair<std::size_t, std::size_t> taken;
         for (int i = 0; i < 40; ++i) {
             for (std::size_t k = 0; k < std::max(ofA, ofB); ++k) {
-                const bool isLast = i >= 30;
-                if (k < ofA && this->submit(this->job(++this->lastId, "a"))) {
-                    ++this->backlog;
-                    taken.first += isLast ? 1 : 0;
-                }
-                if (k < ofB && this->submit(this->job(++this->lastId, "b"))) {
-                    ++this->backlog;
-                    taken.second += isLast ? 1 : 0;
-                }
+                const std::size_t isLast = i >= 30 ? 1 : 0;
+                if (k < ofA && this->submit(this->job(++this->lastId, "a")))
+                    taken.first += isLast;
+                if (k < ofB && this->submit(this->job(++this->lastId, "b")))
+                    taken.second += isLast;
             }
-            const std::int64_t started = std::min<std::int64_t>(10, this->backlog);
-            this->backlog -= started;
             this->advance(Milliseconds(100));
-            this->plan(static_cast<double>(started), this->backlog);
+            this->startTen();
         }
         return taken;
     }
 
+    /// Starts the oldest waiting jobs that are not late, then late ones.
+    void startTen()
+    {
+        std::int64_t started = 0;
+        const auto isLate = [&](Instant began) { return this->now - began > Milliseconds(600); };
+        while (!this->waiting.empty() && isLate(this->waiting.front().first)) {
+            this->waiting.pop_front();
+            ++this->late;
+        }
+        for (; started < 10 && !this->waiting.empty(); ++started)
+            this->waiting.pop_front();
+        for (; started < 10 && this->late > 0; ++started)
+            --this->late;
+        std::map<std::string, std::int64_t> left;
+        for (const auto &[since, account] : this->waiting)
+            ++left[account];
+        this->plan(static_cast<double>(started), left);
+    }
+
     /// The queue is overloaded, and "a" beyond its share.
-    void overload() { this->play(40, 5); }
+    void overload()
+    {
+        this->play(40, 5);
+        for (int i = 0; i < 200 && this->submit(this->job(++this->lastId)); ++i) {}
+    }
 
     Instant now{std::chrono::seconds(1000)};
     Policy policy;
     Intake intake;
-    std::int64_t backlog = 0;
+    /// When each job that is not late was accepted, and its account.
+    std::deque<std::pair<Instant, std::string>> waiting;
+    std::int64_t late = 0;
     std::uint64_t lastId = 1000;
 };
 
@@ -156,9 +180,9 @@
 {
     IntakeFixture cell;
     cell.overload();
-    cell.plan(10, 20, 30 * jobMilliCores);
+    cell.plan(10, {{"a", 90}}, 100 * jobMilliCores);
     CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
-    cell.plan(10, 20, 10 * jobMilliCores);
+    cell.plan(10, {{"a", 90}}, 10 * jobMilliCores);
     CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
 }
 
@@ -168,10 +192,10 @@
     IntakeFixture cell;
     for (int i = 0; i < 30; ++i) {
         cell.advance(Milliseconds(100));
-        cell.plan(10, 0);
+        cell.plan(10, {});
     }
     cell.advance(Milliseconds(100));
-    cell.plan(0, 100);
+    cell.plan(0, {{"a", 100}});
     CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
 }
 
@@ -182,7 +206,7 @@
     cell.overload();
     for (int i = 0; i < 30; ++i) {
         cell.advance(Milliseconds(100));
-        cell.plan(10, 1000, 0, "patient");
+        cell.plan(10, {{"a", 1000}}, 0, "patient");
     }
     CHECK(cell.decide(cell.job(1, "a", "patient")).verdict == IntakeVerdict::Accept);
 }
@@ -193,9 +217,9 @@
     IntakeFixture cell;
     cell.overload();
     CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
-    cell.plan(10, 0);
+    cell.plan(10, {});
     cell.advance(Milliseconds(600));
-    cell.plan(10, 0);
+    cell.plan(10, {});
     CHECK(cell.decide(cell.job(2)).verdict == IntakeVerdict::Accept);
 }
 
@@ -207,7 +231,7 @@
     cell.intake.begin(term, cell.now);
     for (int i = 0; i < 10; ++i) {
         cell.advance(Milliseconds(100));
-        cell.plan(0, 500);
+        cell.plan(0, {{"a", 500}});
     }
     CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
 }
@@ -219,9 +243,9 @@
     cell.overload();
     const CallStamp first = cell.stampAt(cell.now - Milliseconds(300));
     REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
-    cell.plan(10, 0);
+    cell.plan(10, {});
     cell.advance(Milliseconds(1000));
-    cell.plan(10, 0);
+    cell.plan(10, {});
     const IntakeDecision late = cell.decide(cell.job(1), first);
     CHECK(late.verdict == IntakeVerdict::Refuse);
     CHECK(late.cause == IntakeCause::Repeat);
@@ -239,7 +263,7 @@
     REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
     for (int i = 0; i < 100; ++i) {
         cell.advance(Milliseconds(100));
-        cell.plan(10, 0);
+        cell.plan(10, {});
         REQUIRE(cell.decide(cell.job(1), first).verdict != IntakeVerdict::Accept);
     }
 }
@@ -329,10 +353,10 @@
     REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
     IntakeVerdict returner = IntakeVerdict::Refuse;
     IntakeVerdict newcomer = IntakeVerdict::Refuse;
-    for (std::uint64_t id = 2; returner == IntakeVerdict::Refuse && id < 40; ++id) {
+    for (std::int64_t left = 40; returner == IntakeVerdict::Refuse && left > 0; --left) {
         cell.advance(Milliseconds(100));
-        cell.plan(10, 40);
-        newcomer = cell.decide(cell.job(id)).verdict;
+        cell.plan(10, {{"a", left}});
+        newcomer = cell.decide(cell.job(static_cast<std::uint64_t>(left) + 100)).verdict;
         returner = cell.decide(cell.job(1)).verdict;
     }
     CHECK(returner == IntakeVerdict::Accept);
@@ -343,7 +367,7 @@
 TEST_CASE("a new weight, or an account that is gone, counts at once", "[intake]")
 {
     IntakeFixture cell;
-    cell.play(20, 20);
+    cell.overload();
     REQUIRE(cell.decide(cell.job(1)).verdict == IntakeVerdict::Refuse);
     cell.policy.accounts["a"].weight = 1000.0;
     cell.policy.accounts.erase("b");
@@ -362,7 +386,7 @@
                 cell.intake.settled(static_cast<WorkflowId>(id - 60), cell.now);
         }
         cell.advance(Milliseconds(100));
-        cell.plan(10, 0, 1000000);
+        cell.plan(10, {}, 1000000);
     }
     CHECK(cell.decide(cell.job(9001, "a")).cause == IntakeCause::BeyondShare);
     CHECK(cell.decide(cell.job(9002, "b")).verdict == IntakeVerdict::Accept);
