--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -50,9 +50,13 @@
     LoopLagSeconds,
     IntakeRefusedTotal,
     ExpectedWaitSeconds,
+    HeldCalls,
+    HeldCallsTotal,
+    CallsUnansweredTotal,
+    CallsRepeatedTotal,
 };
 
-inline constexpr std::size_t metricCount = 39;
+inline constexpr std::size_t metricCount = 43;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/intake/intakelimits.h
+++ b/src/workflows/intake/intakelimits.h
@@ -8,9 +8,9 @@
 
 struct IntakeLimits
 {
-    /// No instance forwards a request that it received longer ago: 2 s that a caller is kept
-    /// waiting, and a margin for clocks that run at different speeds and for the last hop.
-    Milliseconds attemptLifetime{2500};
+    /// No instance forwards a request that it received longer ago: it keeps callers waiting for 3 s
+    /// at most. The rest is for clocks that run at different speeds, and for the last hop.
+    Milliseconds attemptLifetime{3500};
     /// Bound on the unfinished workflows in the store: 10 kB each, in memory, in the snapshot being
     /// written and in the log, take 300 MB at most.
     std::size_t maxLiveWorkflows = 10000;
