Intake: load tests; work that can wait waits here

Change: requests with 2 s or more besides the run time are refused only when their result would be of no use. The free room that the intake compares with is that after reservations; it was reduced by them twice.

--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -336,9 +336,7 @@
              this->admissionPort.querierCount(), this->openQueries,
              [this](Milliseconds expected) { return this->admissionPort.reserve(expected); }});
     });
-    this->intake.planned(made.summary.queues,
-                         made.summary.free[ResourceKind::MilliCores]
-                             - made.summary.claimedMilliCores - made.summary.reservedMilliCores,
+    this->intake.planned(made.summary.queues, made.summary.free[ResourceKind::MilliCores],
                          acceptedIn(batch), this->options.clock());
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
--- a/src/workflows/intake/intake.cpp
+++ b/src/workflows/intake/intake.cpp
@@ -19,6 +19,9 @@
 /// An overload ends when the wait is below this part of the target. In between, accounts get their
 /// share, not what they happen to hand in first.
 constexpr std::int64_t overloadEndDivisor = 2;
+/// Requests with this much time besides the run time wait here rather than at their callers, who
+/// would come back later than that: a Retry-After is 1 or 2 s at least.
+constexpr Milliseconds patientSlack{2000};
 /// A caller waits for 2 s to learn that its request is stored; half of it is for the way.
 constexpr Milliseconds maxStoreDelay{1000};
 /// Rates of a new controller, or of a queue that was idle, say nothing before this.
@@ -136,10 +139,12 @@
     Outlook expected;
     if (objectiveMs <= 0)
         return expected; // the operators have set none
-    expected.target = Milliseconds(
-        std::max((objectiveMs - pathMs) / slackDivisor, objectiveMs / objectiveDivisor));
     expected.useful =
         Milliseconds(std::max<std::int64_t>(0, usefulObjectives * objectiveMs - pathMs));
+    const Milliseconds slack(objectiveMs - pathMs);
+    expected.target = slack >= patientSlack
+        ? expected.useful
+        : std::max(slack / slackDivisor, Milliseconds(objectiveMs / objectiveDivisor));
     const Milliseconds storing =
         this->beingStored.empty() ? Milliseconds(0) : this->storeDelay.at(now);
     expected.isControllerOverloaded = storing > std::min(expected.target, maxStoreDelay);
--- a/src/workflows/intake/intake.h
+++ b/src/workflows/intake/intake.h
@@ -55,7 +55,7 @@
     bool isBeingStored(WorkflowId id) const { return this->beingStored.count(id) != 0; }
 
     /// A plan was made. \a unplanned: accepted workflows that it did not know of yet.
-    /// \a freeMilliCores: of open targets, after its placements, and not reserved.
+    /// \a freeMilliCores: of open targets, after its placements and reservations.
     void planned(const std::map<std::string, QueueLoad> &loads, std::int64_t freeMilliCores,
                  const std::vector<const WorkflowSpec *> &unplanned, Instant now);
 
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -58,6 +58,7 @@
         return this->loop.nowMs() / this->calendarStepMs * this->calendarStepMs;
     };
     options.metrics = &this->metrics;
+    options.mechanisms = this->mechanisms;
     options.clock = [this] { return this->loop.now(); };
     TargetPort &port = this->portOfController ? this->portOfController() : this->fleet;
     AdmissionPort &service = this->admissionsOfController == nullptr
@@ -154,6 +155,16 @@
     this->controller().submit(spec, [](const Result<CommandOutcome> &) {});
 }
 
+IntakeDecision Simulation::request(const WorkflowSpec &spec, const CallStamp &stamp)
+{
+    const IntakeDecision decision = this->controller().decideIntake(spec, stamp);
+    if (decision.verdict == IntakeVerdict::Accept) {
+        this->fleet.announce(spec);
+        this->controller().submit(spec, [](const Result<CommandOutcome> &) {});
+    }
+    return decision;
+}
+
 void Simulation::runFor(Milliseconds span)
 {
     while (span > Milliseconds(0)) {
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -91,6 +91,10 @@
     static std::string domainOf(const std::string &name);
 
     void submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue = "q");
+    /// Submits the workflow if the controller's intake accepts it. \a stamp: of the call.
+    IntakeDecision request(const WorkflowSpec &spec, const CallStamp &stamp);
+    /// Of a call that is received now.
+    CallStamp stamp() const { return {this->term, this->loop.now().time_since_epoch().count()}; }
     void runFor(Milliseconds span);
     /// False if the workflow was submitted to a controller that had lost its leadership.
     bool isAccepted(WorkflowId id) const;
@@ -105,6 +109,7 @@
     std::function<TargetPort &()> portOfController;
     /// The admission service of the next controller; null: one that admits every target.
     AdmissionPort *admissionsOfController = nullptr;
+    MechanismSet mechanisms; ///< of the next controller
     Policy policy; ///< read from every configuration document
     Metrics metrics;
     SimulatedFleet fleet;
