--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -48,6 +48,8 @@
     CallsWaiting,
     CallsRefusedTotal,
     LoopLagSeconds,
+    IntakeRefusedTotal,
+    ExpectedWaitSeconds,
     HeldCalls,
     HeldCallsTotal,
     CallsUnansweredTotal,
@@ -58,7 +60,7 @@
     AccountTasksWaiting,
 };
 
-inline constexpr std::size_t metricCount = 45;
+inline constexpr std::size_t metricCount = 47;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/planning/planner.h
+++ b/src/workflows/planning/planner.h
@@ -7,6 +7,7 @@
 #include "workflows/model/waitcause.h"
 #include "workflows/planning/admissions.h"
 #include "workflows/planning/claims.h"
+#include "workflows/planning/queueload.h"
 #include "workflows/store/workflowstore.h"
 
 #include <cstddef>
@@ -15,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -62,6 +64,7 @@
     bool isShort = false;
     /// The most urgent priority of which a step was not queried because no instance had time.
     std::optional<std::uint32_t> queriesExhaustedFrom;
+    std::map<std::string, QueueLoad> queues; ///< by name; those with ready tasks
 };
 
 struct Plan
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -156,6 +156,16 @@
     this->controller().submit(spec, [](const Result<CommandOutcome> &) {});
 }
 
+IntakeDecision Simulation::request(const WorkflowSpec &spec, const CallStamp &stamp)
+{
+    const IntakeDecision decision = this->controller().decideIntake(spec, stamp);
+    if (decision.verdict == IntakeVerdict::Accept) {
+        this->fleet.announce(spec);
+        this->controller().submit(spec, [](const Result<CommandOutcome> &) {});
+    }
+    return decision;
+}
+
 void Simulation::runFor(Milliseconds span)
 {
     while (span > Milliseconds(0)) {
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -92,6 +92,10 @@
 
     void submit(WorkflowId id, std::vector<StepSpec> steps, const std::string &queue = "q",
                 const std::string &account = "a");
+    /// Submits the workflow if the controller's intake accepts it. \a stamp: of the call.
+    IntakeDecision request(const WorkflowSpec &spec, const CallStamp &stamp);
+    /// Of a call that is received now.
+    CallStamp stamp() const { return {this->term, this->loop.now().time_since_epoch().count()}; }
     void runFor(Milliseconds span);
     /// False if the workflow was submitted to a controller that had lost its leadership.
     bool isAccepted(WorkflowId id) const;
@@ -104,9 +108,9 @@
     bool renamesRestarted = false; ///< crashed targets return under new names
     /// The port through which the next controller sends its orders; empty: the fleet itself.
     std::function<TargetPort &()> portOfController;
-    MechanismSet mechanisms; ///< of the next controller
     /// The admission service of the next controller; null: one that admits every target.
     AdmissionPort *admissionsOfController = nullptr;
+    MechanismSet mechanisms; ///< of the next controller
     Policy policy; ///< read from every configuration document
     Metrics metrics;
     SimulatedFleet fleet;
