--- a/src/controller/heldcalls.cpp
+++ b/src/controller/heldcalls.cpp
@@ -1,5 +1,6 @@
 #include "controller/heldcalls.h"
 
+#include <algorithm>
 #include <cassert>
 #include <iterator>
 #include <utility>
@@ -21,15 +22,16 @@
     if (isFull || call.deadline <= now + this->options.reserve)
         return false;
     this->bytes += call.bytes;
-    const Instant deadline = call.deadline;
-    this->calls.emplace(deadline, std::move(call));
+    const Instant giveUpAt =
+        std::min(call.deadline - this->options.reserve, now + this->options.maxHold);
+    this->calls.emplace(giveUpAt, std::move(call));
     return true;
 }
 
 std::vector<HeldCalls::Call> HeldCalls::takeExpired(Instant now)
 {
     std::vector<Call> expired;
-    while (!this->calls.empty() && this->calls.begin()->first <= now + this->options.reserve)
+    while (!this->calls.empty() && this->calls.begin()->first <= now)
         expired.push_back(this->take(this->calls.begin()));
     return expired;
 }
--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -30,6 +30,9 @@
         /// Time that must be left before a call's deadline when it is handed in: several times what
         /// a controller takes to store a request.
         Milliseconds reserve{200};
+        /// Maximum time for which a call is held: most changes of leader take less, and its caller
+        /// has time left to try another instance if only this one is cut off.
+        Milliseconds maxHold{1000};
     };
 
     struct Call
@@ -46,7 +49,7 @@
     /// Holds \a call. Returns false, and does not take it, if too much is held already or no time
     /// is left to serve it.
     bool hold(Call &call, Instant now);
-    /// Removes the calls that can no longer be served in time.
+    /// Removes the calls that can no longer be served in time or were held for long enough.
     std::vector<Call> takeExpired(Instant now);
     /// Removes the next call to hand in, and counts it as in flight; none if enough are.
     std::optional<Call> takeNext();
@@ -60,7 +63,7 @@
     Call take(std::multimap<Instant, Call>::iterator which);
 
     Options options;
-    std::multimap<Instant, Call> calls; ///< by deadline
+    std::multimap<Instant, Call> calls; ///< by when they are given up
     std::size_t bytes = 0;
     std::size_t inFlight = 0;
 };
