New requests do not wait behind held ones; more held requests are handed in with each that is answered

Change: requests are held only without contact; the limit of requests in flight grows by one with each answer.

--- a/src/controller/heldcalls.cpp
+++ b/src/controller/heldcalls.cpp
@@ -21,6 +21,8 @@
         || this->bytes + call.bytes > this->options.maxBytes;
     if (isFull || call.deadline <= now + this->options.reserve)
         return false;
+    if (this->calls.empty() && this->inFlight == 0)
+        this->window = this->options.maxInFlight;
     this->bytes += call.bytes;
     const Instant giveUpAt =
         std::min(call.deadline - this->options.reserve, now + this->options.maxHold);
@@ -38,7 +40,7 @@
 
 std::optional<HeldCalls::Call> HeldCalls::takeNext()
 {
-    if (this->calls.empty() || this->inFlight >= this->options.maxInFlight)
+    if (this->calls.empty() || this->inFlight >= this->window)
         return std::nullopt;
     ++this->inFlight;
     return this->take(std::prev(this->calls.end()));
@@ -48,6 +50,7 @@
 {
     assert(this->inFlight > 0 && "call ended() once for each call of takeNext()");
     --this->inFlight;
+    ++this->window;
 }
 
 HeldCalls::Call HeldCalls::take(std::multimap<Instant, Call>::iterator which)
--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -24,9 +24,9 @@
     {
         std::size_t maxCalls = 2000;
         std::size_t maxBytes = 8U << 20U;
-        /// Calls handed in and not yet answered. With 40 instances, 160 calls are pending at the
-        /// controller: fewer than it stores in one batch.
-        std::size_t maxInFlight = 4;
+        /// Calls handed in and not yet answered, at first: with 40 instances, 320 are pending at
+        /// the controller, as many as it stores in one batch. One more for each that is answered.
+        std::size_t maxInFlight = 8;
         /// Time that must be left before a call's deadline when it is handed in: several times what
         /// a controller takes to store a request.
         Milliseconds reserve{200};
@@ -66,6 +66,7 @@
     std::multimap<Instant, Call> calls; ///< by when they are given up
     std::size_t bytes = 0;
     std::size_t inFlight = 0;
+    std::size_t window = 0; ///< maximum of inFlight in the present period
 };
 
 } // namespace guavavalve
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -338,6 +338,24 @@
     CHECK(entry.calls.size() <= mostAtOnce);
 }
 
+// Guards against an entry that holds on long after contact is back, since the controller is slow to
+// answer what was held.
+TEST_CASE("a new request does not wait behind held ones once there is a controller",
+          "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.hasController = false;
+    entry.isLeaderSilent = true;
+    for (int i = 0; i < 100; ++i)
+        entry.post("a" + std::to_string(i));
+    entry.hasController = true;
+    entry.fireTimer();
+    entry.isLeaderSilent = false;
+    entry.post("new");
+    REQUIRE(entry.answers.size() == 1);
+    CHECK(entry.answers.front().status == 200);
+}
+
 // Guards against a return of all rejected callers at the same time.
 TEST_CASE("rejections for want of a controller spread the return of the callers", "[relay][calls]")
 {
