--- a/src/controller/heldcalls.cpp
+++ b/src/controller/heldcalls.cpp
@@ -1,5 +1,6 @@
 #include "controller/heldcalls.h"
 
+#include <algorithm>
 #include <cassert>
 #include <iterator>
 #include <utility>
@@ -20,23 +21,26 @@
         || this->bytes + call.bytes > this->options.maxBytes;
     if (isFull || call.deadline <= now + this->options.reserve)
         return false;
+    if (this->calls.empty() && this->inFlight == 0)
+        this->window = this->options.maxInFlight;
     this->bytes += call.bytes;
-    const Instant deadline = call.deadline;
-    this->calls.emplace(deadline, std::move(call));
+    const Instant giveUpAt =
+        std::min(call.deadline - this->options.reserve, now + this->options.maxHold);
+    this->calls.emplace(giveUpAt, std::move(call));
     return true;
 }
 
 std::vector<HeldCalls::Call> HeldCalls::takeExpired(Instant now)
 {
     std::vector<Call> expired;
-    while (!this->calls.empty() && this->calls.begin()->first <= now + this->options.reserve)
+    while (!this->calls.empty() && this->calls.begin()->first <= now)
         expired.push_back(this->take(this->calls.begin()));
     return expired;
 }
 
 std::optional<HeldCalls::Call> HeldCalls::takeNext()
 {
-    if (this->calls.empty() || this->inFlight >= this->options.maxInFlight)
+    if (this->calls.empty() || this->inFlight >= this->window)
         return std::nullopt;
     ++this->inFlight;
     return this->take(std::prev(this->calls.end()));
@@ -46,6 +50,7 @@
 {
     assert(this->inFlight > 0 && "call ended() once for each call of takeNext()");
     --this->inFlight;
+    ++this->window;
 }
 
 HeldCalls::Call HeldCalls::take(std::multimap<Instant, Call>::iterator which)
--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -24,12 +24,15 @@
     {
         std::size_t maxCalls = 2000;
         std::size_t maxBytes = 8U << 20U;
-        /// Calls handed in and not yet answered. With 40 instances, 160 calls are pending at the
-        /// controller: fewer than it stores in one batch.
-        std::size_t maxInFlight = 4;
+        /// Calls handed in and not yet answered, at first: with 40 instances, 320 are pending at
+        /// the controller, as many as it stores in one batch. One more for each that is answered.
+        std::size_t maxInFlight = 8;
         /// Time that must be left before a call's deadline when it is handed in: several times what
         /// a controller takes to store a request.
         Milliseconds reserve{200};
+        /// Maximum time for which a call is held: most changes of leader take less, and its caller
+        /// has time left to try another instance if only this one is cut off.
+        Milliseconds maxHold{1000};
     };
 
     struct Call
@@ -46,7 +49,7 @@
     /// Holds \a call. Returns false, and does not take it, if too much is held already or no time
     /// is left to serve it.
     bool hold(Call &call, Instant now);
-    /// Removes the calls that can no longer be served in time.
+    /// Removes the calls that can no longer be served in time or were held for long enough.
     std::vector<Call> takeExpired(Instant now);
     /// Removes the next call to hand in, and counts it as in flight; none if enough are.
     std::optional<Call> takeNext();
@@ -60,9 +63,10 @@
     Call take(std::multimap<Instant, Call>::iterator which);
 
     Options options;
-    std::multimap<Instant, Call> calls; ///< by deadline
+    std::multimap<Instant, Call> calls; ///< by when they are given up
     std::size_t bytes = 0;
     std::size_t inFlight = 0;
+    std::size_t window = 0; ///< maximum of inFlight in the present period
 };
 
 } // namespace guavavalve
