metrics: look series up by cut labels

Two accounts with equal first 64 bytes shared a gauge under two keys; replace() freed it for one and left the other dangling (crash in the new test before the change). replace() adds values of equal cut labels and those beyond the limit up, and removes the overflow series once unused.

--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -10,6 +10,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <fstream>
@@ -36,6 +37,19 @@
     return result;
 }
 
+bool isTooLong(const std::string &value)
+{
+    return value.size() > maxLabelLength;
+}
+
+/// The labels as they are exposed. Labels that are equal once they are cut share one series.
+Metrics::LabelValues cutLabels(Metrics::LabelValues labels)
+{
+    for (std::string &value : labels)
+        value.resize(std::min(value.size(), maxLabelLength));
+    return labels;
+}
+
 /// The series of one metric, each created when its label values are first used.
 struct Series
 {
@@ -45,7 +59,8 @@
     prometheus::Family<prometheus::Gauge> *gauges = nullptr;
     prometheus::Family<prometheus::Histogram> *histograms = nullptr;
     // A look-up in the family would copy and sort the labels for each observation.
-    std::map<std::vector<std::string>, void *> seriesByLabels;
+    std::map<std::vector<std::string>, void *> seriesByLabels; ///< by cut labels
+    void *overflow = nullptr; ///< for labels beyond the limit; null while there are none
 };
 
 } // namespace
@@ -92,7 +107,7 @@
 {
     prometheus::Labels labels;
     for (std::size_t i = 0; i < values.size(); ++i)
-        labels.emplace(family.labelNames[i], values[i].substr(0, maxLabelLength));
+        labels.emplace(family.labelNames[i], values[i]);
     if (family.counters != nullptr)
         return &family.counters->Add(labels);
     if (family.gauges != nullptr)
@@ -110,6 +125,8 @@
     Series &family = this->series[static_cast<std::size_t>(metric)];
     assert(labels.size() == family.labelNames.size()
            && "pass one value for each label of the metric's row");
+    if (std::any_of(labels.begin(), labels.end(), isTooLong))
+        return this->find(metric, cutLabels(labels));
     std::unique_lock<std::mutex> lock(family.mutex);
     const auto found = family.seriesByLabels.find(labels);
     if (found != family.seriesByLabels.end())
@@ -121,6 +138,7 @@
     }
     const LabelValues other(labels.size(), std::string(overflowLabel));
     void *overflow = this->add(family, other);
+    family.overflow = overflow;
     lock.unlock();
     this->countOverflow();
     return overflow;
@@ -168,19 +186,41 @@
 {
     assert(describe(metric).type == MetricType::Gauge && "replace() requires a gauge");
     Series &family = this->d->series[static_cast<std::size_t>(metric)];
+    std::map<LabelValues, double> kept;
+    double beyondLimit = 0.0;
+    for (const auto &[labels, value] : values) {
+        LabelValues cut = cutLabels(labels);
+        if (kept.size() < this->d->maxSeries || kept.count(cut) != 0)
+            kept[std::move(cut)] += value;
+        else
+            beyondLimit += value;
+    }
     {
         const std::lock_guard<std::mutex> lock(family.mutex);
+        // A caller's own label may be the overflow's: then both are one series.
+        bool isOverflowShared = false;
         for (auto one = family.seriesByLabels.begin(); one != family.seriesByLabels.end();) {
-            if (values.count(one->first) != 0) {
+            if (kept.count(one->first) != 0) {
+                isOverflowShared |= one->second == family.overflow;
                 ++one;
                 continue;
             }
+            if (one->second == family.overflow)
+                family.overflow = nullptr;
             family.gauges->Remove(static_cast<prometheus::Gauge *>(one->second));
             one = family.seriesByLabels.erase(one);
         }
+        if (family.overflow != nullptr && !isOverflowShared)
+            family.gauges->Remove(static_cast<prometheus::Gauge *>(family.overflow));
+        family.overflow = nullptr;
     }
-    for (const auto &[labels, value] : values)
+    for (const auto &[labels, value] : kept)
         this->set(metric, value, labels);
+    if (beyondLimit > 0.0) {
+        const LabelValues other(family.labelNames.size(), std::string(overflowLabel));
+        const auto own = kept.find(other);
+        this->set(metric, beyondLimit + (own == kept.end() ? 0.0 : own->second), other);
+    }
 }
 
 void Metrics::observe(Metric metric, double value, const LabelValues &labels)
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -37,8 +37,9 @@
     /// Sets a gauge.
     void set(Metric metric, double value, const LabelValues &labels = {});
 
-    /// Sets a gauge to exactly these series, and removes all others of it. No other thread may set
-    /// the same gauge meanwhile.
+    /// Sets a gauge to exactly these series, and removes all others of it. Values whose labels are
+    /// the same once they are cut, and those beyond the limit, are added up. No other thread may
+    /// set the same gauge meanwhile.
     void replace(Metric metric, const std::map<LabelValues, double> &values);
 
     /// Adds an observation, in the metric's unit, to a histogram.
--- a/test/runtime/metricstest.cpp
+++ b/test/runtime/metricstest.cpp
@@ -102,3 +102,30 @@
     metrics.replace(Metric::AccountTasksWaiting, {});
     CHECK_FALSE(contains(metrics.exposition(), "guavavalve_account_tasks_waiting{"));
 }
+
+// Guards against a crash when one of two accounts whose long names begin alike has no more work.
+TEST_CASE("Labels that are equal once they are cut share a series")
+{
+    Metrics metrics;
+    const std::string begin(64, 'n');
+    metrics.replace(Metric::AccountTasksWaiting,
+                    {{{begin + "1", "q"}, 3.0}, {{begin + "2", "q"}, 4.0}});
+    CHECK(contains(metrics.exposition(), "team=\"" + begin + "\"} 7"));
+    metrics.replace(Metric::AccountTasksWaiting, {{{begin + "2", "q"}, 5.0}});
+    CHECK(contains(metrics.exposition(), "team=\"" + begin + "\"} 5"));
+    metrics.replace(Metric::AccountTasksWaiting, {{{"other", "q"}, 1.0}});
+    CHECK_FALSE(contains(metrics.exposition(), begin));
+}
+
+// Guards against a sum of accounts beyond the limit that stays once they have no more work.
+TEST_CASE("Replacing a gauge removes the series of labels beyond the limit")
+{
+    Metrics metrics(2);
+    metrics.replace(Metric::AccountTasksWaiting,
+                    {{{"a", "q"}, 1.0}, {{"b", "q"}, 2.0}, {{"c", "q"}, 3.0}, {{"d", "q"}, 4.0}});
+    CHECK(contains(metrics.exposition(),
+                   "guavavalve_account_tasks_waiting{class=\"other\",team=\"other\"} 7"));
+    metrics.replace(Metric::AccountTasksWaiting, {{{"a", "q"}, 1.0}});
+    CHECK_FALSE(contains(metrics.exposition(), "team=\"other\""));
+    CHECK(contains(metrics.exposition(), "team=\"a\"} 1"));
+}
