shares: query time across services, for several accounts, within limits

Query time was shared per service although instances send queries for all: a service with one account went behind the others. It is now summed over services, a level where one account alone wants anything is never contended, and the query time that an account wants is scaled by what its limit leaves. The three new tests failed before.

--- a/src/workflows/shares/accountshares.cpp
+++ b/src/workflows/shares/accountshares.cpp
@@ -58,6 +58,7 @@
             this->allot(level, policy);
     }
     this->taken.resize(this->loads.accounts().size() * this->services);
+    this->takenQueryTime.resize(this->loads.accounts().size());
 }
 
 /// Adds a level for each service and priority with work.
@@ -90,12 +91,13 @@
         const AccountLoad &load = this->loads[row];
         const QueuePolicy &queue = *policy.queue(this->loads.queues()[this->loads.queueOf(row)]);
         for (Level &level : this->levels) {
+            Claim &claim = level.claims[this->loads.accountOf(row)];
+            if (level.countsQueries(queue))
+                claim.waiting[queryTimeKind] += queryRate(load.waitingQueryMs);
             if (!level.counts(queue))
                 continue;
-            Claim &claim = level.claims[this->loads.accountOf(row)];
             add(claim.placed, load.placed);
             add(claim.waiting, load.waiting);
-            claim.waiting[queryTimeKind] += queryRate(load.waitingQueryMs);
         }
     }
     for (std::size_t account = 0; account < this->loads.accounts().size(); ++account) {
@@ -104,8 +106,11 @@
             if (queue == nullptr)
                 continue; // the queue was removed
             for (Level &level : this->levels) {
+                SharedAmounts &sum = level.claims[account].recent;
                 if (level.counts(*queue))
-                    add(level.claims[account].recent, recent);
+                    add(sum, recent);
+                else if (level.countsQueries(*queue))
+                    sum[queryTimeKind] += recent[queryTimeKind];
             }
         }
     }
@@ -113,14 +118,20 @@
 
 void AccountShares::sumUp(Claim &claim, const Resources &limit)
 {
+    double startable = 1.0; // part of the waiting work for which the limit leaves room
     for (std::size_t kind = 0; kind < sharedKindCount; ++kind) {
         claim.used[kind] = std::max(claim.placed[kind], claim.recent[kind]);
         claim.wanted[kind] = claim.used[kind] + claim.waiting[kind];
         if (kind < resourceKindCount) {
             const auto most = static_cast<double>(limit.amounts[kind]);
             claim.wanted[kind] = std::min(claim.wanted[kind], std::max(claim.used[kind], most));
+            const double left = std::max(0.0, most - claim.placed[kind]);
+            if (claim.waiting[kind] > left)
+                startable = std::min(startable, left / claim.waiting[kind]);
         }
     }
+    claim.wanted[queryTimeKind] =
+        claim.used[queryTimeKind] + startable * claim.waiting[queryTimeKind];
 }
 
 void AccountShares::findScarce(Level &level, const Resources &free, bool areQueriesExhausted)
@@ -142,6 +153,19 @@
     level.room[queryTimeKind] = recent[queryTimeKind];
     level.isScarce[queryTimeKind] = areQueriesExhausted && recent[queryTimeKind] > 0.0;
     level.isContended |= level.isScarce[queryTimeKind];
+    if (!hasSeveralAccounts(level)) {
+        level.isScarce.fill(false);
+        level.isContended = false;
+    }
+}
+
+bool AccountShares::hasSeveralAccounts(const Level &level)
+{
+    const auto wantsAny = [](const Claim &claim) {
+        return std::any_of(claim.wanted.begin(), claim.wanted.end(),
+                           [](double amount) { return amount > 0.0; });
+    };
+    return std::count_if(level.claims.begin(), level.claims.end(), wantsAny) > 1;
 }
 
 double AccountShares::dominantShare(const Level &level, const SharedAmounts &amounts)
@@ -192,10 +216,11 @@
     if (level.isContended && !level.claims[account].isSatisfied) {
         SharedAmounts had = level.claims[account].used;
         add(had, before);
+        had[queryTimeKind] += this->takenQueryTime[account];
         isBeyond = dominantShare(level, had) >= level.claims[account].due * (1.0 - shareTolerance);
     }
     add(before, need);
-    before[queryTimeKind] += queryRate(queryMs);
+    this->takenQueryTime[account] += queryRate(queryMs);
     return isBeyond;
 }
 
--- a/src/workflows/shares/accountshares.h
+++ b/src/workflows/shares/accountshares.h
@@ -21,8 +21,8 @@
 /// The load that it answers is one account that sends several times its usual: its work beyond its
 /// share comes after that of the others. A priority competes for what less urgent work leaves: an
 /// account's use counts if it is of that priority or a more urgent one. Resources of targets are
-/// contended if the waiting tasks do not fit into the free room, and query time if no instance had
-/// time for a step. While nothing is contended, or one account alone has work, nobody is beyond a
+/// contended if the waiting tasks do not fit into the free room, and query time, for which all
+/// services compete, if no instance had time for a step. While nothing is contended, or one account alone has work, nobody is beyond a
 /// share.
 class AccountShares
 {
@@ -68,7 +68,12 @@
         /// priority or a more urgent one.
         bool counts(const QueuePolicy &queue) const
         {
-            return queue.service == this->service && queue.priority <= this->priority;
+            return queue.service == this->service && this->countsQueries(queue);
+        }
+        /// True if queries of the queue, which instances send for all services, come no later.
+        bool countsQueries(const QueuePolicy &queue) const
+        {
+            return queue.priority <= this->priority;
         }
         bool isContended = false;
         SharedAmounts room{}; ///< used as the whole of each kind
@@ -80,6 +85,7 @@
     void addClaims(const Policy &policy, const AccountUse &use);
     static void sumUp(Claim &claim, const Resources &limit);
     static void findScarce(Level &level, const Resources &free, bool areQueriesExhausted);
+    static bool hasSeveralAccounts(const Level &level);
     void allot(Level &level, const Policy &policy) const;
     /// The largest part of a kind that \a amounts take. While nothing is contended, all kinds
     /// count.
@@ -88,8 +94,9 @@
     AccountLoads loads;
     std::vector<Level> levels;
     std::vector<std::size_t> levelOfQueue; ///< by number of the queue in the loads
-    /// Taken by the steps so far, by account and service.
+    /// Taken by the steps so far, by account and service; of query time only by account.
     std::vector<SharedAmounts> taken;
+    std::vector<double> takenQueryTime;
     std::size_t services = 0;
 };
 
--- a/test/workflows/accountsharestest.cpp
+++ b/test/workflows/accountsharestest.cpp
@@ -319,3 +319,50 @@
     this->use.observe(this->table(), {}, begin + 20 * useMemory);
     CHECK(this->use.size() == 0);
 }
+
+// Guards against a service with one account whose queries come after those of all other services.
+TEST_CASE_METHOD(SharesFixture, "an account without competitors is never beyond its share",
+                 "[shares]")
+{
+    this->load("a", "batch", 0, 50, 50000.0);
+    AccountLoads queried = this->table();
+    queried[0].queryMs = 8000.0;
+    this->use.observe(queried, 0, begin);
+    AccountShares shares = this->shares(10);
+    CHECK(this->within(shares, "a", "batch") == 50);
+    CHECK(shares.mostBeyondShare(1).empty());
+}
+
+// Guards against a service that uses little query time and has to share out that little alone.
+TEST_CASE_METHOD(SharesFixture, "accounts of all services compete for query time", "[shares]")
+{
+    this->policy.queues["other"].priority = 2;
+    this->load("a", "batch", 0, 5, 1000.0);
+    this->load("b", "other", 0, 500, 500000.0);
+    AccountLoads queried = this->table();
+    const AccountLoads::Row first = queried.row("a", "batch");
+    const AccountLoads::Row second = queried.row("b", "other");
+    queried[first].queryMs = 500.0;
+    queried[second].queryMs = 8000.0;
+    this->use.observe(queried, 0, begin);
+    this->load("c", "batch", 0, 5, 1000.0);
+    AccountShares shares = this->shares(100);
+    CHECK_FALSE(shares.take(first, milliCores(1000), 100.0));
+    CHECK(shares.take(second, milliCores(1000), 100.0));
+}
+
+// Guards against an account at its limit that holds a share of query time which it cannot use.
+TEST_CASE_METHOD(SharesFixture, "the limit bounds the query time that an account wants", "[shares]")
+{
+    this->policy.accounts["a"].limit[ResourceKind::MilliCores] = 10000;
+    this->load("a", "batch", 10, 500, 500000.0);
+    this->load("b", "batch", 0, 50, 50000.0);
+    AccountLoads queried = this->table();
+    const AccountLoads::Row row = queried.row("b", "batch");
+    queried[queried.row("a", "batch")].queryMs = 1000.0;
+    queried[row].queryMs = 5000.0;
+    this->use.observe(queried, 2, begin);
+    AccountShares shares = this->shares(100);
+    // 6,000 ms were used: 1,000 by a, which wants no more, so that b may have 5,000 and not 3,000.
+    CHECK(shares.standings()[1].due == Approx(5.0 / 6.0));
+}
