shares: steps that cannot start take nothing; denied queries are noted

The planner charged withheld steps, steps over their account's limit and gangs larger than the cell to their account's share; its other steps then came last. A step whose own reservation for several targets failed was not noted as short of query time, and one that needed no query was.

--- a/src/workflows/planning/internal/admissionqueryplanner.cpp
+++ b/src/workflows/planning/internal/admissionqueryplanner.cpp
@@ -91,6 +91,7 @@
 
 std::vector<AdmissionQuery> AdmissionQueryPlanner::plan(const ReadyStep &step, bool isNextInLine)
 {
+    this->isDenied = false;
     if (this->isExhaustedFor(step))
         return {};
     std::vector<AdmissionQuery> queries = this->decide(step, isNextInLine);
@@ -118,6 +119,7 @@
         const std::optional<InstanceId> querier = this->input.reserveQuerier(expected);
         if (!querier) {
             this->exhaustedFrom = std::min(expected, this->exhaustedFrom.value_or(expected));
+            this->isDenied = true;
             break;
         }
         queries[kept].querier = *querier;
--- a/src/workflows/planning/internal/admissionqueryplanner.h
+++ b/src/workflows/planning/internal/admissionqueryplanner.h
@@ -18,6 +18,13 @@
     /// \a isNextInLine: the step is a gang that room is reserved for, now or soon.
     std::vector<AdmissionQuery> plan(const ReadyStep &step, bool isNextInLine);
 
+    /// True if no instance could send a query that the latest plan() wanted for its step.
+    bool wasDenied() const { return this->isDenied; }
+    /// True if the step needs a query now, whether or not an instance can send it.
+    bool needsQuery(const ReadyStep &step, bool isNextInLine) const
+    {
+        return !this->decide(step, isNextInLine).empty();
+    }
     /// True if no instance could send even a query about a single target.
     bool isExhaustedFor(const ReadyStep &step) const;
 
@@ -41,6 +48,7 @@
     std::size_t open = 0; ///< pending queries, including those of this plan
     /// Queries of this processing time and longer ones cannot be sent in this plan.
     std::optional<Milliseconds> exhaustedFrom;
+    bool isDenied = false;
 };
 
 /// Number of the step's tasks that fit into \a room.
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -136,8 +136,10 @@
         for (std::size_t i = first; i < steps.size(); ++i) {
             StepDemand demand;
             demand.row = row;
-            addTimes(demand.need, steps[i].spec().reserved(), steps[i].waiting());
-            demand.queryMs = missingQueryMs(steps[i]);
+            if (const std::size_t startable = this->startableTasks(steps[i])) {
+                addTimes(demand.need, steps[i].spec().reserved(), startable);
+                demand.queryMs = missingQueryMs(steps[i]);
+            }
             load.waiting += demand.need;
             load.waitingTasks += steps[i].waiting();
             load.waitingQueryMs += demand.queryMs;
@@ -146,6 +148,32 @@
         }
     }
 
+    /// Number of waiting tasks of the step that could start now if they had room. Other steps do
+    /// not compete: what they need would be charged to their account's share in vain.
+    std::size_t startableTasks(const ReadyStep &step) const
+    {
+        const std::size_t count = step.waiting() - this->withheld(step);
+        const bool isGang = step.spec().gang;
+        const bool canStart = count > 0 && !this->room.isOverLimit(step, isGang ? count : 1)
+            && (!isGang || this->fitsIntoCell(step));
+        return canStart ? count : 0;
+    }
+
+    /// True if the gang could start if all targets were empty.
+    bool fitsIntoCell(const ReadyStep &step) const
+    {
+        std::size_t missing = step.progress().tasks.size();
+        for (const OpenTarget &target : this->room.targets()) {
+            if (!PlanRoom::mayRun(step, target))
+                continue;
+            const std::size_t slots = internal::slotsIn(step, target.identity->capacity);
+            if (slots >= missing)
+                return true;
+            missing -= slots;
+        }
+        return missing == 0;
+    }
+
     /// Expected processing time of the queries that the step needs before any of its tasks can
     /// start.
     static double missingQueryMs(const ReadyStep &step)
@@ -286,9 +314,10 @@
         }
         bool isQueried = false;
         if (step.queue->needsAdmission) {
-            isQueried = this->addQueries(step, step.spec().gang && this->isNextInLine(step));
-            if (!isQueried && this->queries.isExhaustedFor(step))
-                this->noteExhausted(step.queue->priority);
+            const bool isNext = step.spec().gang && this->isNextInLine(step);
+            isQueried = this->addQueries(step, isNext);
+            if (!isQueried)
+                this->noteIfExhausted(step, isNext);
         }
         const WaitCause cause = waitCauseOf(step, isQueried);
         this->plan.waiting.push_back({step.address, cause});
@@ -300,10 +329,16 @@
             this->reserveRoomFor(step);
     }
 
-    void noteExhausted(std::uint32_t priority)
+    /// Notes the priority of the first step in order that no instance had time for.
+    void noteIfExhausted(const ReadyStep &step, bool isNextInLine)
     {
         std::optional<std::uint32_t> &from = this->plan.summary.queriesExhaustedFrom;
-        from = std::min(priority, from.value_or(priority));
+        if (from && *from <= step.queue->priority)
+            return;
+        if (this->queries.wasDenied()
+            || (this->queries.isExhaustedFor(step)
+                && this->queries.needsQuery(step, isNextInLine)))
+            from = step.queue->priority;
     }
 
     /// Adds what place() has done with the step to the load of its queue.
--- a/test/workflows/accountfloodtest.cpp
+++ b/test/workflows/accountfloodtest.cpp
@@ -186,8 +186,8 @@
 // Guards against accounts that start anew with an unused share once there is a new controller.
 TEST_CASE("a new controller keeps a flooding account to its share", "[shares]")
 {
-    const UsualLoad load = GENERATE(urgentLoad, batchLoad);
-    CAPTURE(load.queue);
+    const UsualLoad load = GENERATE(urgentLoad, batchLoad, queryLoad);
+    CAPTURE(load.queue, load.queriers);
     const double usual = servedOfOthers(load, 1.0, true, true);
     CHECK(servedOfOthers(load, flood, true, true) >= usual - tolerance);
 }
--- a/test/workflows/planordertest.cpp
+++ b/test/workflows/planordertest.cpp
@@ -5,6 +5,7 @@
 #include "workflows/shares/accountuse.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 using namespace guavavalve;
@@ -108,3 +109,35 @@
     }
     CHECK(rounds < 20);
 }
+
+// Guards against an account whose share is used up by steps that cannot start.
+TEST_CASE_METHOD(OrderFixture, "steps that cannot start take nothing of their account's share",
+                 "[shares]")
+{
+    this->add(1, "q", gang(13), "a"); // larger than the cell
+    this->policy.accounts["b"].limit[ResourceKind::MilliCores] = 8000;
+    this->add(2, "q", gang(9), "b"); // beyond its limit
+    for (unsigned id = 3; id <= 22; ++id)
+        this->add(id, "q", step(1), "c");
+    for (unsigned id = 23; id <= 26; ++id)
+        this->add(id, "q", step(1), id % 2 == 0 ? "a" : "b");
+    const std::vector<unsigned> order = this->placedOrder(true);
+    for (const unsigned id : {23U, 24U, 25U, 26U})
+        CHECK(std::count(order.begin(), order.end(), id) == 1);
+}
+
+// Guards against shares of query time that are enforced because of a step that has its answer.
+TEST_CASE_METHOD(OrderFixture, "only steps that need a query show that query time is short",
+                 "[shares]")
+{
+    this->needAdmission();
+    this->policy.queues["later"] = this->policy.queues["q"];
+    this->policy.queues["later"].priority = 1;
+    this->policy.queues["q"].queryMsPerTarget = 100.0; // less for one target than for "later"
+    this->policy.queues["q"].queryBaseMs = 10.0;
+    this->reserveQuerier = [](Milliseconds) { return std::optional<InstanceId>(); };
+    this->add(1, "q", step(1), "a");
+    this->add(2, "later", step(1), "a");
+    this->admissions[{static_cast<WorkflowId>(2), 0, 0}].asked.insert(incarnation(1));
+    CHECK(this->plan().summary.queriesExhaustedFrom == 0U);
+}
