--- a/src/workflows/shares/accountshares.h
+++ b/src/workflows/shares/accountshares.h
@@ -22,8 +22,8 @@
 /// share comes after that of the others. A priority competes for what less urgent work leaves: an
 /// account's use counts if it is of that priority or a more urgent one. Resources of targets are
 /// contended if the waiting tasks do not fit into the free room, and query time if no instance had
-/// time for a step. While nothing is contended, or one account alone has work, nobody is beyond a
-/// share.
+/// time for a step. While nothing is contended, nobody is beyond a share; the steps of one account
+/// that are beyond it are always the last ones of their priority.
 class AccountShares
 {
 public:
