workflows: speeds of targets are learned from the tasks of a step, stored, and weighed

Cause: targets of a deployment differ by a factor of two in speed. What was learned about them was compared with callers' estimates, which are off by a factor of two and more, had three grades, and was lost with each controller and incarnation.

Urgent tasks take the fastest targets, others the slowest that are fast enough, gangs targets of like speed. Idle targets whose speed is not known get batch tasks first.

--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -109,6 +109,13 @@
      "use", "Calls and connections refused because the budget of their use was exhausted."},
     {Metric::LoopLagSeconds, "guavavalve_loop_lag_seconds", MetricType::Gauge, "seconds", "",
      "Delay with which the controller's loop ran its most recent periodic action."},
+    {Metric::TargetsBySpeed, "guavavalve_targets_by_speed", MetricType::Gauge, "targets", "speed",
+     "Targets by their learned speed, relative to the others: fast, usual (or not known yet), "
+     "slow. "
+     "Reported by the controller."},
+    {Metric::RunsMovedTotal, "guavavalve_runs_moved_total", MetricType::Counter, "runs", "",
+     "Runs stopped in order to be restarted on another target, because theirs had stalled or they "
+     "fell behind. Reported by the controller."},
 }};
 
 constexpr bool inOrder()
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -48,9 +48,11 @@
     CallsWaiting,
     CallsRefusedTotal,
     LoopLagSeconds,
+    TargetsBySpeed,
+    RunsMovedTotal,
 };
 
-inline constexpr std::size_t metricCount = 37;
+inline constexpr std::size_t metricCount = 39;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -66,6 +66,7 @@
     this->isStartQueued = false;
     this->health.clear();
     this->speeds.clear();
+    this->speedsToStore.reset();
     this->moveCounts.clear();
     this->admissions.clear();
     this->admittedFractions.clear();
@@ -82,6 +83,7 @@
     this->leads = nowLeads;
     this->term = newTerm;
     this->isBatchPending = false;
+    this->nextSpeedRefresh = {};
     if (!nowLeads)
         return;
     this->refreshPolicy();
@@ -182,6 +184,12 @@
     this->isFlushQueued = false;
     if (this->isBatchPending || !this->leads)
         return;
+    if (this->speedsToStore) {
+        std::vector<Pending> alone;
+        alone.push_back({*std::exchange(this->speedsToStore, std::nullopt), nullptr});
+        this->propose(std::move(alone));
+        return;
+    }
     std::vector<Pending> batch = std::exchange(this->pending, {});
     const Instant now = this->options.clock();
     if (this->needsPlan && now < this->nextPlanAt) {
@@ -216,7 +224,8 @@
     CommandBatch commands;
     commands.reserve(batch.size());
     for (Pending &one : batch) {
-        proposed->isPlacement.push_back(std::holds_alternative<PlaceRuns>(one.command));
+        proposed->isPlacement.push_back(std::holds_alternative<PlaceRuns>(one.command)
+                                        || std::holds_alternative<RecordSpeeds>(one.command));
         proposed->done.push_back(std::move(one.done));
         commands.push_back(std::move(one.command));
     }
@@ -310,7 +319,8 @@
             continue;
         open.push_back({incarnation, &record->identity, record->identity.capacity - record->used,
                         onProbation && !this->health.hasProbationExpired(incarnation, now),
-                        session->isCold(), record->placed.size(), this->speeds.grade(incarnation)});
+                        session->isCold(), record->placed.size(), this->logSlownessOf(incarnation),
+                        this->speeds.isWorthExploring(incarnation)});
     }
     return open;
 }
@@ -322,7 +332,8 @@
             {store, this->currentPolicy, this->admissions, this->claims, this->openTargets(store),
              this->options.clock(), this->options.calendarMs(), &this->admittedFractions,
              this->admissionPort.querierCount(), this->openQueries,
-             [this](Milliseconds expected) { return this->admissionPort.reserve(expected); }});
+             [this](Milliseconds expected) { return this->admissionPort.reserve(expected); },
+             this->options.mechanisms.has(Mechanism::Speeds)});
     });
     for (const PlaceRuns &command : made.placements) {
         batch.push_back({command, [this, command](const Result<CommandOutcome> &outcome) {
@@ -429,6 +440,7 @@
     this->startNextResting();
     this->stopIncompleteGangs();
     this->forgetOld();
+    this->refreshSpeeds();
     this->needsPlan = true; // tasks become due and queries have to be repeated as time passes
     this->flush();
     this->options.runAfter(this->options.tick, [this, alive = this->alive, inTerm] {
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -126,7 +127,7 @@
         std::uint64_t term = 0;
         Instant at{};
         std::vector<Done<CommandOutcome>> done;
-        std::vector<bool> isPlacement;
+        std::vector<bool> isPlacement; ///< or another command that makes no room
         std::vector<Done<Nothing>> barriers;
     };
     struct TargetState
@@ -172,6 +173,9 @@
     void rested(IncarnationId incarnation);
     void woken(IncarnationId incarnation);
     void runsOver(IncarnationId incarnation, std::vector<RunEnd> ends);
+    double logSlownessOf(IncarnationId incarnation) const;
+    void addToSpeeds(IncarnationId incarnation, const TargetIdentity &identity);
+    void refreshSpeeds();
     void learnSpeed(IncarnationId incarnation, const RunEnd &end, const WorkflowStore &store);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
@@ -223,6 +227,11 @@
     WorkingSet workingSet;
     TargetHealth health;
     TargetSpeeds speeds;
+    Instant nextSpeedRefresh{};
+    Instant nextSpeedForget{};
+    /// Stored in a batch of its own: replicas of the previous version skip batches with commands
+    /// that they do not know.
+    std::optional<RecordSpeeds> speedsToStore;
     /// Number of runs stopped because their target had stalled.
     std::map<TaskAddress, unsigned> moveCounts;
     AdmissionTable admissions;
--- a/src/workflows/controller/controllerstops.cpp
+++ b/src/workflows/controller/controllerstops.cpp
@@ -131,6 +131,7 @@
             continue;
         ++this->moveCounts[task];
         logRunMoved(incarnation, task);
+        this->metrics.runMoved();
     }
 }
 
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -54,6 +54,7 @@
         }
     });
     this->incarnations[incarnation].session = session;
+    this->addToSpeeds(incarnation, record.identity);
     this->polled[incarnation] = session;
     session->recordHeartbeat(!record.isDraining);
     session->setEvacuated(this->machine.read([&](const WorkflowStore &store) {
@@ -104,18 +105,6 @@
                   });
 }
 
-/// Members of a gang say nothing about their targets: they all end together.
-void Controller::learnSpeed(IncarnationId incarnation, const RunEnd &end,
-                            const WorkflowStore &store)
-{
-    const Workflow *workflow = store.find(end.task.step.workflow);
-    if (workflow == nullptr || workflow->isOver() || end.outcome != RunOutcome::Succeeded)
-        return;
-    const StepSpec &step = workflow->spec.steps[end.task.step.step];
-    if (!step.gang)
-        this->speeds.succeeded(incarnation, end.took, Milliseconds(step.estimatedMs));
-}
-
 /// Counts the workflows that a command of \a atMs has finished, and stops their remaining runs.
 void Controller::finishWorkflows(const std::vector<WorkflowId> &touched, std::int64_t atMs)
 {
--- a/src/workflows/controller/workflowmetrics.cpp
+++ b/src/workflows/controller/workflowmetrics.cpp
@@ -1,6 +1,7 @@
 #include "workflows/controller/workflowmetrics.h"
 
 #include "runtime/metrics.h"
+#include "workflows/health/targetspeeds.h"
 
 #include <algorithm>
 #include <string>
@@ -61,6 +62,25 @@
         this->metrics->count(Metric::TargetCrashesTotal);
 }
 
+void WorkflowMetrics::speeds(const TargetSpeeds &speeds) const
+{
+    if (this->metrics == nullptr)
+        return;
+    const auto counts = speeds.countByGrade();
+    for (const auto &[grade, name] : speedGradeNames) {
+        const auto count = counts.find(grade);
+        this->metrics->set(Metric::TargetsBySpeed,
+                           count == counts.end() ? 0.0 : static_cast<double>(count->second),
+                           {std::string(name)});
+    }
+}
+
+void WorkflowMetrics::runMoved() const
+{
+    if (this->metrics != nullptr)
+        this->metrics->count(Metric::RunsMovedTotal);
+}
+
 void WorkflowMetrics::stored(Milliseconds took) const
 {
     if (this->metrics != nullptr)
--- a/src/workflows/controller/workflowmetrics.h
+++ b/src/workflows/controller/workflowmetrics.h
@@ -13,6 +13,8 @@
 
 namespace guavavalve::workflows {
 
+class TargetSpeeds;
+
 /// The metrics of a controller. Durations are differences of its calendar clock; a negative one,
 /// after the clock was set back, counts as zero.
 class WorkflowMetrics
@@ -29,6 +31,10 @@
     void runsOver(const std::vector<RunEnd> &ends) const;
     /// A target's process ended while it had work.
     void targetCrashed() const;
+    /// Sets the number of targets by how fast they are.
+    void speeds(const TargetSpeeds &speeds) const;
+    /// A run was stopped in order to be restarted on another target.
+    void runMoved() const;
     /// A batch of commands was committed; \a took: time from its proposal to its outcomes.
     void stored(Milliseconds took) const;
     /// A query to the admission service was answered or failed.
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -3,12 +3,17 @@
 #include "runtime/logging.h"
 
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace guavavalve::workflows {
 
 namespace {
 
+/// Targets listed in one line about speeds.
+constexpr std::size_t maxListedGrades = 50;
+constexpr double percent = 100.0;
+
 std::string stepName(const StepAddress &step)
 {
     return workflowName(step.workflow) + "." + std::to_string(step.occurrence) + "."
@@ -140,6 +145,23 @@
               {"now", std::string(enumName(targetTrustNames, now))}});
 }
 
+void logSpeedGrades(const std::vector<TargetSpeeds::GradeChange> &changes)
+{
+    if (changes.empty())
+        return;
+    std::string lives;
+    std::size_t listed = 0;
+    for (const auto &change : changes) {
+        if (listed++ == maxListedGrades)
+            break;
+        lives += (lives.empty() ? "" : ",") + std::to_string(idValue(change.incarnation)) + "="
+            + std::string(enumName(speedGradeNames, change.now)) + "@"
+            + std::to_string(std::lround(percent * change.slowness));
+    }
+    logEvent(LogLevel::Information, "target-speeds",
+             {{"changed", std::to_string(changes.size())}, {"lives", lives}});
+}
+
 void logAdmissionAnswered(const StepAddress &step, std::size_t asked, std::size_t admitted)
 {
     logEvent(LogLevel::Information, "admitted",
--- a/src/workflows/log/decisionlog.h
+++ b/src/workflows/log/decisionlog.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "workflows/health/targethealth.h"
+#include "workflows/health/targetspeeds.h"
 #include "workflows/model/incarnationend.h"
 #include "workflows/model/losscount.h"
 #include "workflows/model/policy.h"
@@ -50,6 +51,8 @@
 void logRunMoved(IncarnationId incarnation, const TaskAddress &task);
 /// The target's trust has changed; writes nothing if \a before equals \a now.
 void logTargetTrust(IncarnationId incarnation, TargetTrust before, TargetTrust now);
+/// Targets are now faster or slower than most, or no longer; writes nothing if there are none.
+void logSpeedGrades(const std::vector<TargetSpeeds::GradeChange> &changes);
 void logAdmissionAnswered(const StepAddress &step, std::size_t asked, std::size_t admitted);
 void logAdmissionFailed(const StepAddress &step, const Error &error);
 /// An instance that carries orders for \a targets targets has not answered; their orders are sent
--- a/src/workflows/planning/internal/admissionqueryplanner.cpp
+++ b/src/workflows/planning/internal/admissionqueryplanner.cpp
@@ -1,5 +1,7 @@
 #include "workflows/planning/internal/admissionqueryplanner.h"
 
+#include "workflows/planning/internal/speedpreference.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -45,14 +47,17 @@
     return incarnations;
 }
 
-/// Sorts targets for a query: those with the most room first and, for steps that prefer these, fast
-/// targets with room before all others.
+/// Sorts targets for a query: those with room and of suitable speed first, and then those with the
+/// most room.
 std::int64_t queryOrder(const ReadyStep &step, const OpenTarget &target)
 {
     constexpr std::int64_t beyondAnyCapacity = std::int64_t{1} << 40U;
-    const bool isGraded = step.prefersFast() && slotsOn(step, target) > 0;
-    const auto grade = static_cast<std::int64_t>(isGraded ? target.speed : SpeedGrade::Slow);
-    return grade * beyondAnyCapacity - target.free[ResourceKind::MilliCores];
+    constexpr std::int64_t beyondAnyPosition = 100;
+    const std::int64_t room = target.free[ResourceKind::MilliCores];
+    if (slotsOn(step, target) == 0)
+        return 2 * beyondAnyPosition * beyondAnyCapacity - room;
+    const auto [isTooSlow, position] = speedScore(step, target);
+    return (isTooSlow * beyondAnyPosition + position) * beyondAnyCapacity - room;
 }
 
 /// Processing time of a query that names \a targets targets, up to the limit of one query.
--- a/src/workflows/planning/internal/readystep.h
+++ b/src/workflows/planning/internal/readystep.h
@@ -9,6 +9,13 @@
 
 namespace guavavalve::workflows::internal {
 
+/// Which targets a step goes to first where targets differ in speed.
+enum class SpeedPreference : std::uint8_t {
+    Fastest,
+    Slowest, ///< of those that are fast enough: the others are left to more urgent queues
+    None,
+};
+
 /// A step that has tasks to place.
 struct ReadyStep
 {
@@ -24,11 +31,13 @@
     /// on time.
     bool isLate = false;
     const StepAdmissions *admissions = nullptr; ///< null: no answer or pending query yet
+    SpeedPreference speedPreference = SpeedPreference::Fastest;
+    /// With SpeedPreference::Slowest: on targets that are slower than this, relative to the usual
+    /// ones, the step would probably miss its objective.
+    double maxLogSlowness = 0.0;
 
     const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
     const StepProgress &progress() const { return this->workflow->step(this->address); }
-    /// True if the step should go to fast targets first.
-    bool prefersFast() const { return this->queue->priority == 0 || this->spec().gang; }
     std::size_t waiting() const
     {
         const StepProgress &step = this->progress();
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -4,6 +4,7 @@
 #include "workflows/planning/internal/admissionqueryplanner.h"
 #include "workflows/planning/internal/planroom.h"
 #include "workflows/planning/internal/readystep.h"
+#include "workflows/planning/internal/speedpreference.h"
 
 #include <algorithm>
 #include <map>
@@ -17,6 +18,7 @@
 using internal::AdmissionQueryPlanner;
 using internal::PlanRoom;
 using internal::ReadyStep;
+using internal::SpeedPreference;
 
 namespace {
 
@@ -52,6 +54,10 @@
                 std::max<std::int64_t>(0, target.free[ResourceKind::MilliCores]);
         }
         this->totalMilliCores = this->plan.summary.capacity[ResourceKind::MilliCores];
+        for (const auto &[name, queue] : planInput.policy.queues) {
+            const auto [most, isNew] = this->mostUrgent.try_emplace(queue.service, queue.priority);
+            most->second = std::min(most->second, queue.priority);
+        }
     }
 
     Plan run()
@@ -119,15 +125,28 @@
             const std::int64_t objectiveAtMs = dueMs + allowedMs;
             for (std::size_t i = 0; i < workflow.spec.steps.size(); ++i) {
                 const StepAddress address{workflow.spec.id, k, static_cast<std::uint16_t>(i)};
-                const StepProgress &progress = workflow.step(address);
-                if (hasWaiting(workflow.spec.steps[i], progress) && workflow.isReady(address))
-                    steps.push_back({address, &workflow, &queue, objectiveAtMs,
-                                     this->input.calendarMs + criticalPaths[i] > objectiveAtMs,
-                                     this->admissionsOf(address)});
+                const StepSpec &spec = workflow.spec.steps[i];
+                if (!hasWaiting(spec, workflow.step(address)) || !workflow.isReady(address))
+                    continue;
+                const std::int64_t slackMs =
+                    objectiveAtMs - this->input.calendarMs - criticalPaths[i];
+                steps.push_back({address, &workflow, &queue, objectiveAtMs, slackMs < 0,
+                                 this->admissionsOf(address),
+                                 this->speedPreferenceOf(queue, spec.gang),
+                                 internal::maxLogSlownessFor(spec.estimatedMs, slackMs)});
             }
         }
     }
 
+    SpeedPreference speedPreferenceOf(const QueuePolicy &queue, bool isGang) const
+    {
+        if (isGang || queue.priority == 0)
+            return SpeedPreference::Fastest;
+        const bool isSparing =
+            this->input.weighsSpeeds && queue.priority > this->mostUrgent.at(queue.service);
+        return isSparing ? SpeedPreference::Slowest : SpeedPreference::None;
+    }
+
     /// False while it is undecided how many targets the task has crashed.
     bool mayStart(const ReadyStep &step, std::size_t index) const
     {
@@ -316,7 +335,7 @@
                 continue;
             OpenTarget *target = this->room.isOverLimit(step, 1)
                 ? nullptr
-                : this->bestTarget(step, i, countByTarget, nullptr);
+                : this->bestTarget(step, i, countByTarget, nullptr, nullptr);
             isComplete = target != nullptr;
             if (!isComplete)
                 break;
@@ -342,14 +361,36 @@
             return false;
         if (step.spec().sameRack) {
             for (const std::string &rack : this->racks()) {
-                if (this->tryGang(step, &rack))
+                if (this->tryGangBySpeed(step, &rack))
                     return true;
             }
         }
-        return this->tryGang(step, nullptr);
+        return this->tryGangBySpeed(step, nullptr);
     }
 
-    bool tryGang(const ReadyStep &step, const std::string *rack)
+    /// Places the gang on the fastest targets that hold it as a whole. Of these it takes the
+    /// slower ones first: the gang gains nothing by some faster members.
+    bool tryGangBySpeed(const ReadyStep &step, const std::string *rack)
+    {
+        if (!this->input.weighsSpeeds)
+            return this->tryGang(step, rack, nullptr);
+        std::map<int, std::size_t> slotsByPosition;
+        for (const OpenTarget *target : this->candidates) {
+            if (rack == nullptr || target->identity->rack == *rack)
+                slotsByPosition[internal::speedPosition(target->logSlowness)] +=
+                    internal::slotsOn(step, *target);
+        }
+        std::size_t slots = 0;
+        for (const auto &[position, slotsThere] : slotsByPosition) {
+            slots += slotsThere;
+            if (slots >= step.progress().tasks.size() && this->tryGang(step, rack, &position))
+                return true;
+        }
+        return false;
+    }
+
+    /// \a slowest: position of the slowest targets that may be used; null: all, fast ones first.
+    bool tryGang(const ReadyStep &step, const std::string *rack, const int *slowest)
     {
         std::map<IncarnationId, std::uint16_t> countByTarget;
         std::vector<OpenTarget *> taken;
@@ -357,7 +398,7 @@
         command.step = step.address;
         const StepProgress &progress = step.progress();
         for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
-            OpenTarget *target = this->bestTarget(step, i, countByTarget, rack);
+            OpenTarget *target = this->bestTarget(step, i, countByTarget, rack, slowest);
             if (target == nullptr) {
                 for (OpenTarget *one : taken)
                     this->room.release(step, *one);
@@ -404,16 +445,17 @@
         return names;
     }
 
-    /// The best target for the task at \a index; null if it fits nowhere.
+    /// The best target for the task at \a index; null if it fits nowhere. \a rack, \a slowest:
+    /// limit the choice unless they are null; see tryGang().
     OpenTarget *bestTarget(const ReadyStep &step, std::size_t index,
                            const std::map<IncarnationId, std::uint16_t> &countByTarget,
-                           const std::string *rack)
+                           const std::string *rack, const int *slowest)
     {
         const Resources need = step.spec().reserved();
         const TaskProgress &task = step.progress().tasks[index];
         const bool isSuspect = this->isSuspect(step, index);
         OpenTarget *best = nullptr;
-        std::tuple<bool, bool, std::size_t, bool, SpeedGrade, std::int64_t> bestScore;
+        std::tuple<bool, bool, std::size_t, bool, internal::SpeedScore, std::int64_t> bestScore;
         for (OpenTarget *target : this->candidates) {
             if (!need.fitsInto(target->free) || this->isolated.count(target->incarnation) != 0
                 || (rack != nullptr && target->identity->rack != *rack))
@@ -426,7 +468,12 @@
                 !step.spec().dataRack.empty() && target->identity->rack != step.spec().dataRack;
             const bool ranThere =
                 task.run > 0 && task.incarnation == target->incarnation; // without success
-            const SpeedGrade speed = step.prefersFast() ? target->speed : SpeedGrade::Usual;
+            const int position = internal::speedPosition(target->logSlowness);
+            if (slowest != nullptr && position > *slowest)
+                continue;
+            const internal::SpeedScore speed = slowest == nullptr
+                ? internal::speedScore(step, *target)
+                : internal::SpeedScore{0, -position};
             const std::tuple score{
                 ranThere, target->isCold, isSuspect ? target->occupants : 0,
                 isFar,    speed,          target->free[ResourceKind::MilliCores]};
@@ -439,6 +486,7 @@
     }
 
     const PlanInput &input;
+    std::map<std::string, std::uint32_t> mostUrgent; ///< priority, by service
     PlanRoom room;
     AdmissionQueryPlanner queries;
     std::vector<OpenTarget *> candidates; ///< targets that admit the step being placed
--- a/src/workflows/planning/planner.h
+++ b/src/workflows/planning/planner.h
@@ -2,7 +2,6 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
-#include "workflows/health/targetspeeds.h"
 #include "workflows/model/policy.h"
 #include "workflows/model/waitcause.h"
 #include "workflows/planning/admissions.h"
@@ -27,7 +26,10 @@
     bool onProbation = false; ///< takes a single task, and no member of a gang
     bool isCold = false; ///< slow because it started recently; used only if the others have no room
     std::size_t occupants = 0; ///< number of tasks placed there
-    SpeedGrade speed = SpeedGrade::Usual;
+    /// Logarithm of the expected run time there, relative to that on a usual target.
+    double logSlowness = 0.0;
+    /// A few tasks that are not urgent should tell how fast it is.
+    bool isWorthExploring = false;
 };
 
 /// A query to the admission service.
@@ -81,6 +83,8 @@
     std::size_t openQueries = 0; ///< pending queries to the admission service
     /// Empty: every query can be sent. The most urgent steps reserve first.
     QuerierReservation reserveQuerier = nullptr;
+    /// False: targets' speeds matter to gangs and the most urgent queues alone.
+    bool weighsSpeeds = true;
 };
 
 /// Assigns ready tasks to targets. Pure.
@@ -88,10 +92,12 @@
 /// Steps are placed in the order of their queue's priority and then of their workflow's objective.
 /// A gang is placed as a whole or not at all. A task goes to the target with the least free
 /// processor capacity (best fit), which keeps large gaps for large tasks, and preferably not to the
-/// target of its last unsuccessful run. Members of gangs and tasks of the most urgent queues go to
-/// targets that are known to be fast first: a gang is as slow as its slowest member, and the
-/// objectives of urgent work leave the least time. A task that may crash its target goes where the
-/// fewest other tasks would be lost. Client accounts are kept within their limits.
+/// target of its last unsuccessful run. Where targets differ in speed, tasks of the most urgent
+/// queues go to the fastest ones that have room, since their objectives leave the least time; less
+/// urgent tasks go to the slowest ones that should still meet their objectives, and a gang to the
+/// fastest targets that hold it as a whole, since it is as slow as its slowest member. A task that
+/// may crash its target goes where the fewest other tasks would be lost. Client accounts are kept
+/// within their limits.
 Plan makePlan(const PlanInput &input);
 
 } // namespace guavavalve::workflows
--- a/src/workflows/store/command.h
+++ b/src/workflows/store/command.h
@@ -9,6 +9,7 @@
 #include "workflows/store/commands/markincarnationalive.h"
 #include "workflows/store/commands/markincarnationcrashed.h"
 #include "workflows/store/commands/placeruns.h"
+#include "workflows/store/commands/recordspeeds.h"
 #include "workflows/store/commands/registerincarnation.h"
 #include "workflows/store/commands/resizeincarnation.h"
 #include "workflows/store/commands/setincarnationdraining.h"
@@ -24,10 +25,10 @@
 
 /// One change of the workflow store. The order of the alternatives is part of the log format:
 /// append new ones at the end.
-using Command =
-    std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns, RegisterIncarnation,
-                 ForgetIncarnation, StoreDocument, ForgetWorkflows, SetIncarnationDraining,
-                 EvacuateDomain, MarkIncarnationCrashed, MarkIncarnationAlive, ResizeIncarnation>;
+using Command = std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns,
+                             RegisterIncarnation, ForgetIncarnation, StoreDocument, ForgetWorkflows,
+                             SetIncarnationDraining, EvacuateDomain, MarkIncarnationCrashed,
+                             MarkIncarnationAlive, ResizeIncarnation, RecordSpeeds>;
 
 /// Commands that form one log entry. An empty batch is a read barrier.
 using CommandBatch = std::vector<Command>;
--- a/src/workflows/store/workflowstore.cpp
+++ b/src/workflows/store/workflowstore.cpp
@@ -6,6 +6,7 @@
 #include <cereal/types/set.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace guavavalve::workflows {
@@ -18,7 +19,8 @@
 constexpr unsigned firstFormat = 1;
 constexpr unsigned formatWithEvacuations = 2;
 constexpr unsigned formatWithLosses = 3; ///< and changes of capacity
-constexpr unsigned newestFormat = formatWithLosses;
+constexpr unsigned formatWithSpeeds = 4;
+constexpr unsigned newestFormat = formatWithSpeeds;
 
 unsigned formatOf(std::string_view snapshot)
 {
@@ -57,6 +59,8 @@
         archive(this->evacuated);
     if (format >= formatWithLosses)
         archive(this->lossTracker, this->resizedBy);
+    if (format >= formatWithSpeeds)
+        archive(this->learnedSpeeds);
 }
 
 void WorkflowStore::findSuperseded()
@@ -406,6 +410,26 @@
     return CommandOutcome::Applied;
 }
 
+CommandOutcome WorkflowStore::applyCommand(const RecordSpeeds &command)
+{
+    for (const TargetSpeed &speed : command.speeds) {
+        const bool isRegistered = this->newestByName.count(speed.name) != 0;
+        const std::size_t limit =
+            2 * this->newestByName.size() + (isRegistered ? maxUnregisteredSpeeds : 0);
+        const auto known = this->learnedSpeeds.find(speed.name);
+        if (known != this->learnedSpeeds.end())
+            known->second = speed;
+        else if (this->learnedSpeeds.size() < limit)
+            this->learnedSpeeds.emplace(speed.name, speed);
+    }
+    for (auto speed = this->learnedSpeeds.begin(); speed != this->learnedSpeeds.end();) {
+        const bool isKept = this->newestByName.count(speed->first) != 0
+            || speed->second.learnedAtMs >= command.forgetBeforeMs;
+        speed = isKept ? std::next(speed) : this->learnedSpeeds.erase(speed);
+    }
+    return CommandOutcome::Applied;
+}
+
 CommandOutcome WorkflowStore::applyCommand(const SetIncarnationDraining &command)
 {
     const auto found = this->incarnationTable.find(command.incarnation);
@@ -447,10 +471,12 @@
 {
     std::string bytes;
     bytes.append(formatMark);
-    bytes.push_back(static_cast<char>(newestFormat));
+    // Without learned speeds, replicas of the previous version can read the snapshot.
+    const unsigned format = this->learnedSpeeds.empty() ? formatWithLosses : newestFormat;
+    bytes.push_back(static_cast<char>(format));
     MemoryOutputArchive archive(bytes);
     // Serialising for output does not modify the store.
-    const_cast<WorkflowStore *>(this)->serialize(archive, newestFormat);
+    const_cast<WorkflowStore *>(this)->serialize(archive, format);
     return bytes;
 }
 
--- a/src/workflows/store/workflowstore.h
+++ b/src/workflows/store/workflowstore.h
@@ -7,6 +7,7 @@
 #include "workflows/store/incarnationtable.h"
 #include "workflows/store/targetlosstracker.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -15,12 +16,15 @@
 
 namespace guavavalve::workflows {
 
-/// The replicated state: workflows, incarnations of targets, evacuated failure domains and the
-/// configuration document. Pure: the same batches in the same order give the same state on every
-/// replica.
+/// The replicated state: workflows, incarnations of targets and their learned speeds, evacuated
+/// failure domains and the configuration document. Pure: the same batches in the same order give
+/// the same state on every replica.
 class WorkflowStore
 {
 public:
+    /// Learned speeds that are kept of targets that are not registered at the moment.
+    static constexpr std::size_t maxUnregisteredSpeeds = 1000;
+
     CommandOutcomes apply(const CommandBatch &batch);
 
     const std::map<WorkflowId, Workflow> &workflows() const { return this->workflowTable; }
@@ -33,6 +37,9 @@
     const std::set<std::string> &evacuatedDomains() const { return this->evacuated; }
     /// Crashes and losses of targets, by the tasks that ran on them.
     const TargetLossTracker &losses() const { return this->lossTracker; }
+    /// Learned speeds of targets, by their names. At most twice as many as there are registered
+    /// targets when they are stored, and maxUnregisteredSpeeds more.
+    const std::map<std::string, TargetSpeed> &speeds() const { return this->learnedSpeeds; }
     std::int64_t documentVersion() const { return this->version; }
     const std::string &document() const { return this->text; }
 
@@ -72,6 +79,7 @@
     CommandOutcome applyCommand(const MarkIncarnationCrashed &command);
     CommandOutcome applyCommand(const MarkIncarnationAlive &command);
     CommandOutcome applyCommand(const ResizeIncarnation &command);
+    CommandOutcome applyCommand(const RecordSpeeds &command);
 
     bool fits(const Workflow &workflow, const PlaceRuns &command) const;
     bool hasRoom(const Workflow &workflow, const PlaceRuns &command) const;
@@ -99,6 +107,7 @@
     TargetLossTracker lossTracker;
     /// Sequence number of the report that last changed the capacity.
     std::map<IncarnationId, std::uint64_t> resizedBy;
+    std::map<std::string, TargetSpeed> learnedSpeeds; ///< by target name
 };
 
 } // namespace guavavalve::workflows
--- a/test/workflows/workflowstoretest.cpp
+++ b/test/workflows/workflowstoretest.cpp
@@ -279,3 +279,50 @@
     REQUIRE(f.apply(ForgetIncarnation{f.incarnation(1)}) == CommandOutcome::Applied);
     CHECK_FALSE(f.store.isSuperseded(f.incarnation(1)));
 }
+
+namespace {
+
+TargetSpeed speedOf(const std::string &name, std::int32_t logSlowness, std::int64_t learnedAtMs)
+{
+    return {name, "kind", logSlowness, 40, learnedAtMs};
+}
+
+} // namespace
+
+// Guards against learned speeds that are lost with an incarnation or a replica, and against a table
+// that grows with every target that was ever registered.
+TEST_CASE("learned speeds outlive the incarnation and are forgotten after the target", "[book]")
+{
+    StoreFixture f(2);
+    f.apply(RecordSpeeds{{speedOf("t1", 300, 5), speedOf("t2", 0, 5)}, 0});
+    f.apply(RecordSpeeds{{speedOf("t1", -200, 7)}, 0});
+    f.apply(ForgetIncarnation{f.incarnation(1)});
+    WorkflowStore later;
+    REQUIRE(later.restore(f.store.snapshot()));
+    REQUIRE(later.speeds().count("t1") == 1);
+    CHECK(later.speeds().at("t1").logSlowness == -200);
+    f.apply(RecordSpeeds{{}, 8});
+    CHECK(f.store.speeds().count("t1") == 0);
+    CHECK(f.store.speeds().count("t2") == 1); // still registered
+    std::vector<TargetSpeed> many;
+    for (std::size_t i = 0; i < 2 * WorkflowStore::maxUnregisteredSpeeds; ++i)
+        many.push_back(speedOf("x" + std::to_string(i), 0, 9));
+    f.apply(RecordSpeeds{many, 0});
+    CHECK(f.store.speeds().size() <= 4 + WorkflowStore::maxUnregisteredSpeeds);
+}
+
+TEST_CASE("a snapshot without learned speeds has the format of the previous version", "[book]")
+{
+    StoreFixture f;
+    f.accept({f.gang(2)});
+    const std::string before = f.store.snapshot();
+    constexpr std::size_t formatAt = 10;
+    CHECK(before.at(formatAt) == 3);
+    WorkflowStore restored;
+    REQUIRE(restored.restore(before));
+    CHECK(restored.speeds().empty());
+    f.apply(RecordSpeeds{{speedOf("t1", 300, 5)}, 0});
+    CHECK(f.store.snapshot().at(formatAt) == 4);
+    REQUIRE(restored.restore(f.store.snapshot()));
+    CHECK(restored.snapshot() == f.store.snapshot());
+}
