workflows: uneven targets under load; speeds do not drift between queues and targets

Cause: a queue whose tasks run on fast targets alone seemed to have less work than estimated, as its mean ratio was taken with the shrunk speed of the target; over some hundred runs the targets came to look like the others.

Change: the ratio is taken with what was observed of the target; inexact runs displace less of what is known.

--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -114,8 +114,9 @@
      "slow. "
      "Reported by the controller."},
     {Metric::RunsMovedTotal, "guavavalve_runs_moved_total", MetricType::Counter, "runs", "",
-     "Runs stopped in order to be restarted on another target, because theirs had stalled or they "
-     "fell behind. Reported by the controller."},
+     "Runs stopped in order to be restarted on another target, because theirs had stalled. "
+     "Reported "
+     "by the controller."},
 }};
 
 constexpr bool inOrder()
--- a/src/workflows/health/targetspeeds.cpp
+++ b/src/workflows/health/targetspeeds.cpp
@@ -17,8 +17,10 @@
 constexpr double maxSpread = 0.25;
 /// Weight of the newest run of a queue in its mean ratio of work to estimate.
 constexpr double biasWeight = 0.02;
-/// Earlier observations of a target lose this fraction of their weight with each new one, so that
-/// a target that drifts is followed within some 30 runs.
+/// A ratio of work to estimate counts as at most this logarithm.
+constexpr double maxError = 1.0;
+/// Earlier observations of a target lose this fraction of their weight with each new one that is as
+/// exact as one of a known step, so that a target that drifts is followed within some 30 runs.
 constexpr double decay = 0.03;
 /// An observation counts as at most this many standard deviations: a few runs take many times
 /// longer for reasons of their own.
@@ -154,15 +156,22 @@
     const double limit = maxDeviations * std::sqrt(variance);
     const double deviation = std::clamp(observed - speed.mean, -limit, limit);
     const double precision = 1.0 / (work.variance + taskVariance);
-    target.evidence.precision = (1.0 - decay) * target.evidence.precision + precision;
+    const double kept = 1.0 - decay * precision * taskVariance;
+    // By what was observed of the target, without the prior: otherwise a queue that runs on fast
+    // targets alone would seem to have less work, and these in turn to be like the others.
+    const double ofTarget = target.evidence.precision > 0.0
+        ? target.evidence.weighted / target.evidence.precision
+        : speed.mean;
+    const double estimate = std::log(static_cast<double>(run.estimated.count()));
+    double &bias = this->queueBias[run.queue];
+    bias += biasWeight
+        * (std::clamp(observed + work.mean - ofTarget - estimate - bias, -maxError, maxError));
+    target.evidence.precision = kept * target.evidence.precision + precision;
     target.evidence.weighted =
-        (1.0 - decay) * target.evidence.weighted + precision * (speed.mean + deviation);
+        kept * target.evidence.weighted + precision * (speed.mean + deviation);
     const double gain = work.variance / variance;
     work.mean += gain * deviation;
     work.variance *= 1.0 - gain;
-    double &bias = this->queueBias[run.queue];
-    const double ratio = work.mean - std::log(static_cast<double>(run.estimated.count()));
-    bias += biasWeight * (ratio - bias);
 }
 
 void TargetSpeeds::forget(IncarnationId incarnation)
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -340,7 +340,7 @@
         this->finishGang(order.task, order.run);
         return answer;
     }
-    const Milliseconds duration = this->randomDelay(minRunMs, maxRunMs);
+    const Milliseconds duration = this->durationOn(target.identity.name, order.task);
     target.running[order.task].startedAt = this->loop.now();
     target.running[order.task].duration = duration;
     this->loop.runAfter(duration, [this, name = target.identity.name, task = order.task, serial] {
@@ -349,6 +349,15 @@
     return answer;
 }
 
+Milliseconds SimulatedFleet::durationOn(const std::string &name, const TaskAddress &task)
+{
+    const Milliseconds work =
+        this->workOf ? this->workOf(task) : this->randomDelay(minRunMs, maxRunMs);
+    const auto found = this->slowness.find(name);
+    const double factor = found == this->slowness.end() ? 1.0 : found->second;
+    return Milliseconds(static_cast<std::int64_t>(factor * static_cast<double>(work.count())));
+}
+
 std::optional<int> SimulatedFleet::percentOf(const Target &target, const Running &run) const
 {
     constexpr int whole = 100;
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -69,6 +69,10 @@
     FleetFaults faults;
     std::string failing; ///< name of a target that fails all its tasks; empty: none
     std::string hanging; ///< name of a target whose tasks never progress; empty: none
+    /// Run time on a target relative to the others, by name; 1 for those that are not listed.
+    std::map<std::string, double> slowness;
+    /// Run time of each task elsewhere; empty: chosen at random.
+    std::function<Milliseconds(const TaskAddress &)> workOf;
     std::set<TaskAddress> crashing; ///< tasks that crash every target that starts them
     std::function<void(const std::string &name)> targetCrashed; ///< called after such a crash
     std::string violation; ///< the first one; empty: none
@@ -116,6 +120,7 @@
     void expireLease(Target &target);
     void endRun(Target &target, const TaskAddress &task, RunOutcome outcome);
     void endGang(const TaskAddress &task, RunNumber run);
+    Milliseconds durationOn(const std::string &name, const TaskAddress &task);
     std::optional<int> percentOf(const Target &target, const Running &run) const;
     void finish(const std::string &name, const TaskAddress &task, std::uint64_t serial);
     void finishGang(const TaskAddress &member, RunNumber run);
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -58,6 +58,7 @@
         return this->loop.nowMs() / this->calendarStepMs * this->calendarStepMs;
     };
     options.metrics = &this->metrics;
+    options.mechanisms = this->mechanisms;
     options.clock = [this] { return this->loop.now(); };
     TargetPort &port = this->portOfController ? this->portOfController() : this->fleet;
     AdmissionPort &service = this->admissionsOfController == nullptr
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -105,6 +105,7 @@
     std::function<TargetPort &()> portOfController;
     /// The admission service of the next controller; null: one that admits every target.
     AdmissionPort *admissionsOfController = nullptr;
+    MechanismSet mechanisms; ///< of the next controller
     Policy policy; ///< read from every configuration document
     Metrics metrics;
     SimulatedFleet fleet;
