workflows: gangs and urgent tasks avoid targets that have failed lately

A suspension ends after 1 to 2 s, an idle target on probation is given gangs after 0.8 s, and repeated failures of one gang count once.

Change: a target whose latest run failed within 3 s, or that was suspended and has had no success since, comes last for members of gangs and urgent tasks. It is not excluded.

--- a/src/workflows/planning/internal/speedpreference.cpp
+++ b/src/workflows/planning/internal/speedpreference.cpp
@@ -25,6 +25,11 @@
     return static_cast<int>(std::lround(logSlowness / logOfPosition));
 }
 
+int gangPosition(const OpenTarget &target)
+{
+    return target.hasFailedLately ? beyondAnyPosition : speedPosition(target.logSlowness);
+}
+
 double maxLogSlownessFor(std::uint32_t estimatedMs, std::int64_t slackMs)
 {
     if (estimatedMs == 0 || slackMs <= 0)
@@ -39,7 +44,7 @@
     case SpeedPreference::None:
         return {0, 0};
     case SpeedPreference::Fastest:
-        return {0, speedPosition(target.logSlowness)};
+        return {target.hasFailedLately ? 1 : 0, speedPosition(target.logSlowness)};
     case SpeedPreference::Slowest:
         break;
     }
