Revert "workflows: gangs and urgent tasks avoid targets that have failed lately"

Failures are as frequent on all targets that run much urgent work, so that two of them within ten seconds say nothing: most of the failing gangs are workflows that fail anywhere.

--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -320,9 +320,7 @@
         open.push_back({incarnation, &record->identity, record->identity.capacity - record->used,
                         onProbation && !this->health.hasProbationExpired(incarnation, now),
                         session->isCold(), record->placed.size(), this->logSlownessOf(incarnation),
-                        this->speeds.isWorthExploring(incarnation),
-                        this->options.mechanisms.has(Mechanism::Speeds)
-                            && this->health.hasFailedLately(incarnation, now)});
+                        this->speeds.isWorthExploring(incarnation)});
     }
     return open;
 }
--- a/src/workflows/health/targethealth.cpp
+++ b/src/workflows/health/targethealth.cpp
@@ -25,9 +25,6 @@
 constexpr unsigned maxDoublings = 1;
 /// How long an idle target on probation waits for a single task with which to regain trust.
 constexpr Milliseconds maxProbation{800};
-/// A failed run says something about the next ones for about as long: by then most targets have
-/// had a success.
-constexpr Milliseconds failureMemory{3000};
 
 } // namespace
 
@@ -55,7 +52,6 @@
     if (outcome != RunOutcome::Failed && outcome != RunOutcome::Refused)
         return;
     Record &record = this->records[incarnation];
-    record.lastFailedAt = now;
     if (record.consecutiveFailures > 0 && record.lastFailed == workflow)
         return;
     ++record.consecutiveFailures;
@@ -100,16 +96,6 @@
     return now < found->second.suspendedUntil ? TargetTrust::Suspended : TargetTrust::Probation;
 }
 
-bool TargetHealth::hasFailedLately(IncarnationId incarnation, Instant now) const
-{
-    const auto found = this->records.find(incarnation);
-    if (found == this->records.end())
-        return false;
-    const Record &record = found->second;
-    return record.suspensions > 0
-        || (record.consecutiveFailures > 0 && now < record.lastFailedAt + failureMemory);
-}
-
 bool TargetHealth::hasProbationExpired(IncarnationId incarnation, Instant now) const
 {
     const auto found = this->records.find(incarnation);
--- a/src/workflows/health/targethealth.h
+++ b/src/workflows/health/targethealth.h
@@ -43,10 +43,6 @@
 
     TargetTrust trust(IncarnationId incarnation, Instant now) const;
 
-    /// True if the latest run on \a incarnation failed a moment ago, or it was suspended and has
-    /// not had a success since. Such a target should not get what costs most if it fails again.
-    bool hasFailedLately(IncarnationId incarnation, Instant now) const;
-
     /// True if \a incarnation has been on probation for so long that it may be given any work while
     /// idle.
     ///
@@ -59,7 +55,6 @@
     {
         unsigned consecutiveFailures = 0; ///< of different workflows
         WorkflowId lastFailed{}; ///< workflow of the latest failure
-        Instant lastFailedAt{};
         Instant suspendedUntil{};
         unsigned suspensions = 0; ///< since the last success
     };
--- a/src/workflows/planning/internal/speedpreference.cpp
+++ b/src/workflows/planning/internal/speedpreference.cpp
@@ -25,11 +25,6 @@
     return static_cast<int>(std::lround(logSlowness / logOfPosition));
 }
 
-int gangPosition(const OpenTarget &target)
-{
-    return target.hasFailedLately ? beyondAnyPosition : speedPosition(target.logSlowness);
-}
-
 double maxLogSlownessFor(std::uint32_t estimatedMs, std::int64_t slackMs)
 {
     if (estimatedMs == 0 || slackMs <= 0)
@@ -44,7 +39,7 @@
     case SpeedPreference::None:
         return {0, 0};
     case SpeedPreference::Fastest:
-        return {target.hasFailedLately ? 1 : 0, speedPosition(target.logSlowness)};
+        return {0, speedPosition(target.logSlowness)};
     case SpeedPreference::Slowest:
         break;
     }
--- a/src/workflows/planning/internal/speedpreference.h
+++ b/src/workflows/planning/internal/speedpreference.h
@@ -13,16 +13,12 @@
 /// decides.
 int speedPosition(double logSlowness);
 
-/// The same for members of gangs; targets that have failed lately come after all others.
-int gangPosition(const OpenTarget &target);
-
 /// The logarithm of the slowness up to which a target should still finish a task in time, given
 /// the time left beyond the caller's estimate. Infinite if no target would.
 double maxLogSlownessFor(std::uint32_t estimatedMs, std::int64_t slackMs);
 
 /// How well a target's speed suits a step; lower is better. The first part is 1 if the step will
-/// probably miss its objective there: because the target is too slow or, for steps that prefer fast
-/// targets, because it has failed a run lately.
+/// probably miss its objective there.
 using SpeedScore = std::pair<int, int>;
 
 /// Tasks that are not urgent also go to idle targets whose speed is to be learned.
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -377,7 +377,7 @@
         std::map<int, std::size_t> slotsByPosition;
         for (const OpenTarget *target : this->candidates) {
             if (rack == nullptr || target->identity->rack == *rack)
-                slotsByPosition[internal::gangPosition(*target)] +=
+                slotsByPosition[internal::speedPosition(target->logSlowness)] +=
                     internal::slotsOn(step, *target);
         }
         std::size_t slots = 0;
@@ -468,12 +468,12 @@
                 !step.spec().dataRack.empty() && target->identity->rack != step.spec().dataRack;
             const bool ranThere =
                 task.run > 0 && task.incarnation == target->incarnation; // without success
-            const int position = internal::gangPosition(*target);
+            const int position = internal::speedPosition(target->logSlowness);
             if (slowest != nullptr && position > *slowest)
                 continue;
             const internal::SpeedScore speed = slowest == nullptr
                 ? internal::speedScore(step, *target)
-                : internal::SpeedScore{target->hasFailedLately ? 1 : 0, -position};
+                : internal::SpeedScore{0, -position};
             const std::tuple score{
                 ranThere, target->isCold, isSuspect ? target->occupants : 0,
                 isFar,    speed,          target->free[ResourceKind::MilliCores]};
--- a/src/workflows/planning/planner.h
+++ b/src/workflows/planning/planner.h
@@ -30,8 +30,6 @@
     double logSlowness = 0.0;
     /// A few tasks that are not urgent should tell how fast it is.
     bool isWorthExploring = false;
-    /// Its latest run failed: gangs and urgent tasks go there only if nothing else has room.
-    bool hasFailedLately = false;
 };
 
 /// A query to the admission service.
