--- a/src/workflows/store/workflowstore.cpp
+++ b/src/workflows/store/workflowstore.cpp
@@ -422,6 +422,8 @@
         else if (this->learnedSpeeds.size() < limit)
             this->learnedSpeeds.emplace(speed.name, speed);
     }
+    if (command.forgetBeforeMs == 0)
+        return CommandOutcome::Applied;
     for (auto speed = this->learnedSpeeds.begin(); speed != this->learnedSpeeds.end();) {
         const bool isKept = this->newestByName.count(speed->first) != 0
             || speed->second.learnedAtMs >= command.forgetBeforeMs;
