workflows: less urgent gangs take targets that are fast enough

Change: where a more urgent queue uses the same service, a gang takes the slowest targets that should still meet its objective; only otherwise the fastest.

--- a/src/workflows/planning/internal/readystep.h
+++ b/src/workflows/planning/internal/readystep.h
@@ -32,8 +32,8 @@
     bool isLate = false;
     const StepAdmissions *admissions = nullptr; ///< null: no answer or pending query yet
     SpeedPreference speedPreference = SpeedPreference::Fastest;
-    /// With SpeedPreference::Slowest: on targets that are slower than this, relative to the usual
-    /// ones, the step would probably miss its objective.
+    /// With SpeedPreference::Slowest, and for less urgent gangs: on targets that are slower than
+    /// this, relative to the usual ones, the step would probably miss its objective.
     double maxLogSlowness = 0.0;
 
     const StepSpec &spec() const { return this->workflow->spec.steps[this->address.step]; }
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -7,6 +7,7 @@
 #include "workflows/planning/internal/speedpreference.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <string>
@@ -368,8 +369,9 @@
         return this->tryGangBySpeed(step, nullptr);
     }
 
-    /// Places the gang on the fastest targets that hold it as a whole. Of these it takes the
-    /// slower ones first: the gang gains nothing by some faster members.
+    /// Places the gang on the fastest targets that hold it as a whole or, if fast targets are to
+    /// be left to a more urgent queue, on any that are fast enough. Of these it takes the slower
+    /// ones first: the gang gains nothing by some faster members.
     bool tryGangBySpeed(const ReadyStep &step, const std::string *rack)
     {
         if (!this->input.weighsSpeeds)
@@ -380,6 +382,12 @@
                 slotsByPosition[internal::speedPosition(target->logSlowness)] +=
                     internal::slotsOn(step, *target);
         }
+        const bool sparesFast = step.queue->priority > this->mostUrgent.at(step.queue->service);
+        if (sparesFast && std::isfinite(step.maxLogSlowness)) {
+            const int fastEnough = internal::speedPosition(step.maxLogSlowness);
+            if (this->tryGang(step, rack, &fastEnough))
+                return true;
+        }
         std::size_t slots = 0;
         for (const auto &[position, slotsThere] : slotsByPosition) {
             slots += slotsThere;
--- a/src/workflows/planning/planner.h
+++ b/src/workflows/planning/planner.h
@@ -95,7 +95,8 @@
 /// target of its last unsuccessful run. Where targets differ in speed, tasks of the most urgent
 /// queues go to the fastest ones that have room, since their objectives leave the least time; less
 /// urgent tasks go to the slowest ones that should still meet their objectives, and a gang to the
-/// fastest targets that hold it as a whole, since it is as slow as its slowest member. A task that
+/// fastest targets that hold it as a whole, or to any that are fast enough if it is less urgent,
+/// since it is as slow as its slowest member. A task that
 /// may crash its target goes where the fewest other tasks would be lost. Client accounts are kept
 /// within their limits.
 Plan makePlan(const PlanInput &input);
--- a/test/workflows/targetspeedstest.cpp
+++ b/test/workflows/targetspeedstest.cpp
@@ -262,3 +262,21 @@
     for (const TaskProgress &task : wide.occurrences[0][0].tasks)
         CHECK(task.incarnation != incarnation(3));
 }
+
+// Guards against large gangs that occupy the fast targets although they have time to spare.
+TEST_CASE_METHOD(SpeedPlanFixture, "a less urgent gang takes targets that are fast enough",
+                 "[speeds]")
+{
+    this->slow = {incarnation(1), incarnation(2)};
+    this->policy.queues["urgent"] = this->policy.queues["q"];
+    this->policy.queues["q"].priority = 1;
+    this->policy.queues["q"].slackMs = 60000;
+    StepSpec spec = gang(4);
+    spec.estimatedMs = 1000;
+    this->accept({spec});
+    for (const Placement &placement : this->firstPlacements())
+        CHECK(placement.incarnation != incarnation(3));
+    this->policy.queues["q"].slackMs = 1500; // enough for a usual target only
+    for (const Placement &placement : this->firstPlacements())
+        CHECK(placement.incarnation == incarnation(3));
+}
