--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -145,6 +145,14 @@
      "team,class",
      "Ready tasks without a place by client account and class. Reported by the controller, absent "
      "elsewhere and for accounts without work."},
+    {Metric::TargetsBySpeed, "guavavalve_targets_by_speed", MetricType::Gauge, "targets", "speed",
+     "Targets by their learned speed, relative to the others: fast, usual (or not known yet), "
+     "slow. "
+     "Reported by the controller."},
+    {Metric::RunsMovedTotal, "guavavalve_runs_moved_total", MetricType::Counter, "runs", "",
+     "Runs stopped in order to be restarted on another target, because theirs had stalled. "
+     "Reported "
+     "by the controller."},
 }};
 
 constexpr bool inOrder()
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -58,9 +58,11 @@
     AccountPlacedRatio,
     AccountTasksPlaced,
     AccountTasksWaiting,
+    TargetsBySpeed,
+    RunsMovedTotal,
 };
 
-inline constexpr std::size_t metricCount = 47;
+inline constexpr std::size_t metricCount = 49;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -71,6 +71,7 @@
     this->isStartQueued = false;
     this->health.clear();
     this->speeds.clear();
+    this->speedsToStore.reset();
     this->moveCounts.clear();
     this->admissions.clear();
     this->admittedFractions.clear();
@@ -91,6 +92,7 @@
     this->term = newTerm;
     this->batchesInFlight = 0;
     this->isPlacementInFlight = false;
+    this->nextSpeedRefresh = {};
     if (!nowLeads)
         return;
     this->intake.begin(newTerm, this->options.clock());
@@ -203,6 +205,12 @@
     this->isFlushQueued = false;
     if (this->batchesInFlight >= maxBatchesInFlight || !this->leads)
         return;
+    if (this->speedsToStore) {
+        std::vector<Pending> alone;
+        alone.push_back({*std::exchange(this->speedsToStore, std::nullopt), nullptr});
+        this->propose(std::move(alone));
+        return;
+    }
     std::vector<Pending> batch = std::exchange(this->pending, {});
     if (this->needsPlan && !this->isPlacementInFlight)
         this->planInto(batch);
@@ -254,8 +262,10 @@
     CommandBatch commands;
     commands.reserve(batch.size());
     for (Pending &one : batch) {
-        proposed->isPlacement.push_back(std::holds_alternative<PlaceRuns>(one.command));
-        proposed->hasPlacement |= proposed->isPlacement.back();
+        const bool isPlacement = std::holds_alternative<PlaceRuns>(one.command);
+        proposed->hasPlacement |= isPlacement;
+        proposed->makesNoRoom.push_back(isPlacement
+                                        || std::holds_alternative<RecordSpeeds>(one.command));
         proposed->done.push_back(std::move(one.done));
         commands.push_back(std::move(one.command));
     }
@@ -315,7 +325,7 @@
     // steps that ended runs have released. Without this they would wait for the next tick.
     for (std::size_t i = 0; outcomes && i < proposed.done.size(); ++i) {
         this->needsPlan |=
-            outcomes.value()[i] == CommandOutcome::Applied && !proposed.isPlacement[i];
+            outcomes.value()[i] == CommandOutcome::Applied && !proposed.makesNoRoom[i];
     }
     if (!this->pending.empty() || !this->waitingBarriers.empty() || this->needsPlan)
         this->flush();
@@ -352,7 +362,8 @@
             continue;
         open.push_back({incarnation, &record->identity, record->identity.capacity - record->used,
                         onProbation && !this->health.hasProbationExpired(incarnation, now),
-                        session->isCold(), record->placed.size(), this->speeds.grade(incarnation)});
+                        session->isCold(), record->placed.size(), this->logSlownessOf(incarnation),
+                        this->speeds.isWorthExploring(incarnation)});
     }
     return open;
 }
@@ -375,6 +386,7 @@
             scope};
         if (this->options.mechanisms.has(Mechanism::Shares))
             input.accountUse = &this->accountUse;
+        input.weighsSpeeds = this->options.mechanisms.has(Mechanism::Speeds);
         return makePlan(input);
     });
     if (scope == PlanScope::All) {
@@ -504,6 +516,7 @@
     this->stopIncompleteGangs();
     this->forgetOld();
     this->reportIntake();
+    this->refreshSpeeds();
     this->needsPlan = true; // tasks become due and queries have to be repeated as time passes
     this->flush();
     this->options.runAfter(this->options.tick, [this, alive = this->alive, inTerm] {
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -140,7 +141,7 @@
         std::uint64_t term = 0;
         Instant at{};
         std::vector<Done<CommandOutcome>> done;
-        std::vector<bool> isPlacement;
+        std::vector<bool> makesNoRoom; ///< placements, and commands without effect on plans
         bool hasPlacement = false;
         std::vector<Done<Nothing>> barriers;
     };
@@ -193,6 +194,9 @@
     void rested(IncarnationId incarnation);
     void woken(IncarnationId incarnation);
     void runsOver(IncarnationId incarnation, std::vector<RunEnd> ends);
+    double logSlownessOf(IncarnationId incarnation) const;
+    void addToSpeeds(IncarnationId incarnation, const TargetIdentity &identity);
+    void refreshSpeeds();
     void learnSpeed(IncarnationId incarnation, const RunEnd &end, const WorkflowStore &store);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
@@ -246,6 +250,11 @@
     WorkingSet workingSet;
     TargetHealth health;
     TargetSpeeds speeds;
+    Instant nextSpeedRefresh{};
+    Instant nextSpeedForget{};
+    /// Stored in a batch of its own: replicas of the previous version skip batches with commands
+    /// that they do not know.
+    std::optional<RecordSpeeds> speedsToStore;
     /// Number of runs stopped because their target had stalled.
     std::map<TaskAddress, unsigned> moveCounts;
     AdmissionTable admissions;
