--- a/src/core/resources.h
+++ b/src/core/resources.h
@@ -43,6 +43,13 @@
         return *this;
     }
 
+    /// Adds \a amount \a times; negative: subtracts it.
+    void addTimes(const Resources &amount, std::int64_t times)
+    {
+        for (std::size_t i = 0; i < resourceKindCount; ++i)
+            this->amounts[i] += times * amount.amounts[i];
+    }
+
     friend Resources operator+(Resources a, const Resources &b) { return a += b; }
     friend Resources operator-(Resources a, const Resources &b) { return a -= b; }
     friend bool operator==(const Resources &a, const Resources &b)
--- a/src/workflows/planning/internal/planroom.cpp
+++ b/src/workflows/planning/internal/planroom.cpp
@@ -10,12 +10,6 @@
 /// about 50 ms with disks that take 6 ms for a write, several times that with a slow disk.
 constexpr Milliseconds ticketMargin{200};
 
-void addTimes(Resources &to, const Resources &amount, std::int64_t times)
-{
-    for (std::size_t i = 0; i < resourceKindCount; ++i)
-        to.amounts[i] += times * amount.amounts[i];
-}
-
 } // namespace
 
 PlanRoom::PlanRoom(const PlanInput &input)
@@ -80,7 +74,7 @@
 {
     for (const auto &[incarnation, count] : tasks) {
         if (OpenTarget *target = this->find(incarnation))
-            addTimes(target->free, step.spec().reserved(), sign * count);
+            target->free.addTimes(step.spec().reserved(), sign * count);
     }
 }
 
@@ -124,7 +118,7 @@
         return false; // the account was removed after its work had been accepted
     const auto held = this->accounts.find(name);
     Resources after = held == this->accounts.end() ? Resources{} : held->second;
-    addTimes(after, step.spec().need, static_cast<std::int64_t>(more));
+    after.addTimes(step.spec().need, static_cast<std::int64_t>(more));
     return !after.fitsInto(account->second.limit);
 }
 
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -43,12 +43,6 @@
     return spec.gang ? waiting == progress.tasks.size() : waiting > 0;
 }
 
-void addTimes(Resources &to, const Resources &amount, std::size_t times)
-{
-    for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
-        to.amounts[kind] += static_cast<std::int64_t>(times) * amount.amounts[kind];
-}
-
 /// What a ready step needs, for the shares of client accounts.
 struct StepDemand
 {
@@ -129,7 +123,8 @@
         for (std::size_t k = 0; workflow.placed > 0 && k < workflow.occurrences.size(); ++k) {
             const Workflow::Occurrence &occurrence = workflow.occurrences[k];
             for (std::size_t i = 0; i < occurrence.size(); ++i) {
-                addTimes(load.placed, workflow.spec.steps[i].reserved(), occurrence[i].placed);
+                load.placed.addTimes(workflow.spec.steps[i].reserved(),
+                                     static_cast<std::int64_t>(occurrence[i].placed));
                 load.placedTasks += occurrence[i].placed;
             }
         }
@@ -137,7 +132,8 @@
             StepDemand demand;
             demand.row = row;
             if (const std::size_t startable = this->startableTasks(steps[i])) {
-                addTimes(demand.need, steps[i].spec().reserved(), startable);
+                demand.need.addTimes(steps[i].spec().reserved(),
+                                     static_cast<std::int64_t>(startable));
                 demand.queryMs = missingQueryMs(steps[i]);
             }
             load.waiting += demand.need;
@@ -336,8 +332,7 @@
         if (from && *from <= step.queue->priority)
             return;
         if (this->queries.wasDenied()
-            || (this->queries.isExhaustedFor(step)
-                && this->queries.needsQuery(step, isNextInLine)))
+            || (this->queries.isExhaustedFor(step) && this->queries.needsQuery(step, isNextInLine)))
             from = step.queue->priority;
     }
 
@@ -364,7 +359,8 @@
     void countWaiting(const ReadyStep &step, std::size_t tasks)
     {
         this->plan.summary.waitingTasks[step.queue->priority] += tasks;
-        addTimes(this->plan.summary.waiting, step.spec().reserved(), tasks);
+        this->plan.summary.waiting.addTimes(step.spec().reserved(),
+                                            static_cast<std::int64_t>(tasks));
     }
 
     /// True for the first gangs in order, up to a fraction of the cell and of the instances.
