shares: lost runs are no recent use; query time of a new controller

Runs that did not end by themselves stayed as recent use for seconds, so an account that lost a failure domain came last with its restarts. They are now taken out when their end is reported.

--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -193,6 +193,7 @@
     void rested(IncarnationId incarnation);
     void woken(IncarnationId incarnation);
     void runsOver(IncarnationId incarnation, std::vector<RunEnd> ends);
+    void forgetUse(const RunEnd &end, const WorkflowStore &store);
     void learnSpeed(IncarnationId incarnation, const RunEnd &end, const WorkflowStore &store);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -77,6 +77,7 @@
             const QueuePolicy *queue = this->queueOf(end.task.step.workflow, store);
             end.maxFailures = queue == nullptr ? unlimitedFailures : queue->maxFailures;
             this->learnSpeed(incarnation, end, store);
+            this->forgetUse(end, store);
         }
     });
     logRunsEnded(incarnation, ends);
@@ -104,6 +105,20 @@
                   });
 }
 
+/// Takes a run that has not ended by itself, nor with its workflow, out of its account's use.
+void Controller::forgetUse(const RunEnd &end, const WorkflowStore &store)
+{
+    const Workflow *workflow = store.find(end.task.step.workflow);
+    if (workflow == nullptr || workflow->isOver() || end.outcome == RunOutcome::Succeeded
+        || end.outcome == RunOutcome::Failed)
+        return;
+    const TaskProgress *task = workflow->task(end.task);
+    if (task == nullptr || task->phase != TaskPhase::Placed || task->run != end.run)
+        return; // reported again
+    this->accountUse.forgetRun(workflow->spec.account, workflow->spec.queue,
+                               workflow->spec.steps[end.task.step.step].reserved());
+}
+
 /// Members of a gang say nothing about their targets: they all end together.
 void Controller::learnSpeed(IncarnationId incarnation, const RunEnd &end,
                             const WorkflowStore &store)
--- a/src/workflows/shares/accountshares.cpp
+++ b/src/workflows/shares/accountshares.cpp
@@ -101,7 +101,9 @@
         }
     }
     for (std::size_t account = 0; account < this->loads.accounts().size(); ++account) {
-        for (const auto &[name, recent] : use.recent(this->loads.accounts()[account])) {
+        for (const auto &[name, amounts] : use.recent(this->loads.accounts()[account])) {
+            SharedAmounts recent = amounts;
+            recent[queryTimeKind] *= use.queryTimeFactor();
             const QueuePolicy *queue = policy.queue(name);
             if (queue == nullptr)
                 continue; // the queue was removed
--- a/src/workflows/shares/accountshares.h
+++ b/src/workflows/shares/accountshares.h
@@ -22,8 +22,8 @@
 /// share comes after that of the others. A priority competes for what less urgent work leaves: an
 /// account's use counts if it is of that priority or a more urgent one. Resources of targets are
 /// contended if the waiting tasks do not fit into the free room, and query time, for which all
-/// services compete, if no instance had time for a step. While nothing is contended, or one account alone has work, nobody is beyond a
-/// share.
+/// services compete, if no instance had time for a step. While nothing is contended, or one account
+/// alone has work, nobody is beyond a share.
 class AccountShares
 {
 public:
--- a/src/workflows/shares/accountuse.cpp
+++ b/src/workflows/shares/accountuse.cpp
@@ -13,6 +13,9 @@
 /// Use below this in every kind is forgotten: a hundredth of the smallest task.
 constexpr double negligibleAmount = 0.01;
 
+/// Query time observed for less than a few plans says little about a rate.
+constexpr Milliseconds minObserved{300};
+
 double seconds(Microseconds span)
 {
     return std::chrono::duration<double>(span).count();
@@ -39,10 +42,35 @@
         use[queryTimeKind] += load.queryMs / memory;
     }
     this->dropNegligible();
+    this->observedFrom = this->observedFrom.value_or(now);
     this->observedAt = now;
     this->exhaustedFrom = queriesExhaustedFrom;
 }
 
+void AccountUse::forgetRun(const std::string &account, const std::string &queue,
+                           const Resources &amount)
+{
+    const auto queues = this->accounts.find(account);
+    if (queues == this->accounts.end())
+        return;
+    const auto use = queues->second.find(queue);
+    if (use == queues->second.end())
+        return;
+    for (std::size_t kind = 0; kind < resourceKindCount; ++kind) {
+        double &used = use->second[kind];
+        used = std::max(0.0, used - static_cast<double>(amount.amounts[kind]));
+    }
+}
+
+double AccountUse::queryTimeFactor() const
+{
+    if (!this->observedFrom)
+        return 1.0;
+    const double memory = seconds(useMemory);
+    const double observed = seconds(*this->observedAt - *this->observedFrom);
+    return memory / std::clamp(observed, seconds(minObserved), memory);
+}
+
 void AccountUse::decay(double kept)
 {
     for (auto &[account, queues] : this->accounts) {
@@ -77,6 +105,7 @@
 void AccountUse::clear()
 {
     this->accounts.clear();
+    this->observedFrom.reset();
     this->observedAt.reset();
     this->exhaustedFrom.reset();
 }
--- a/src/workflows/shares/accountuse.h
+++ b/src/workflows/shares/accountuse.h
@@ -31,6 +31,10 @@
     void observe(const AccountLoads &loads, std::optional<std::uint32_t> queriesExhaustedFrom,
                  Instant now);
 
+    /// Takes a run that did not end by itself out of the account's recent use. Otherwise an account
+    /// that has lost its runs with their targets would come last with their restarts.
+    void forgetRun(const std::string &account, const std::string &queue, const Resources &amount);
+
     using ByQueue = std::map<std::string, SharedAmounts>;
 
     /// What the account has used recently, by queue; empty for accounts without recent use.
@@ -42,6 +46,10 @@
         return this->exhaustedFrom && *this->exhaustedFrom <= priority;
     }
 
+    /// Factor from the query time in recent() to that per second of the observed time, while this
+    /// is shorter than useMemory: of query time before it, nothing is known.
+    double queryTimeFactor() const;
+
     /// Number of accounts with recent use.
     std::size_t size() const { return this->accounts.size(); }
     void clear();
@@ -51,6 +59,7 @@
     void dropNegligible();
 
     std::map<std::string, ByQueue> accounts;
+    std::optional<Instant> observedFrom;
     std::optional<Instant> observedAt;
     std::optional<std::uint32_t> exhaustedFrom;
 };
--- a/test/workflows/accountsharestest.cpp
+++ b/test/workflows/accountsharestest.cpp
@@ -366,3 +366,31 @@
     // 6,000 ms were used: 1,000 by a, which wants no more, so that b may have 5,000 and not 3,000.
     CHECK(shares.standings()[1].due == Approx(5.0 / 6.0));
 }
+
+// Guards against an account that has lost a failure domain and comes last with its restarts.
+TEST_CASE_METHOD(SharesFixture, "runs that were lost do not count as recent use", "[shares]")
+{
+    this->load("a", "batch", 60, 0);
+    this->load("b", "batch", 60, 0);
+    this->use.observe(this->table(), {}, begin);
+    for (unsigned i = 0; i < 50; ++i)
+        this->use.forgetRun("a", "batch", milliCores(1000));
+    this->load("a", "batch", 10, 50);
+    this->load("b", "batch", 60, 500);
+    AccountShares shares = this->shares(30); // of 100
+    CHECK(this->within(shares, "a", "batch") >= 30);
+    CHECK(this->within(shares, "b", "batch") == 0);
+}
+
+// Guards against a new controller for which every query takes a large part of the query time.
+TEST_CASE_METHOD(SharesFixture, "query time is that of the observed time", "[shares]")
+{
+    this->load("a", "batch", 0, 5, 5000.0);
+    AccountLoads queried = this->table();
+    this->use.observe(queried, 2, begin);
+    CHECK(this->use.queryTimeFactor() == Approx(10.0));
+    this->use.observe(queried, 2, begin + useMemory / 2);
+    CHECK(this->use.queryTimeFactor() == Approx(2.0));
+    this->use.observe(queried, 2, begin + 5 * useMemory);
+    CHECK(this->use.queryTimeFactor() == Approx(1.0));
+}
