--- a/test/workflows/planordertest.cpp
+++ b/test/workflows/planordertest.cpp
@@ -141,3 +141,46 @@
     this->admissions[{static_cast<WorkflowId>(2), 0, 0}].asked.insert(incarnation(1));
     CHECK(this->plan().summary.queriesExhaustedFrom == 0U);
 }
+
+// Guards against shares that change plans of cells in which all work fits.
+TEST_CASE_METHOD(OrderFixture, "plans of mixed work are as without shares while all fits",
+                 "[shares]")
+{
+    this->policy.queues["batch"] = this->policy.queues["q"];
+    this->policy.queues["batch"].priority = 2;
+    this->policy.queues["queried"] = this->policy.queues["batch"];
+    this->policy.queues["queried"].needsAdmission = true;
+    this->policy.queues["queried"].queryBaseMs = 500;
+    this->policy.queues["elsewhere"] = this->policy.queues["batch"];
+    this->policy.queues["elsewhere"].service = "t"; // account "a" has work in two services
+    this->add(1, "batch", gang(3), "a");
+    this->add(2, "batch", step(2), "a");
+    this->add(3, "q", step(1), "a");
+    this->add(4, "q", step(2), "b");
+    this->add(5, "queried", step(1), "a");
+    this->add(6, "queried", gang(2), "c");
+    this->add(7, "elsewhere", step(5), "a");
+    this->calendarMs = GENERATE(1, 1000000); // on time, late
+    const Plan without = this->plan();
+    this->accountUse = &this->use;
+    const Plan with = this->plan();
+    REQUIRE(without.placements.size() == 4);
+    REQUIRE(with.placements.size() == without.placements.size());
+    for (std::size_t i = 0; i < with.placements.size(); ++i) {
+        CHECK(with.placements[i].step == without.placements[i].step);
+        REQUIRE(with.placements[i].placements.size() == without.placements[i].placements.size());
+        for (std::size_t k = 0; k < with.placements[i].placements.size(); ++k) {
+            const Placement &one = with.placements[i].placements[k];
+            const Placement &other = without.placements[i].placements[k];
+            CHECK(one.index == other.index);
+            CHECK(one.incarnation == other.incarnation);
+        }
+    }
+    REQUIRE(without.queries.size() >= 2);
+    REQUIRE(with.queries.size() == without.queries.size());
+    for (std::size_t i = 0; i < with.queries.size(); ++i) {
+        CHECK(with.queries[i].step == without.queries[i].step);
+        CHECK(with.queries[i].targets == without.queries[i].targets);
+        CHECK(with.queries[i].claim == without.queries[i].claim);
+    }
+}
