--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -197,6 +197,7 @@
     double logSlownessOf(IncarnationId incarnation) const;
     void addToSpeeds(IncarnationId incarnation, const TargetIdentity &identity);
     void refreshSpeeds();
+    void forgetUse(const RunEnd &end, const WorkflowStore &store);
     void learnSpeed(IncarnationId incarnation, const RunEnd &end, const WorkflowStore &store);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
