--- a/test/platform/leaderservicetest.cpp
+++ b/test/platform/leaderservicetest.cpp
@@ -1,14 +1,19 @@
 #include <catch2/catch.hpp>
 
+#include "controller/controllerlink.h"
 #include "platform/leaderservice.h"
+#include "platform/relay.h"
 #include "replicas/inmemorylog.h"
+#include "replicas/messenger.h"
 #include "workflows/sessions/targetport.h"
 #include "workflows/store/workflowstoremachine.h"
 
 #include <spdlog/spdlog.h>
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -26,10 +31,17 @@
     void propose(std::string command, Done<std::string> done) override
     {
         ++this->proposals;
+        if (this->isLosingLeadership) {
+            Error lost = failure(ErrorCode::Unavailable, "leadership was lost");
+            lost.ran = Ran::Unknown;
+            done(lost);
+            return;
+        }
         InMemoryLog::propose(std::move(command), std::move(done));
     }
 
     int proposals = 0;
+    bool isLosingLeadership = false;
 };
 
 class NoTargets : public TargetPort
@@ -50,6 +62,17 @@
     {}
 };
 
+/// No replica can be reached.
+class NoReplicas : public Messenger
+{
+public:
+    void handle(Method, Handler) override {}
+    void call(const std::string &, Method, std::string, Instant, Done<std::string> done) override
+    {
+        done(failure(ErrorCode::Unavailable, "not connected"));
+    }
+};
+
 /// A leader without targets that has a configuration with one queue.
 class LeaderFixture
 {
@@ -139,3 +162,40 @@
     this->log.setLeading(false);
     CHECK(this->submit() == -1);
 }
+
+// Guards against a 503, which says that a job never runs, for one that this instance has proposed
+// before it lost leadership.
+TEST_CASE_METHOD(LeaderFixture, "a job that may yet be stored is not answered as one that is not",
+                 "[leaderservice][calls]")
+{
+    NoReplicas messenger;
+    auto link =
+        std::make_shared<ControllerLink>(messenger, std::vector<std::string>{"other"},
+                                         [this](Milliseconds, std::function<void()> action) {
+                                             this->posted.push_back(std::move(action));
+                                         });
+    Relay::Hooks hooks;
+    hooks.localService = [this] { return &this->service; };
+    hooks.hasController = [] { return true; };
+    hooks.answered = [](int, Microseconds) {};
+    hooks.stamp = [] { return CallStamp{}; };
+    Relay relay(std::move(link), messenger, std::move(hooks), "leader");
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/q/5c0e7a21d94b36f8";
+    request.headers["Host"] = "jobs.example";
+    request.headers["X-Api-Key"] = "key";
+    request.headers["X-Deadline-Ms"] = "100";
+    request.body = R"({"TaskSpec": "x", "Steps": [{"TaskCount": 3, "Cpu": 1000}]})";
+    this->log.isLosingLeadership = true;
+    int status = 0;
+    relay.serveCaller(request,
+                      [&status](const HttpResponse &response) { status = response.status; });
+    for (int i = 0; i < 100 && status == 0; ++i) {
+        for (const auto &action : std::exchange(this->posted, {}))
+            action();
+        std::this_thread::sleep_for(Milliseconds(2));
+    }
+    CHECK(this->log.proposals > 0);
+    CHECK(status == 504);
+}
