--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -24,8 +24,8 @@
     {
         std::size_t maxCalls = 2000;
         std::size_t maxBytes = 8U << 20U;
-        /// Calls handed in and not yet answered. With 40 instances, 160 calls are pending at the
-        /// controller: fewer than it stores in one batch.
+        /// Calls handed in and not yet answered. All instances hand in together, beside the new
+        /// calls: a few each fill a batch of the controller without making the new ones wait.
         std::size_t maxInFlight = 4;
         /// Time that must be left before a call's deadline when it is handed in: several times what
         /// a controller takes to store a request.
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace guavavalve;
@@ -187,8 +188,10 @@
         this->calls.push_back(method);
         if (method == Method::RelayStamped)
             this->stamps.push_back(decode<StampedCall>(payload).value().stamp);
-        if (this->isLeaderSilent)
+        if (this->isLeaderSilent) {
+            this->unanswered.push_back(std::move(done));
             return;
+        }
         RelayedAnswer answer;
         answer.status = 200;
         answer.body = "{}";
@@ -220,6 +223,7 @@
     int searches = 0;
     std::vector<Method> calls; ///< that the leader has received
     std::vector<CallStamp> stamps;
+    std::vector<Done<std::string>> unanswered; ///< by a silent leader
     std::vector<HttpResponse> answers;
     std::unique_ptr<Relay> relay;
 };
@@ -352,13 +356,16 @@
 {
     FakeEntry entry;
     entry.hasController = false;
-    entry.post("a", "400"); // 320 ms are left to answer it
+    entry.post("a", "700"); // held for 300 ms
+    REQUIRE(entry.answers.empty());
     const Instant end = monotonicNow() + Milliseconds(20000);
-    while (entry.answers.empty() && monotonicNow() < end)
+    while (entry.answers.empty() && monotonicNow() < end) {
         entry.fireTimer();
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
     REQUIRE(entry.answers.size() == 1);
     CHECK(entry.answers.front().status == 503);
-    CHECK(entry.answers.front().headers.count("Retry-After") == 1);
+    CHECK(entry.answers.front().headers.at("Retry-After") == "1");
     entry.hasController = true;
     entry.fireTimer();
     CHECK(entry.calls.empty());
@@ -381,13 +388,94 @@
     CHECK(entry.calls.size() <= mostAtOnce);
 }
 
+// Guards against an entry that stays in held mode while arrivals exceed what it hands in: a short
+// loss of contact would then reject requests for as long as the load lasts.
+TEST_CASE("requests that arrive while held ones are handed in are served at once", "[relay][calls]")
+{
+    constexpr std::size_t held = 20;
+    constexpr std::size_t arrivals = 100;
+    FakeEntry entry;
+    entry.hasController = false;
+    for (std::size_t i = 0; i < held; ++i)
+        entry.post("h" + std::to_string(i));
+    CHECK(entry.searches == 1);
+    entry.hasController = true;
+    entry.isLeaderSilent = true;
+    entry.fireTimer();
+    const std::size_t paced = entry.calls.size();
+    CHECK(paced < held);
+    for (std::size_t i = 0; i < arrivals; ++i)
+        entry.post("a" + std::to_string(i));
+    CHECK(entry.calls.size() == paced + arrivals);
+    RelayedAnswer answer;
+    answer.status = 200;
+    answer.body = "{}";
+    while (!entry.unanswered.empty()) {
+        for (const auto &done : std::exchange(entry.unanswered, {}))
+            done(encode(answer));
+    }
+    REQUIRE(entry.answers.size() == held + arrivals);
+    for (const HttpResponse &response : entry.answers)
+        CHECK(response.status == 200);
+}
+
+// Guards against a 503 that blames a missing controller while requests are served.
+TEST_CASE("a held request that is not handed in within its time is rejected for that reason",
+          "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.hasController = false;
+    for (int i = 0; i < 10; ++i)
+        entry.post("h" + std::to_string(i), "700");
+    entry.hasController = true;
+    entry.isLeaderSilent = true;
+    entry.fireTimer();
+    std::this_thread::sleep_for(Milliseconds(320));
+    entry.fireTimer();
+    REQUIRE(entry.answers.size() == 10 - entry.calls.size());
+    CHECK(entry.answers.front().body.find("not handed in") != std::string::npos);
+}
+
+// Guards against a return of all expired callers at the same time, if they wait for long.
+TEST_CASE("the return of callers whose held requests expire is spread", "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.hasController = false;
+    for (int i = 0; i < 50; ++i)
+        entry.post("a" + std::to_string(i), ""); // does not say how long it waits
+    CHECK(entry.searches == 1);
+    REQUIRE(entry.answers.empty());
+    std::this_thread::sleep_for(Milliseconds(1050));
+    entry.fireTimer();
+    REQUIRE(entry.answers.size() == 50);
+    std::set<std::string> delays;
+    for (const HttpResponse &answer : entry.answers)
+        delays.insert(answer.headers.at("Retry-After"));
+    CHECK(delays.size() > 1);
+}
+
+TEST_CASE("requests are rejected with one Retry-After if holding is disabled", "[relay][calls]")
+{
+    FakeEntry entry(false);
+    entry.hasController = false;
+    for (int i = 0; i < 50; ++i)
+        entry.post("a" + std::to_string(i));
+    CHECK(entry.searches == 0);
+    REQUIRE(entry.answers.size() == 50);
+    for (const HttpResponse &answer : entry.answers) {
+        CHECK(answer.status == 503);
+        CHECK(answer.headers.at("Retry-After") == "1");
+    }
+}
+
 // Guards against a return of all rejected callers at the same time.
 TEST_CASE("rejections for want of a controller spread the return of the callers", "[relay][calls]")
 {
-    FakeEntry entry(false);
+    constexpr int heldAtMost = 2000;
+    FakeEntry entry;
     entry.hasController = false;
     std::set<std::string> delays;
-    for (int i = 0; i < 50; ++i)
+    for (int i = 0; i < heldAtMost + 50; ++i)
         entry.post("a" + std::to_string(i));
     REQUIRE(entry.answers.size() == 50);
     for (const HttpResponse &answer : entry.answers) {
