ControllerLink: a refusal for the moment loses no controller

Cause: one Unavailable, from a full local queue or a lease that was not confirmed for a moment, cleared the leader and its confirmation, so that the entry had no controller at once. A call that a lagging replica sent to a wrong leader went there again with each of its answers, and each return restarted the time after which a silent controller is left.

A replica that has denied to lead is asked again only if another replica names it. The time of an attempt is kept by address.

The fake in controllerlinktest counted replicas that were frozen without a time as heard, and answered FindLeader without its latency; it records the time of each frozen replica now, and the latency applies to all calls. The test of the wrongly named leader has a slow controller and fast replicas: its lagging replica answered too late to be played.

--- a/src/controller/controllerlink.cpp
+++ b/src/controller/controllerlink.cpp
@@ -29,14 +29,23 @@
     bool isSettled = false;
     std::string address; ///< of the current attempt
     std::map<std::string, unsigned> open; ///< attempts without a reply, by address
-    Instant attemptedAt{}; ///< when the current attempt was made, or returned to
+    std::map<std::string, Instant> attemptedAt; ///< the last attempt, by address
     Instant unresponsiveAt{}; ///< when the current attempt counts as unresponsive
+    /// Since when the controller has only refused the call; the epoch: it has not.
+    Instant refusedSince{};
+    std::set<std::string> denials; ///< replicas that the call has learned not to lead
+    /// Replicas that the call moved to, each with the one that named it.
+    std::set<std::pair<std::string, std::string>> moves;
 
     bool isWaiting() const { return this->open.count(this->address) != 0; }
     bool isUnresponsive(Instant now) const
     {
         return this->isWaiting() && now >= this->unresponsiveAt;
     }
+    bool isRefused(Instant now, Milliseconds within) const
+    {
+        return this->refusedSince != Instant{} && now >= this->refusedSince + within;
+    }
 };
 
 ControllerLink::ControllerLink(Messenger &messenger, std::vector<std::string> replicas, Delay delay,
@@ -90,9 +99,11 @@
             ++this->repeats;
         attempt = ++call->attempts;
         call->current = attempt;
+        if (call->address != address)
+            call->refusedSince = {};
         call->address = address;
         call->open[address] = attempt;
-        call->attemptedAt = now;
+        call->attemptedAt[address] = now;
         call->unresponsiveAt = now + this->limits.unresponsiveAfter;
     }
     const bool isMonitored = this->limits.unresponsiveAfter.count() > 0;
@@ -121,7 +132,6 @@
         attempt = found->second;
         call->current = attempt;
         call->address = address;
-        call->attemptedAt = now;
         call->unresponsiveAt = now + this->limits.unresponsiveAfter;
     }
     this->monitor(call, address, attempt);
@@ -173,16 +183,21 @@
             this->leader = address;
             this->liveness.answered(address, this->clock());
         }
+        if (retryable)
+            noteRefusal(*call, address, reply.error(), this->clock());
         if (!reply && call->mayHaveRun)
             reply.error().ran = Ran::Unknown;
     }
     if (retryable) {
-        if (!this->keepsLeader(address, reply.error())) {
+        const bool isKept = this->keepsLeader(address, reply.error());
+        if (!isKept) {
             const bool redirected = reply.error().code == ErrorCode::NotLeader;
             this->updateLeader(address, redirected ? reply.error().message : std::string());
         }
         this->delay(this->limits.retryDelay,
                     [self = this->shared_from_this(), call] { self->attempt(call); });
+        if (isKept)
+            this->probeIfRefused(call);
         return;
     }
     if (this->settle(call))
@@ -190,12 +205,52 @@
 }
 
 /// Whether the controller is still believed to be at \a address after a call to it has failed with
-/// \a error: one that is heard and did not answer in time is slow.
+/// \a error: one that is heard and did not answer in time is slow, and one whose connection lives
+/// may refuse a call for the moment.
 bool ControllerLink::keepsLeader(const std::string &address, const Error &error) const
 {
     const std::lock_guard lock(this->mutex);
-    return error.code == ErrorCode::DeadlineExceeded && this->limits.unresponsiveAfter.count() > 0
-        && this->clock() <= this->lastHeard(address) + this->limits.attemptTimeout;
+    if (this->limits.unresponsiveAfter.count() == 0)
+        return false;
+    const Instant now = this->clock();
+    if (error.code == ErrorCode::DeadlineExceeded)
+        return now <= this->lastHeard(address) + this->limits.attemptTimeout;
+    // The messenger has heard nothing from a replica whose connection was lost.
+    const auto frame = this->messenger.lastHeard(address);
+    return error.code == ErrorCode::Unavailable && address == this->liveness.controller() && frame
+        && now <= *frame + this->limits.attemptTimeout;
+}
+
+/// Asks the replicas who leads once the controller has only refused a call for a while.
+void ControllerLink::probeIfRefused(const std::shared_ptr<Call> &call)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        const bool isRefused = call->isRefused(this->clock(), this->limits.unresponsiveAfter);
+        if (!isRefused || call->isSettled || std::exchange(this->isProbing, true))
+            return;
+        this->inFlight.insert(call);
+    }
+    this->probe();
+}
+
+/// Records what \a error says of the replica at \a address. Call with the mutex locked.
+void ControllerLink::noteRefusal(Call &call, const std::string &address, const Error &error,
+                                 Instant now)
+{
+    if (error.code == ErrorCode::NotLeader)
+        call.denials.insert(address);
+    if (error.code == ErrorCode::Unavailable && call.refusedSince == Instant{})
+        call.refusedSince = now;
+}
+
+/// Whether \a call is sent to \a leader because \a by names it. One that has denied to lead is
+/// asked again only if another replica names it: a replica that lags behind repeats itself. Call
+/// with the mutex locked.
+bool ControllerLink::moves(Call &call, const std::string &leader, const std::string &by)
+{
+    const bool isNew = call.moves.emplace(leader, by).second;
+    return isNew || call.denials.count(leader) == 0;
 }
 
 /// Monitors an attempt, so that a call does not wait for the attempt's timeout at a suspended or
@@ -235,7 +290,7 @@
 {
     std::set<std::string> found;
     for (const auto &call : this->inFlight) {
-        if (call->isUnresponsive(now))
+        if (call->isUnresponsive(now) || call->isRefused(now, this->limits.unresponsiveAfter))
             found.insert(call->address);
     }
     return found;
@@ -279,7 +334,7 @@
         }
         for (const auto &call : this->inFlight) {
             if (silent.count(call->address) != 0 && call->isWaiting()
-                && now >= call->attemptedAt + this->limits.attemptTimeout)
+                && now >= call->attemptedAt[call->address] + this->limits.attemptTimeout)
                 abandoned.push_back(call);
         }
     }
@@ -307,6 +362,7 @@
     if (!leads)
         return;
     std::vector<std::shared_ptr<Call>> affected;
+    bool hasMoved = false;
     {
         const std::lock_guard lock(this->mutex);
         this->liveness.heard(by, this->clock());
@@ -314,13 +370,19 @@
             return;
         for (const auto &call : this->inFlight) {
             const bool isAffected = call->isWaiting() && unresponsive.count(call->address) != 0;
-            if (!isAffected || call->address == leads.value())
+            const bool isRefused = call->refusedSince != Instant{}
+                && unresponsive.count(call->address) != 0 && call->address == this->leader;
+            const bool isElsewhere = call->address != leads.value();
+            if (!isElsewhere || !(isAffected || isRefused) || !moves(*call, leads.value(), by))
+                continue;
+            hasMoved = true;
+            if (!isAffected)
                 continue;
             call->mayHaveRun = true;
             affected.push_back(call);
         }
         // Calls between two attempts find the leader with their next one.
-        if (!affected.empty() || this->leader.empty())
+        if (hasMoved || this->leader.empty())
             this->leader = leads.value();
     }
     for (const auto &call : affected)
--- a/src/controller/controllerlink.h
+++ b/src/controller/controllerlink.h
@@ -22,7 +22,8 @@
 /// Requests are idempotent (submits by idempotency key, ends by attempt, operators' changes by
 /// request ID), so a call whose reply was lost is retried until its deadline. While the controller
 /// is heard, a call stays with it and is not sent again, however slow the reply is: a second
-/// attempt would add to the load that makes it slow.
+/// attempt would add to the load that makes it slow. One that refuses a call for the moment, for
+/// example because a queue is full, is asked again after a delay and remains the leader.
 class ControllerLink : public std::enable_shared_from_this<ControllerLink>
 {
 public:
@@ -68,6 +69,10 @@
     bool isKeptAt(const std::shared_ptr<Call> &call, const std::string &address, Instant now);
     void abandon(const std::shared_ptr<Call> &call);
     bool keepsLeader(const std::string &address, const Error &error) const;
+    void probeIfRefused(const std::shared_ptr<Call> &call);
+    static bool moves(Call &call, const std::string &leader, const std::string &by);
+    static void noteRefusal(Call &call, const std::string &address, const Error &error,
+                            Instant now);
     void replyReceived(const std::shared_ptr<Call> &call, const std::string &address,
                        unsigned attempt, Result<std::string> reply);
     bool settle(const std::shared_ptr<Call> &call);
--- a/test/controller/controllerlinktest.cpp
+++ b/test/controller/controllerlinktest.cpp
@@ -33,7 +33,7 @@
     {
         if (method != Method::FindLeader)
             ++this->sent[address];
-        if (this->frozen.count(address) != 0) {
+        if (this->frozenAt.count(address) != 0) {
             this->runAfter(std::chrono::duration_cast<Milliseconds>(deadline - this->now),
                            [done = std::move(done)] {
                                Error late = failure(ErrorCode::DeadlineExceeded, "no reply");
@@ -42,7 +42,7 @@
                            });
             return;
         }
-        if (method != Method::FindLeader && this->now + this->latency > deadline) {
+        if (this->now + this->latencyOf(address) > deadline) {
             this->runAfter(std::chrono::duration_cast<Milliseconds>(deadline - this->now),
                            [done = std::move(done)] {
                                Error late = failure(ErrorCode::DeadlineExceeded, "no reply");
@@ -60,6 +60,9 @@
                 Error lost = failure(ErrorCode::Unavailable, "the connection was lost");
                 lost.ran = Ran::Unknown;
                 done(lost);
+            } else if (this->refusals[address] > 0) {
+                --this->refusals[address];
+                done(failure(ErrorCode::Unavailable, "the replica's queue is full"));
             } else if (address == this->leader) {
                 ++this->served[address];
                 done(std::string("by " + address));
@@ -67,23 +70,25 @@
                 done(failure(ErrorCode::NotLeader, this->leader));
             }
         };
-        const bool isProbe = method == Method::FindLeader; // does not wait behind other calls
-        if (this->latency.count() == 0)
+        if (this->latencyOf(address).count() == 0)
             answer();
         else
-            this->runAfter(isProbe ? Milliseconds(1) : this->latency, std::move(answer));
+            this->runAfter(this->latencyOf(address), std::move(answer));
     }
 
     /// Heartbeats arrive all the time from replicas that are not frozen.
     std::optional<Instant> lastHeard(const std::string &address) const override
     {
+        if (this->gone.count(address) != 0)
+            return std::nullopt;
         const auto stopped = this->frozenAt.find(address);
         return stopped == this->frozenAt.end() ? this->now : stopped->second;
     }
-    void freeze(const std::string &address)
+    void freeze(const std::string &address) { this->frozenAt.emplace(address, this->now); }
+    Milliseconds latencyOf(const std::string &address) const
     {
-        this->frozen.insert(address);
-        this->frozenAt.emplace(address, this->now);
+        const auto found = this->latencies.find(address);
+        return found == this->latencies.end() ? this->latency : found->second;
     }
 
     void runAfter(Milliseconds delay, std::function<void()> action)
@@ -113,8 +118,10 @@
     Instant now{std::chrono::seconds(100)};
     Milliseconds latency{1}; ///< zero: the reply arrives before the call returns
     std::multimap<Instant, std::function<void()>> due;
-    std::set<std::string> frozen;
-    std::map<std::string, Instant> frozenAt;
+    std::map<std::string, Instant> frozenAt; ///< replicas that do not respond, since when
+    std::map<std::string, Milliseconds> latencies; ///< where it is another than `latency`
+    std::set<std::string> gone; ///< replicas without a connection
+    std::map<std::string, int> refusals; ///< calls that are yet refused as unavailable
     std::map<std::string, int> connections; ///< a change means that the connection was lost
     std::map<std::string, std::string> named; ///< the leader that a replica names, if another one
     std::map<std::string, int> sent; ///< calls, by address
@@ -136,7 +143,7 @@
     this->callController();
     this->runFor(Milliseconds(10));
     REQUIRE(this->answers.size() == 1);
-    this->frozen.insert("a");
+    this->freeze("a");
     this->callController();
     this->runFor(Milliseconds(150));
     CHECK(this->answers.size() == 1); // no other replica leads yet
@@ -181,7 +188,8 @@
 {
     this->callController();
     this->runFor(Milliseconds(10));
-    this->frozen = {"a", "b", "c"};
+    for (const char *replica : {"a", "b", "c"})
+        this->freeze(replica);
     this->callController(Milliseconds(900));
     this->runFor(Milliseconds(3000));
     REQUIRE(this->answers.size() == 2);
@@ -245,7 +253,7 @@
 {
     this->callController();
     this->runFor(Milliseconds(10));
-    this->latency = Milliseconds(600);
+    this->latencies["a"] = Milliseconds(600);
     this->named["c"] = "b";
     this->callController();
     this->runFor(Milliseconds(2000));
@@ -307,3 +315,70 @@
     this->runFor(Milliseconds(1600));
     CHECK(this->now - this->link->lastContact() > Milliseconds(1500));
 }
+
+// Guards against a controller that counts as lost because a queue was full for a moment.
+TEST_CASE_METHOD(LinkFixture, "a controller that refuses a call for the moment is kept",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->refusals["a"] = 1;
+    this->callController();
+    this->runFor(Milliseconds(10));
+    for (int i = 0; i < 20; ++i)
+        this->callController();
+    CHECK(this->link->controllerAddress() == "a");
+    CHECK(this->now - this->link->lastContact() < Milliseconds(100));
+    this->runFor(Milliseconds(1000));
+    CHECK(this->served["a"] == 22);
+    CHECK(this->sent["b"] + this->sent["c"] == 0);
+    CHECK(this->leaderQueries == 0);
+}
+
+// Guards against calls that stay with a replica that refuses them while another one leads.
+TEST_CASE_METHOD(LinkFixture, "a call leaves a refusing replica once another leader is named",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->refusals["a"] = 1000;
+    this->named["b"] = "b";
+    this->named["c"] = "b";
+    this->named["a"] = "a";
+    this->leader = "b";
+    this->callController();
+    this->runFor(Milliseconds(300));
+    REQUIRE(this->answers.size() == 2);
+    CHECK(this->answers.back() == "by b");
+}
+
+// Guards against a call that shuttles between the controller and one that a replica wrongly names.
+TEST_CASE_METHOD(LinkFixture, "a replica that denied to lead is not asked again on the same word",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->latencies["a"] = Milliseconds(1300);
+    this->named["c"] = "b";
+    this->callController();
+    this->runFor(Milliseconds(1600));
+    REQUIRE(this->answers.size() == 2);
+    CHECK(this->answers.back() == "by a");
+    CHECK(this->sent["b"] == 1);
+}
+
+// Guards against calls that wait for a controller whose process has ended, since it was heard of a
+// moment ago.
+TEST_CASE_METHOD(LinkFixture, "a controller whose connection is gone is left at once",
+                 "[link][calls]")
+{
+    this->callController();
+    this->runFor(Milliseconds(10));
+    this->gone.insert("a");
+    this->refusals["a"] = 1000; // connections are refused
+    this->leader = "b";
+    this->callController();
+    this->runFor(Milliseconds(150));
+    REQUIRE(this->answers.size() == 2);
+    CHECK(this->answers.back() == "by b");
+}
