--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -24,8 +24,8 @@
     {
         std::size_t maxCalls = 2000;
         std::size_t maxBytes = 8U << 20U;
-        /// Calls handed in and not yet answered, at first: with 40 instances, 320 are pending at
-        /// the controller, as many as it stores in one batch. One more for each that is answered.
+        /// Calls handed in and not yet answered, at first; one more for each that is answered. All
+        /// instances hand in together: a few each fill a batch of the controller.
         std::size_t maxInFlight = 8;
         /// Time that must be left before a call's deadline when it is handed in: several times what
         /// a controller takes to store a request.
