Intake: work that waits for the admission service counts as waiting; documentation

Only what waited for room or for an instance that can query counted as waiting.

Change: ready tasks that wait for an answer count too.

--- a/src/workflows/intake/intake.cpp
+++ b/src/workflows/intake/intake.cpp
@@ -176,7 +176,7 @@
 {
     if (queue.shortSince == Instant())
         return false;
-    return queue.isShortOfQueriers || queue.waitingMilliCores + milliCores > queue.freeMilliCores;
+    return queue.isShortOfQueries || queue.waitingMilliCores + milliCores > queue.freeMilliCores;
 }
 
 bool Intake::isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
@@ -288,7 +288,7 @@
             queue.waiting.add(account, work);
         queue.waitingMilliCores = load.waitingMilliCores;
         queue.freeMilliCores = freeMilliCores;
-        queue.isShortOfQueriers = load.isShortOfQueriers;
+        queue.isShortOfQueries = load.isShortOfQueries;
         if (load.startedWork > 0.0)
             queue.started.add(now, load.startedWork);
         this->updateShortage(name, queue, !load.waitingWork.empty(), now);
--- a/src/workflows/intake/intake.h
+++ b/src/workflows/intake/intake.h
@@ -75,7 +75,7 @@
         DecayingRate started{rateSeconds}; ///< milli-core-ms per second
         std::int64_t waitingMilliCores = 0;
         std::int64_t freeMilliCores = 0;
-        bool isShortOfQueriers = false;
+        bool isShortOfQueries = false;
         Instant shortSince{}; ///< zero: it is not short
         Instant lastShortAt{};
         Milliseconds overloadTarget{0}; ///< of the request that found it overloaded; 0: it is not
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -211,14 +211,14 @@
         load.startedWork += static_cast<double>(started) * step.spec().workOfTask();
         const bool isWaiting = this->plan.waiting.size() > waitingBefore;
         const WaitCause cause = isWaiting ? this->plan.waiting.back().cause : WaitCause::Verdict;
-        if (step.isLate || (cause != WaitCause::Room && cause != WaitCause::Querier))
+        if (!isWaiting || step.isLate || cause == WaitCause::Limit || cause == WaitCause::Verdict)
             return;
         const std::size_t tasks = step.waiting() - started;
         load.waitingWork[step.workflow->spec.account] +=
             static_cast<double>(tasks) * step.spec().workOfTask();
         load.waitingMilliCores +=
             static_cast<std::int64_t>(tasks) * step.spec().reserved()[ResourceKind::MilliCores];
-        load.isShortOfQueriers |= cause == WaitCause::Querier;
+        load.isShortOfQueries |= cause != WaitCause::Room;
     }
 
     void countWaiting(const ReadyStep &step, std::size_t tasks)
--- a/src/workflows/planning/queueload.h
+++ b/src/workflows/planning/queueload.h
@@ -11,11 +11,11 @@
 struct QueueLoad
 {
     double startedWork = 0.0; ///< of the tasks that the plan placed
-    /// By client account, of the ready tasks that wait for room or for an instance that can query,
-    /// and that can still meet their objective.
+    /// By client account, of the ready tasks that wait for room or for the admission service, and
+    /// that can still meet their objective.
     std::map<std::string, double> waitingWork;
     std::int64_t waitingMilliCores = 0; ///< needed by these tasks
-    bool isShortOfQueriers = false; ///< some of them wait for an instance that can query
+    bool isShortOfQueries = false; ///< some of them wait for the admission service
 };
 
 } // namespace guavavalve::workflows
