Intake: true answers for calls that are not taken, and stamps that name the arrival

Calls that were too old or of another term were answered 503 although another attempt of the request may run; they are 504 now, and relaytest expects that. A call stamped anew after a change of leader was stamped with the present and so passed for a new attempt; stamps name the arrival on the new clock now, also those of held calls. Replicas stamp with the announced term; stamps in the future are of another term.

Failed proposals are settled on every outcome, by submission and term; those that may be stored are never refused until the term ends. Tasks whose query is under way and gangs are no overload any more; callers within their share wait for their own backlog only; a stalled store shows by its oldest request; Retry-After is spread also after long waits. The control of the load test disables the shares too, which protect the other accounts by themselves.

--- a/src/controller/controllerclock.cpp
+++ b/src/controller/controllerclock.cpp
@@ -1,6 +1,6 @@
 #include "controller/controllerclock.h"
 
-#include <algorithm>
+#include <cstdlib>
 
 namespace guavavalve {
 
@@ -33,18 +33,18 @@
     this->term = 0;
 }
 
-CallStamp ControllerClock::stamp(Instant now) const
+CallStamp ControllerClock::stamp(Instant receivedAt) const
 {
     const std::lock_guard lock(this->mutex);
     if (this->term == 0)
         return {};
-    return {this->term, now.time_since_epoch().count() + this->offsetAt(now)};
+    return {this->term, receivedAt.time_since_epoch().count() + this->offsetAt(receivedAt)};
 }
 
-/// The measured offset less the drift that the clocks may have had since.
+/// The measured offset less the drift that the clocks may have had between then and \a now.
 std::int64_t ControllerClock::offsetAt(Instant now) const
 {
-    const std::int64_t age = std::max<std::int64_t>((now - this->measuredAt).count(), 0);
+    const std::int64_t age = std::abs((now - this->measuredAt).count());
     return this->offsetUs - age * maxDriftPerMillion / million;
 }
 
--- a/src/controller/controllerclock.h
+++ b/src/controller/controllerclock.h
@@ -26,8 +26,9 @@
     void answerReceived(std::uint64_t term, std::int64_t controllerUs, Instant arrived);
     /// Forgets the clock: the controller does not report it.
     void reset();
-    /// The stamp of a request received at \a now; unknown if no controller has reported its clock.
-    CallStamp stamp(Instant now) const;
+    /// The stamp of a request received at \a receivedAt, which may be before the clock was learned;
+    /// unknown if no controller has reported its clock.
+    CallStamp stamp(Instant receivedAt) const;
 
 private:
     std::int64_t offsetAt(Instant now) const;
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -30,6 +30,13 @@
 /// A loop delay beyond this is logged: orders and answers are delayed as much.
 constexpr Milliseconds loopLagLogThreshold{100};
 
+StoreOutcome storeOutcomeOf(const Result<CommandOutcome> &outcome)
+{
+    if (outcome)
+        return StoreOutcome::Stored;
+    return outcome.error().ran == Ran::No ? StoreOutcome::NotStored : StoreOutcome::Unknown;
+}
+
 } // namespace
 
 Controller::Controller(ControllerOptions options, ReplicatedLog &log, WorkflowStoreMachine &machine,
@@ -130,13 +137,15 @@
     const WorkflowId id = spec.id;
     const bool isStored =
         this->machine.read([id](const WorkflowStore &store) { return store.find(id) != nullptr; });
-    if (this->leads && !isStored)
+    const bool isCounted = this->leads && !isStored;
+    if (isCounted)
         this->intake.accepted(spec, this->options.clock());
     this->enqueue(AcceptWorkflow{std::move(spec)},
-                  [this, id, done = std::move(done)](const Result<CommandOutcome> &outcome) {
-                      // After other errors it may still be stored, until the next term begins.
-                      if (outcome || outcome.error().code == ErrorCode::WriteRefused)
-                          this->intake.settled(id, this->options.clock());
+                  [this, id, isCounted, ofTerm = this->term,
+                   done = std::move(done)](const Result<CommandOutcome> &outcome) {
+                      if (isCounted)
+                          this->intake.settled(id, ofTerm, storeOutcomeOf(outcome),
+                                               this->options.clock());
                       done(outcome);
                   });
 }
@@ -308,6 +317,8 @@
     if (outcomes && outcomes.value().size() != proposed.done.size())
         outcomes = failure(ErrorCode::Corrupt,
                            "the batch has a different number of outcomes than commands");
+    if (outcome && !outcomes)
+        outcomes.error().ran = Ran::Unknown; // the batch is stored
     reportOutcomes(proposed, outcomes);
     if (!isOurTerm)
         return;
--- a/src/workflows/intake/accountbacklog.cpp
+++ b/src/workflows/intake/accountbacklog.cpp
@@ -12,6 +12,7 @@
 
 /// An account that was refused something counts as wanting all that it can get for this long.
 constexpr Milliseconds refusalMemory{1000};
+constexpr Milliseconds maxOwnWait{60000}; ///< of an account whose work does not start at all
 constexpr double roundingFactor = 1.0 + 1e-9; ///< for sums of allotments
 
 } // namespace
@@ -63,4 +64,22 @@
     return own->second.waiting > part * fairAllotments(demands, allowed).front() * roundingFactor;
 }
 
+Milliseconds AccountBacklog::ownWait(const std::string &account, double ratePerSecond,
+                                     const WeightOf &weightOf, Instant now) const
+{
+    const auto own = this->accounts.find(account);
+    if (own == this->accounts.end() || own->second.waiting <= 0.0)
+        return Milliseconds(0);
+    double weights = 0.0;
+    for (const auto &[name, other] : this->accounts) {
+        if (other.waiting > 0.0 || now < other.wantsMoreUntil)
+            weights += weightOf(name);
+    }
+    const double part = weights > 0.0 ? weightOf(account) / weights : 1.0;
+    const double perMs = part * ratePerSecond / 1000.0;
+    if (own->second.waiting >= perMs * static_cast<double>(maxOwnWait.count()))
+        return maxOwnWait;
+    return Milliseconds(static_cast<std::int64_t>(own->second.waiting / perMs));
+}
+
 } // namespace guavavalve::workflows
--- a/src/workflows/intake/accountbacklog.h
+++ b/src/workflows/intake/accountbacklog.h
@@ -31,6 +31,11 @@
     bool isBeyondShare(const std::string &account, double allowed, double part,
                        const WeightOf &weightOf, Instant now) const;
 
+    /// Time until what waits of \a account has been started, if it gets its weighted part of
+    /// \a ratePerSecond, of all accounts that have or want something.
+    Milliseconds ownWait(const std::string &account, double ratePerSecond,
+                         const WeightOf &weightOf, Instant now) const;
+
 private:
     struct Account
     {
--- a/src/workflows/intake/intake.cpp
+++ b/src/workflows/intake/intake.cpp
@@ -32,6 +32,9 @@
 /// While refused callers wait to come back, requests that have not waited yet may use this part of
 /// their account's share.
 constexpr double newcomersPart = 0.8;
+/// A request that is smaller than what waits has room if this many times its need is free: targets
+/// are left with fragments, and others are accepted meanwhile.
+constexpr std::int64_t roomFactor = 4;
 /// Queues and accounts with a line of their own in a report.
 constexpr std::size_t maxReportKeys = 64;
 
@@ -40,17 +43,41 @@
     return static_cast<double>(step.tasks) * step.workOfTask();
 }
 
+std::int64_t milliCoresOf(const StepSpec &step)
+{
+    return step.tasks * step.reserved()[ResourceKind::MilliCores];
+}
+
 /// Needed by the steps that can start at once.
 std::int64_t firstMilliCores(const WorkflowSpec &spec)
 {
     std::int64_t milliCores = 0;
     for (const StepSpec &step : spec.steps) {
         if (step.dependencies.empty())
-            milliCores += step.tasks * step.reserved()[ResourceKind::MilliCores];
+            milliCores += milliCoresOf(step);
     }
     return milliCores;
 }
 
+/// The need of the largest task that can start at once.
+std::int64_t largestTaskMilliCores(const WorkflowSpec &spec)
+{
+    std::int64_t largest = 0;
+    for (const StepSpec &step : spec.steps) {
+        if (step.dependencies.empty())
+            largest = std::max(largest, step.reserved()[ResourceKind::MilliCores]);
+    }
+    return largest;
+}
+
+AccountBacklog::WeightOf weightsOf(const Policy &policy)
+{
+    return [&policy](const std::string &account) {
+        const auto known = policy.accounts.find(account);
+        return known == policy.accounts.end() ? AccountPolicy().weight : known->second.weight;
+    };
+}
+
 /// Scheduled work starts later, and long-running work has no end that could be late.
 bool hasObjective(const WorkflowSpec &spec)
 {
@@ -80,6 +107,9 @@
     this->stored = DecayingRate(rateSeconds);
     this->storeDelay = SustainedDelay();
     this->beingStored.clear();
+    this->storingSince.clear();
+    this->uncertain.clear();
+    this->unplannedMilliCores = 0;
     this->refusals.clear();
     this->report = {};
 }
@@ -91,13 +121,15 @@
         return {};
     if (stamp.isKnown() && stamp.term != this->term)
         return {IntakeVerdict::OtherTerm};
-    const Microseconds age = std::max(Microseconds(0), now - instantOf(stamp));
-    if (stamp.isKnown() && age > this->limits.attemptLifetime)
+    if (stamp.isKnown() && instantOf(stamp) > now)
+        return {IntakeVerdict::OtherTerm}; // of another machine's clock
+    const Microseconds age = now - instantOf(stamp);
+    if (stamp.isKnown() && age >= this->limits.attemptLifetime)
         return {IntakeVerdict::TooOld};
     const auto refusal = this->refusals.find(spec.id, now);
     const bool isRepeat = refusal && refusal->promisedUntil > now
         && (!stamp.isKnown() || instantOf(stamp) <= refusal->lastAt);
-    if (isRepeat && this->refusals.hasSpaceFor(spec.id, now)) {
+    if (isRepeat) {
         // The call's own age is unknown without a stamp, so the caller should come back after the
         // refusal has been forgotten.
         const Milliseconds left = toMilliseconds(refusal->retryAt - now);
@@ -106,7 +138,9 @@
         return this->refuse(spec, IntakeCause::Repeat, Milliseconds(0), retryAfter, now);
     }
     const QueuePolicy *queue = policy.queue(spec.queue);
-    if (!stamp.isKnown() || queue == nullptr || !this->refusals.hasSpaceFor(spec.id, now))
+    const bool isRemembered = this->uncertain.size() < this->limits.maxRefusedRequests
+        && this->refusals.hasSpaceFor(spec.id, now);
+    if (!stamp.isKnown() || queue == nullptr || !isRemembered)
         return {};
     if (live + this->beingStored.size() >= this->limits.maxLiveWorkflows) {
         return this->refuse(spec, IntakeCause::StoreFull, Milliseconds(0),
@@ -114,7 +148,8 @@
     }
     if (!hasObjective(spec))
         return {};
-    const Outlook expected = this->outlook(spec, *queue, toMilliseconds(age), now);
+    const Outlook expected =
+        this->outlook(spec, *queue, toMilliseconds(age), weightsOf(policy), now);
     if (!expected.isQueueOverloaded && !expected.isControllerOverloaded)
         return {IntakeVerdict::Accept, IntakeCause::None, expected.wait};
     const Milliseconds waited = refusal ? toMilliseconds(now - refusal->firstAt) : Milliseconds(0);
@@ -131,7 +166,8 @@
 }
 
 Intake::Outlook Intake::outlook(const WorkflowSpec &spec, const QueuePolicy &policy,
-                                Milliseconds age, Instant now)
+                                Milliseconds age, const AccountBacklog::WeightOf &weightOf,
+                                Instant now)
 {
     const std::vector<std::int64_t> paths = criticalPathsFrom(spec);
     const std::int64_t pathMs = paths.empty() ? 0 : *std::max_element(paths.begin(), paths.end());
@@ -145,13 +181,12 @@
     expected.target = slack >= patientSlack
         ? expected.useful
         : std::max(slack / slackDivisor, Milliseconds(objectiveMs / objectiveDivisor));
-    const Milliseconds storing =
-        this->beingStored.empty() ? Milliseconds(0) : this->storeDelay.at(now);
+    const Milliseconds storing = this->storingTime(now);
     expected.isControllerOverloaded = storing > std::min(expected.target, maxStoreDelay);
     expected.wait = age + storing;
     expected.waitWithinShare = expected.wait;
     const auto found = this->queues.find(spec.queue);
-    if (found == this->queues.end() || !this->isShort(found->second, firstMilliCores(spec)))
+    if (found == this->queues.end() || !this->isShort(found->second, spec))
         return expected;
     const Milliseconds queueWait = this->expectedWait(spec.queue, now);
     // A shortage shorter than what these callers can bear may be over before they notice.
@@ -167,25 +202,43 @@
     if (!expected.isQueueOverloaded)
         return expected;
     expected.wait += queueWait;
-    expected.waitWithinShare += std::min(queueWait, expected.target);
+    const Milliseconds ownWait =
+        found->second.waiting.ownWait(spec.account, found->second.started.at(now), weightOf, now);
+    expected.waitWithinShare += std::min({queueWait, expected.target, ownWait});
     return expected;
 }
 
-/// False if the queue has no shortage, or all of its work and \a milliCores more have room.
-bool Intake::isShort(const Queue &queue, std::int64_t milliCores) const
+/// The time that storing a request takes at present.
+Milliseconds Intake::storingTime(Instant now) const
+{
+    if (this->storingSince.empty())
+        return Milliseconds(0);
+    // Without outcomes, as when the disk stalls, the oldest request tells how long it takes.
+    const Milliseconds oldest = toMilliseconds(now - this->storingSince.begin()->first);
+    const Milliseconds observed = this->storeDelay.at(now);
+    return oldest > SustainedDelay::window ? std::max(oldest, observed) : observed;
+}
+
+/// False if the queue has no shortage, or all of its work and \a spec have room, or \a spec fits
+/// where the waiting tasks do not.
+bool Intake::isShort(const Queue &queue, const WorkflowSpec &spec) const
 {
     if (queue.shortSince == Instant())
         return false;
-    return queue.isShortOfQueries || queue.waitingMilliCores + milliCores > queue.freeMilliCores;
+    if (queue.isShortOfQueries)
+        return true;
+    const std::int64_t needed = firstMilliCores(spec);
+    if (queue.waitingMilliCores + needed <= queue.freeMilliCores)
+        return false;
+    const bool isSmaller = largestTaskMilliCores(spec) < queue.smallestTaskMilliCores;
+    const std::int64_t left = queue.freeMilliCores - this->unplannedMilliCores;
+    return !isSmaller || left < roomFactor * needed;
 }
 
 bool Intake::isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
                            const Policy &policy, Instant now) const
 {
-    const AccountBacklog::WeightOf weightOf = [&](const std::string &account) {
-        const auto known = policy.accounts.find(account);
-        return known == policy.accounts.end() ? AccountPolicy().weight : known->second.weight;
-    };
+    const AccountBacklog::WeightOf weightOf = weightsOf(policy);
     // Who has waited longest goes first: the longer a caller has waited, the more of the share.
     double part = 1.0;
     if (this->refusals.waiting(spec.queue, spec.account) > 0 && expected.useful.count() > 0) {
@@ -231,13 +284,17 @@
     return {IntakeVerdict::Refuse, cause, wait, retryAfter};
 }
 
-/// At least \a excess, and for part of the callers up to twice that, so that those who were refused
+/// From \a excess, or half of the longest time, up to twice that, so that those who were refused
 /// together do not come back together. In whole seconds, as callers are told.
 Milliseconds Intake::spreadRetryAfter(WorkflowId id, Milliseconds excess) const
 {
     const Milliseconds bounded =
         std::clamp(excess, this->limits.minRetryAfter, this->limits.maxRetryAfter);
-    const std::uint64_t seconds = (static_cast<std::uint64_t>(bounded.count()) + 999) / 1000;
+    const auto inSeconds = [](Milliseconds time) {
+        return (static_cast<std::uint64_t>(time.count()) + 999) / 1000;
+    };
+    const std::uint64_t most = inSeconds(this->limits.maxRetryAfter);
+    const std::uint64_t seconds = std::min(inSeconds(bounded), (most + 1) / 2);
     const std::uint64_t mixed = idValue(id) * 0x9E3779B97F4A7C15U; // Fibonacci hashing
     const std::uint64_t extra = (mixed >> 32U) % (seconds + 1);
     return std::min(this->limits.maxRetryAfter, Milliseconds(1000 * (seconds + extra)));
@@ -245,8 +302,13 @@
 
 void Intake::accepted(const WorkflowSpec &spec, Instant now)
 {
-    if (!this->beingStored.try_emplace(spec.id, Storing{now, spec.account}).second)
+    const auto [storing, isFirst] =
+        this->beingStored.try_emplace(spec.id, Storing{now, spec.account});
+    if (!isFirst) {
+        ++storing->second.submissions;
         return;
+    }
+    this->storingSince.emplace(now, spec.id);
     this->refusals.accepted(spec.id);
     this->unstored.add(spec.account, 1.0);
     this->addUnplanned(spec);
@@ -256,20 +318,31 @@
 {
     Queue &queue = this->queues[spec.queue];
     for (const StepSpec &step : spec.steps) {
-        if (step.dependencies.empty())
-            queue.waiting.add(spec.account, workOf(step));
+        if (!step.dependencies.empty())
+            continue;
+        this->unplannedMilliCores += milliCoresOf(step);
+        if (step.gang)
+            continue;
+        queue.waiting.add(spec.account, workOf(step));
+        queue.waitingMilliCores += milliCoresOf(step);
     }
-    queue.waitingMilliCores += firstMilliCores(spec);
 }
 
-void Intake::settled(WorkflowId id, Instant now)
+void Intake::settled(WorkflowId id, std::uint64_t ofTerm, StoreOutcome outcome, Instant now)
 {
     const auto found = this->beingStored.find(id);
-    if (found == this->beingStored.end())
+    if (ofTerm != this->term || found == this->beingStored.end())
+        return;
+    if (outcome == StoreOutcome::Unknown && this->uncertain.size() < this->limits.maxRefusedRequests)
+        this->uncertain.insert(id);
+    if (outcome == StoreOutcome::Stored) {
+        this->storeDelay.observed(toMilliseconds(now - found->second.since), now);
+        this->stored.add(now);
+    }
+    if (--found->second.submissions > 0)
         return;
-    this->storeDelay.observed(toMilliseconds(now - found->second.since), now);
     this->unstored.remove(found->second.account, 1.0);
-    this->stored.add(now);
+    this->storingSince.erase({found->second.since, id});
     this->beingStored.erase(found);
     if (this->beingStored.empty())
         this->unstored.clear(now);
@@ -287,12 +360,14 @@
         for (const auto &[account, work] : load.waitingWork)
             queue.waiting.add(account, work);
         queue.waitingMilliCores = load.waitingMilliCores;
+        queue.smallestTaskMilliCores = load.smallestTaskMilliCores;
         queue.freeMilliCores = freeMilliCores;
         queue.isShortOfQueries = load.isShortOfQueries;
         if (load.startedWork > 0.0)
             queue.started.add(now, load.startedWork);
         this->updateShortage(name, queue, !load.waitingWork.empty(), now);
     }
+    this->unplannedMilliCores = 0;
     for (const WorkflowSpec *spec : unplanned)
         this->addUnplanned(*spec);
 }
--- a/src/workflows/intake/intake.h
+++ b/src/workflows/intake/intake.h
@@ -8,6 +8,7 @@
 #include "workflows/intake/intakelimits.h"
 #include "workflows/intake/intakereport.h"
 #include "workflows/intake/refusedrequests.h"
+#include "workflows/intake/storeoutcome.h"
 #include "workflows/intake/sustaineddelay.h"
 #include "workflows/model/policy.h"
 #include "workflows/model/workflowspec.h"
@@ -16,7 +17,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace guavavalve::workflows {
@@ -48,11 +51,16 @@
     IntakeDecision decide(const WorkflowSpec &spec, const CallStamp &stamp, const Policy &policy,
                           std::size_t live, Instant now);
 
-    /// The workflow is to be stored; it was not before.
+    /// The workflow is to be stored; it was not before. Each call is followed by one of settled(),
+    /// unless the term ends before.
     void accepted(const WorkflowSpec &spec, Instant now);
-    /// It has been stored, or could not be.
-    void settled(WorkflowId id, Instant now);
-    bool isBeingStored(WorkflowId id) const { return this->beingStored.count(id) != 0; }
+    /// What became of one submission of the workflow, which was accepted in \a ofTerm.
+    void settled(WorkflowId id, std::uint64_t ofTerm, StoreOutcome outcome, Instant now);
+    /// True also if it may be stored although storing it has failed.
+    bool isBeingStored(WorkflowId id) const
+    {
+        return this->beingStored.count(id) != 0 || this->uncertain.count(id) != 0;
+    }
 
     /// A plan was made. \a unplanned: accepted workflows that it did not know of yet.
     /// \a freeMilliCores: of open targets, after its placements and reservations.
@@ -76,6 +84,7 @@
         AccountBacklog waiting; ///< found by the last plan, or accepted since; milli-core-ms
         DecayingRate started{rateSeconds}; ///< milli-core-ms per second
         std::int64_t waitingMilliCores = 0;
+        std::int64_t smallestTaskMilliCores = 0; ///< of the waiting tasks; 0: there are none
         std::int64_t freeMilliCores = 0;
         bool isShortOfQueries = false;
         Instant shortSince{}; ///< zero: it is not short
@@ -86,6 +95,7 @@
     {
         Instant since{};
         std::string account;
+        std::size_t submissions = 1; ///< whose outcomes are open
     };
 
     /// What a new request can expect.
@@ -100,8 +110,9 @@
     };
 
     Outlook outlook(const WorkflowSpec &spec, const QueuePolicy &policy, Milliseconds age,
-                    Instant now);
-    bool isShort(const Queue &queue, std::int64_t milliCores) const;
+                    const AccountBacklog::WeightOf &weightOf, Instant now);
+    bool isShort(const Queue &queue, const WorkflowSpec &spec) const;
+    Milliseconds storingTime(Instant now) const;
     bool isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
                        const Policy &policy, Instant now) const;
     IntakeDecision refuse(const WorkflowSpec &spec, IntakeCause cause, Milliseconds wait,
@@ -118,6 +129,10 @@
     DecayingRate stored{rateSeconds}; ///< requests per second
     SustainedDelay storeDelay; ///< from acceptance until stored
     std::map<WorkflowId, Storing> beingStored;
+    std::set<std::pair<Instant, WorkflowId>> storingSince; ///< of beingStored, oldest first
+    /// Workflows that may be stored although storing them has failed, until the term ends.
+    std::set<WorkflowId> uncertain;
+    std::int64_t unplannedMilliCores = 0; ///< needed by what was accepted since the last plan
     RefusedRequests refusals;
     IntakeReport report;
 };
--- a/src/workflows/intake/sustaineddelay.h
+++ b/src/workflows/intake/sustaineddelay.h
@@ -29,10 +29,10 @@
         return isRecent ? this->previous.value_or(Milliseconds(0)) : Milliseconds(0);
     }
 
-private:
     /// Several commits, and short compared to the time that callers wait for an answer.
     static constexpr Milliseconds window{500};
 
+private:
     Instant windowEnd{};
     std::optional<Milliseconds> current;
     std::optional<Milliseconds> previous;
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -237,7 +237,8 @@
 
 void logIntakeRefusal(const WorkflowSpec &spec, const IntakeDecision &decision)
 {
-    logEvent(LogLevel::Information, "job-refused",
+    const bool isRefused = decision.verdict == IntakeVerdict::Refuse;
+    logEvent(LogLevel::Information, isRefused ? "job-refused" : "call-not-taken",
              {{"job", workflowName(spec.id)},
               {"queue", spec.queue},
               {"account", spec.account},
--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -310,19 +310,23 @@
     void countLoad(const ReadyStep &step, std::size_t placementsBefore, std::size_t waitingBefore)
     {
         QueueLoad &load = this->plan.summary.queues[step.workflow->spec.queue];
+        if (step.spec().gang)
+            return;
         std::size_t started = 0;
         for (std::size_t i = placementsBefore; i < this->plan.placements.size(); ++i)
             started += this->plan.placements[i].placements.size();
         load.startedWork += static_cast<double>(started) * step.spec().workOfTask();
         const bool isWaiting = this->plan.waiting.size() > waitingBefore;
         const WaitCause cause = isWaiting ? this->plan.waiting.back().cause : WaitCause::Verdict;
-        if (!isWaiting || step.isLate || cause == WaitCause::Limit || cause == WaitCause::Verdict)
+        if (step.isLate || (cause != WaitCause::Room && cause != WaitCause::Querier))
             return;
         const std::size_t tasks = step.waiting() - started;
         load.waitingWork[step.workflow->spec.account] +=
             static_cast<double>(tasks) * step.spec().workOfTask();
-        load.waitingMilliCores +=
-            static_cast<std::int64_t>(tasks) * step.spec().reserved()[ResourceKind::MilliCores];
+        const std::int64_t ofTask = step.spec().reserved()[ResourceKind::MilliCores];
+        load.waitingMilliCores += static_cast<std::int64_t>(tasks) * ofTask;
+        std::int64_t &smallest = load.smallestTaskMilliCores;
+        smallest = smallest == 0 ? ofTask : std::min(smallest, ofTask);
         load.isShortOfQueries |= cause != WaitCause::Room;
     }
 
--- a/src/workflows/planning/queueload.h
+++ b/src/workflows/planning/queueload.h
@@ -10,12 +10,15 @@
 /// milli-core-milliseconds.
 struct QueueLoad
 {
-    double startedWork = 0.0; ///< of the tasks that the plan placed
-    /// By client account, of the ready tasks that wait for room or for the admission service, and
-    /// that can still meet their objective.
+    double startedWork = 0.0; ///< of the tasks that the plan placed, without gangs
+    /// By client account, of the ready tasks that wait for room, or for an instance that can query
+    /// the admission service, and that can still meet their objective. Without tasks whose query is
+    /// under way, which takes its time in an idle cell too, and without gangs: that one waits says
+    /// nothing of the room for single tasks.
     std::map<std::string, double> waitingWork;
     std::int64_t waitingMilliCores = 0; ///< needed by these tasks
-    bool isShortOfQueries = false; ///< some of them wait for the admission service
+    std::int64_t smallestTaskMilliCores = 0; ///< of these tasks; 0: there are none
+    bool isShortOfQueries = false; ///< some of them wait for an instance that can query
 };
 
 } // namespace guavavalve::workflows
--- a/test/controller/controllerclocktest.cpp
+++ b/test/controller/controllerclocktest.cpp
@@ -58,6 +58,17 @@
     CHECK(stamp.controllerUs <= 50 * second + 1000);
 }
 
+// Guards against a request that passes for newer than it is because its clock was learned later.
+TEST_CASE("a stamp names the arrival also if the clock was learned after it", "[calls]")
+{
+    ControllerClock clock;
+    clock.answerReceived(7, 110 * second, at(10 * second));
+    // In the 3 s before, the controller's clock has advanced by 2 ms less than this machine's.
+    const CallStamp stamp = clock.stamp(at(7 * second));
+    CHECK(stamp.controllerUs <= 107 * second - 2000);
+    CHECK(stamp.controllerUs >= 107 * second - 5000);
+}
+
 TEST_CASE("requests have no stamp once the controller does not report its clock", "[calls]")
 {
     ControllerClock clock;
--- a/test/platform/leaderservicetest.cpp
+++ b/test/platform/leaderservicetest.cpp
@@ -85,7 +85,8 @@
 
     /// Returns the status of the answer; 0: none.
     int call(const std::string &method, const std::string &path, const std::string &host,
-             const std::string &body, const std::string &key = "key")
+             const std::string &body, const std::string &key = "key",
+             const CallStamp &stamp = CallStamp{})
     {
         RelayedCall call;
         call.method = method;
@@ -94,8 +95,9 @@
         call.key = key;
         call.body = body;
         int status = 0;
-        this->service.serve(call, CallStamp{}, [&status](const Result<RelayedAnswer> &answer) {
+        this->service.serve(call, stamp, [&](const Result<RelayedAnswer> &answer) {
             status = answer ? answer.value().status : -1;
+            this->ran = answer ? Ran::Yes : answer.error().ran;
         });
         while (!this->posted.empty()) {
             for (const auto &action : std::exchange(this->posted, {}))
@@ -103,12 +105,14 @@
         }
         return status;
     }
-    int submit(const std::string &key = "key")
+    int submit(const std::string &key = "key", const CallStamp &stamp = CallStamp{})
     {
         return this->call("POST", "/q/5c0e7a21d94b36f8", "jobs.example",
-                          R"({"TaskSpec": "x", "Steps": [{"TaskCount": 3, "Cpu": 1000}]})", key);
+                          R"({"TaskSpec": "x", "Steps": [{"TaskCount": 3, "Cpu": 1000}]})", key,
+                          stamp);
     }
 
+    Ran ran = Ran::No; ///< of the last error
     std::vector<std::function<void()>> posted;
     WorkflowStoreMachine machine;
     CountingLog log{this->machine};
@@ -139,3 +143,14 @@
     this->log.setLeading(false);
     CHECK(this->submit() == -1);
 }
+
+// Guards against a 503 for a request of which another attempt may run.
+TEST_CASE_METHOD(LeaderFixture, "a call that is too old or of another term may have run",
+                 "[leaderservice][intake]")
+{
+    const std::int64_t nowUs = monotonicNow().time_since_epoch().count();
+    CHECK(this->submit("key", {2, nowUs}) == -1);
+    CHECK(this->ran == Ran::Unknown);
+    CHECK(this->submit("key", {1, nowUs - 10000000}) == -1);
+    CHECK(this->ran == Ran::Unknown);
+}
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -31,6 +31,12 @@
     return "t" + std::to_string(target);
 }
 
+/// On a controller's clock that is the same as this machine's.
+CallStamp stampAt(std::uint64_t term, Instant receivedAt)
+{
+    return {term, term == 0 ? 0 : receivedAt.time_since_epoch().count()};
+}
+
 TargetIdentity identityOf(unsigned target, std::int64_t startedAtMs)
 {
     TargetIdentity identity;
@@ -72,9 +78,13 @@
         if (address != leaderAddress)
             return;
         ++this->leaderCalls;
+        if (method == Method::RelayStamped)
+            this->lastStamp = decode<StampedCall>(payload).value().stamp;
         if (method == Method::RelayStamped
             && decode<StampedCall>(payload).value().stamp.term != this->leaderTerm) {
-            done(failure(otherTermError, "stamped for another controller"));
+            Error error = failure(otherTermError, "stamped for another controller");
+            error.ran = Ran::Unknown;
+            done(error);
             return;
         }
         RelayedAnswer answer;
@@ -114,6 +124,8 @@
     std::uint64_t leaderTerm = 7;
     std::uint64_t answeredTerm = 7; ///< of the controller that answers questions for its clock
     CallStamp stamp; ///< unknown: the controller is of an earlier build
+    CallStamp lastStamp; ///< that the leader has received
+    Instant clockLearnedAt{};
 
 private:
     bool answers(const TargetReport &report)
@@ -142,9 +154,11 @@
         };
         hooks.post = [](const std::function<void()> &action) { action(); };
         hooks.answered = [](int, Microseconds) {};
-        hooks.stamp = [this] { return this->stamp; };
+        hooks.stamp = [this](Instant receivedAt) { return stampAt(this->stamp.term, receivedAt); };
         hooks.refreshClock = [this](const std::function<void()> &done) {
             this->stamp.term = this->answeredTerm;
+            this->clockLearnedAt = monotonicNow();
+            while (monotonicNow() <= this->clockLearnedAt) {}
             done();
         };
         hooks.seekController = [] {};
@@ -172,7 +186,7 @@
             this->timer = std::move(action);
         };
         hooks.answered = [](int, Microseconds) {};
-        hooks.stamp = [this] { return this->stamp; };
+        hooks.stamp = [this](Instant receivedAt) { return stampAt(this->term, receivedAt); };
         this->relay = std::make_unique<Relay>(std::move(link), *this, std::move(hooks), "entry");
     }
 
@@ -215,7 +229,7 @@
     bool hasController = true;
     bool isLeaderOlder = false;
     bool isLeaderSilent = false;
-    CallStamp stamp{7, 1000};
+    std::uint64_t term = 7; ///< 0: the controller's clock is not known
     std::function<void()> timer;
     int searches = 0;
     std::vector<Method> calls; ///< that the leader has received
@@ -280,6 +294,19 @@
     CHECK(group.leaderCalls == 2);
 }
 
+// Guards against an attempt that passes for a newer one than it is, and escapes a refusal.
+TEST_CASE("a request stamped anew keeps the time of its arrival", "[relay]")
+{
+    FakeGroup group;
+    group.stamp = {6, 1000};
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/q/0123456789abcdef";
+    group.spare->serveCaller(request, [](const HttpResponse &) {});
+    CHECK(group.lastStamp.term == 7);
+    CHECK(group.lastStamp.controllerUs <= group.clockLearnedAt.time_since_epoch().count());
+}
+
 // Guards against endless repeats while the controller's clock cannot be learned.
 TEST_CASE("a request is not sent again with the stamp that was not taken", "[relay]")
 {
@@ -292,7 +319,7 @@
     int status = 0;
     const HttpReply reply = [&](const HttpResponse &response) { status = response.status; };
     group.spare->serveCaller(request, reply);
-    CHECK(status == 503);
+    CHECK(status == 504); // another attempt may run: the leader has said nothing of the request
     CHECK(group.leaderCalls == 1);
 }
 
@@ -339,11 +366,27 @@
     FakeEntry entry;
     entry.hasController = false;
     entry.post("a");
-    entry.stamp.controllerUs += 1000000;
+    const std::int64_t postedUs = monotonicNow().time_since_epoch().count();
+    while (monotonicNow().time_since_epoch().count() <= postedUs) {}
+    entry.hasController = true;
+    entry.fireTimer();
+    REQUIRE(entry.stamps.size() == 1);
+    CHECK(entry.stamps.front().controllerUs <= postedUs);
+}
+
+// Guards against an unstamped call, which cannot be refused truly, for want of a clock at arrival.
+TEST_CASE("a held request is stamped when it is handed in if the clock is known by then",
+          "[relay][calls]")
+{
+    FakeEntry entry;
+    entry.hasController = false;
+    entry.term = 0;
+    entry.post("a");
+    entry.term = 8;
     entry.hasController = true;
     entry.fireTimer();
     REQUIRE(entry.stamps.size() == 1);
-    CHECK(entry.stamps.front().controllerUs == 1000);
+    CHECK(entry.stamps.front().term == 8);
 }
 
 // Guards against a refusal that is untrue: what was answered 503 must never have been sent.
@@ -411,7 +454,7 @@
 TEST_CASE("requests are sent unstamped while the controller's clock is not known", "[relay][calls]")
 {
     FakeEntry entry;
-    entry.stamp = {};
+    entry.term = 0;
     entry.post("a");
     CHECK(entry.calls == std::vector<Method>{Method::Relay});
 }
--- a/test/workflows/intakeloadtest.cpp
+++ b/test/workflows/intakeloadtest.cpp
@@ -15,12 +15,20 @@
 
 namespace {
 
+/// An admission service with instances for every query at the loads below.
+class ManyQueriers : public AdmitAllPort
+{
+public:
+    using AdmitAllPort::AdmitAllPort;
+    std::size_t querierCount() const override { return 200; }
+};
+
 /// A cell whose callers "steady" and "flood" hand in urgent tasks of 0.2 to 3 s and come back after
 /// their Retry-After. "steady" takes less than half of the cell.
 class CallersCell
 {
 public:
-    explicit CallersCell(bool hasIntake)
+    explicit CallersCell(bool hasIntake, std::uint32_t queryMs = 0)
         : simulation(1, 40, 8000)
     {
         spdlog::set_level(spdlog::level::off);
@@ -29,10 +37,19 @@
         queue.stretch = 1.5;
         queue.slackMs = 1000;
         queue.maxFailures = 50;
+        queue.needsAdmission = queryMs > 0;
+        queue.queryBaseMs = queryMs;
+        queue.admissionValidMs = 1500;
+        if (queue.needsAdmission)
+            queue.slackMs = 0;
         this->simulation.policy.queues["urgent"] = queue;
         this->simulation.storeTime = Milliseconds(8);
-        if (!hasIntake)
+        if (!hasIntake) {
+            // Shares alone protect the other accounts too, in the order of the plans.
             this->simulation.mechanisms.disable(Mechanism::Intake);
+            this->simulation.mechanisms.disable(Mechanism::Shares);
+        }
+        this->simulation.admissionsOfController = &this->queriers;
         this->simulation.changeController(Milliseconds(0));
         this->simulation.controller().storeDocument(2, "policy",
                                                     [](const Result<CommandOutcome> &) {});
@@ -76,6 +93,7 @@
     std::int64_t nowMs() const { return this->simulation.loop.nowMs(); }
 
     Simulation simulation;
+    ManyQueriers queriers{this->simulation.loop};
     std::size_t refusals = 0;
 
 private:
@@ -149,6 +167,14 @@
     CHECK(cell.refusals == 0);
 }
 
+// Guards against the time of ordinary queries that passes for overload.
+TEST_CASE("callers are not refused for the time that queries take in an idle cell", "[overload]")
+{
+    CallersCell cell(true, 450);
+    cell.play(Milliseconds(8000), 0);
+    CHECK(cell.refusals == 0);
+}
+
 // The load test above must fail without the intake.
 TEST_CASE("without the intake a flood of one account is every account's loss", "[overload]")
 {
--- a/test/workflows/intaketest.cpp
+++ b/test/workflows/intaketest.cpp
@@ -69,7 +69,7 @@
         if (this->decide(spec).verdict != IntakeVerdict::Accept)
             return false;
         this->intake.accepted(spec, this->now);
-        this->intake.settled(spec.id, this->now);
+        this->intake.settled(spec.id, term, StoreOutcome::Stored, this->now);
         this->waiting.emplace_back(this->now, spec.account);
         return true;
     }
@@ -383,7 +383,8 @@
         for (int k = 0; k < 10; ++k) {
             cell.intake.accepted(cell.job(++id, k < 9 ? "a" : "b"), cell.now);
             if (id > 60)
-                cell.intake.settled(static_cast<WorkflowId>(id - 60), cell.now);
+                cell.intake.settled(static_cast<WorkflowId>(id - 60), term, StoreOutcome::Stored,
+                                    cell.now);
         }
         cell.advance(Milliseconds(100));
         cell.plan(10, {}, 1000000);
@@ -391,3 +392,131 @@
     CHECK(cell.decide(cell.job(9001, "a")).cause == IntakeCause::BeyondShare);
     CHECK(cell.decide(cell.job(9002, "b")).verdict == IntakeVerdict::Accept);
 }
+
+// Guards against a stamp of another machine's clock, whose age would count as nothing.
+TEST_CASE("a stamp in the future is of another controller's clock", "[intake]")
+{
+    IntakeFixture cell;
+    CHECK(cell.decide(cell.job(1), cell.stampAt(cell.now + Milliseconds(1))).verdict
+          == IntakeVerdict::OtherTerm);
+    CHECK(cell.decide(cell.job(1), cell.stampAt(cell.now - IntakeLimits().attemptLifetime)).verdict
+          == IntakeVerdict::TooOld);
+}
+
+// Guards against failures to store that count as stored work for the rest of the term.
+TEST_CASE("a failed attempt to store does not count against the bound on live workflows",
+          "[intake]")
+{
+    IntakeLimits limits;
+    limits.maxLiveWorkflows = 10;
+    IntakeFixture cell(limits);
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        REQUIRE(cell.decide(cell.job(id)).verdict == IntakeVerdict::Accept);
+        cell.intake.accepted(cell.job(id), cell.now);
+        cell.intake.settled(static_cast<WorkflowId>(id), term, StoreOutcome::Unknown, cell.now);
+    }
+    CHECK(cell.decide(cell.job(21)).verdict == IntakeVerdict::Accept);
+}
+
+// Guards against a 503 for a request that is stored although the proposal has failed.
+TEST_CASE("a request whose storing has failed uncertainly is not refused", "[intake]")
+{
+    IntakeFixture cell;
+    cell.intake.accepted(cell.job(1), cell.now);
+    cell.intake.accepted(cell.job(2), cell.now);
+    cell.intake.settled(static_cast<WorkflowId>(1), term, StoreOutcome::Unknown, cell.now);
+    cell.intake.settled(static_cast<WorkflowId>(2), term, StoreOutcome::NotStored, cell.now);
+    cell.overload();
+    CHECK(cell.decide(cell.job(1)).verdict == IntakeVerdict::Accept);
+    CHECK(cell.decide(cell.job(2)).verdict == IntakeVerdict::Refuse);
+}
+
+// Guards against a refusal of a request while one of its submissions is still open.
+TEST_CASE("a request is being stored until all of its submissions are settled", "[intake]")
+{
+    IntakeFixture cell;
+    const auto id = static_cast<WorkflowId>(1);
+    cell.intake.accepted(cell.job(1), cell.now);
+    cell.intake.accepted(cell.job(1), cell.now);
+    cell.intake.settled(id, term, StoreOutcome::NotStored, cell.now);
+    cell.intake.settled(id, term - 1, StoreOutcome::NotStored, cell.now); // of an earlier term
+    CHECK(cell.intake.isBeingStored(id));
+    cell.intake.settled(id, term, StoreOutcome::NotStored, cell.now);
+    CHECK_FALSE(cell.intake.isBeingStored(id));
+}
+
+// Guards against refusals to callers who have done nothing, since others have overloaded a queue.
+TEST_CASE("an account of which nothing waits is accepted however long others wait", "[intake]")
+{
+    for (const char *queue : {"urgent", "patient"}) {
+        CAPTURE(queue);
+        IntakeFixture cell;
+        cell.policy.queues["patient"].stretch = 5.0; // its results are of use for 10 s
+        for (int i = 0; i < 120; ++i) {
+            cell.advance(Milliseconds(100));
+            cell.plan(1, {{"a", 10000}}, 0, queue);
+        }
+        CHECK(cell.decide(cell.job(1, "a", queue)).verdict == IntakeVerdict::Refuse);
+        CHECK(cell.decide(cell.job(2, "b", queue)).verdict == IntakeVerdict::Accept);
+    }
+}
+
+// Guards against small jobs refused beside room that only large tasks cannot use.
+TEST_CASE("a job smaller than the waiting tasks is accepted while there is room for several",
+          "[intake]")
+{
+    IntakeFixture cell;
+    cell.overload();
+    QueueLoad load;
+    load.waitingWork["a"] = 1000 * jobWork;
+    load.waitingMilliCores = 1000 * jobMilliCores;
+    load.smallestTaskMilliCores = 8 * jobMilliCores;
+    cell.intake.planned({{"urgent", load}}, 10 * jobMilliCores, {}, cell.now);
+    std::size_t accepted = 0;
+    while (accepted < 20 && cell.submit(cell.job(accepted + 1)))
+        ++accepted;
+    CHECK(accepted >= 5);
+    CHECK(accepted <= 10); // what is accepted until the next plan takes room too
+}
+
+// Guards against a return of all callers at the same time after a long overload.
+TEST_CASE("callers are spread over time also when the wait is a minute", "[intake]")
+{
+    IntakeLimits limits;
+    limits.maxLiveWorkflows = 5000;
+    IntakeFixture cell(limits);
+    for (int i = 0; i < 40; ++i) {
+        cell.advance(Milliseconds(100));
+        cell.plan(0, {{"a", 10000}});
+    }
+    REQUIRE(cell.intake.expectedWait("urgent", cell.now) == Milliseconds(60000));
+    std::set<std::int64_t> whenOverloaded;
+    std::set<std::int64_t> whenFull;
+    for (std::uint64_t id = 1; id <= 50; ++id) {
+        const IntakeDecision overloaded = cell.decide(cell.job(id));
+        const IntakeDecision full =
+            cell.intake.decide(cell.job(100 + id), cell.stampAt(cell.now), cell.policy,
+                               limits.maxLiveWorkflows, cell.now);
+        REQUIRE(overloaded.verdict == IntakeVerdict::Refuse);
+        REQUIRE(full.cause == IntakeCause::StoreFull);
+        CHECK(overloaded.retryAfter <= limits.maxRetryAfter);
+        whenOverloaded.insert(overloaded.retryAfter.count());
+        whenFull.insert(full.retryAfter.count());
+    }
+    CHECK(whenOverloaded.size() > 2);
+    CHECK(whenFull.size() > 2);
+}
+
+// Guards against a disk that stalls wholly: nothing is stored, so no delay is observed.
+TEST_CASE("a store that has stalled costs the account with most of the requests", "[intake]")
+{
+    IntakeFixture cell;
+    for (std::uint64_t id = 1; id <= 100; ++id)
+        cell.submit(cell.job(id, id % 2 == 0 ? "a" : "b"));
+    for (std::uint64_t id = 101; id <= 200; ++id)
+        cell.intake.accepted(cell.job(id, id % 33 == 0 ? "b" : "a"), cell.now);
+    CHECK(cell.decide(cell.job(9000, "a")).verdict == IntakeVerdict::Accept);
+    cell.advance(Milliseconds(900));
+    CHECK(cell.decide(cell.job(9001, "a")).cause == IntakeCause::BeyondShare);
+    CHECK(cell.decide(cell.job(9002, "b")).verdict == IntakeVerdict::Accept);
+}
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -347,3 +347,15 @@
     this->scope = PlanScope::All;
     CHECK(this->plan().placements.size() == 2);
 }
+
+// Guards against gangs, which wait for all of their room at once, that pass for overload.
+TEST_CASE_METHOD(PlanFixture, "a waiting gang does not count as waiting work of its queue",
+                 "[planner][intake]")
+{
+    this->accept({step(12)}); // all that the targets hold
+    REQUIRE(this->applyPlan() == 12);
+    this->add(51, "q", gang(3));
+    CHECK(this->plan().summary.queues.at("q").waitingWork.empty());
+    this->add(52, "q", step(1));
+    CHECK(this->plan().summary.queues.at("q").waitingWork.size() == 1);
+}
