Intake: fair bound on live workflows; refusals for evacuations are remembered

A refusal for an evacuation is the intake's now, so an earlier attempt that is delayed is refused too, and what is being stored is not refused.

--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -111,7 +111,8 @@
      "Delay with which the controller's loop ran its most recent periodic action."},
     {Metric::IntakeRefusedTotal, "guavavalve_intake_refused_total", MetricType::Counter, "requests",
      "account,queue,cause",
-     "Requests refused under overload, by cause: beyond-share, too-late, store-full, repeat. "
+     "Requests refused under overload, by cause: beyond-share, too-late, store-full, evacuated, "
+     "repeat. "
      "Reported by the controller."},
     {Metric::ExpectedWaitSeconds, "guavavalve_expected_wait_seconds", MetricType::Gauge, "seconds",
      "queue",
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -90,6 +90,8 @@
     /// Decides whether a workflow that was requested by a call with this stamp is to be submitted.
     /// One that is stored or about to be is never refused.
     IntakeDecision decideIntake(const WorkflowSpec &spec, const CallStamp &stamp);
+    /// False if the intake is disabled: every request is accepted.
+    bool hasIntake() const { return this->options.mechanisms.has(Mechanism::Intake); }
 
     /// \errors those of ReplicatedLog::propose(), also for the next three functions.
     void submit(WorkflowSpec spec, Done<CommandOutcome> done);
@@ -164,6 +166,7 @@
     /// The workflows that the batch is to store.
     static std::vector<const WorkflowSpec *> acceptedIn(const std::vector<Pending> &batch);
     void reportIntake();
+    void countLive(Instant now);
     std::vector<OpenTarget> openTargets(const WorkflowStore &store) const;
     void placed(const PlaceRuns &command, CommandOutcome outcome);
     void countFirstStart(const PlaceRuns &command, const WorkflowStore &store) const;
--- a/src/workflows/controller/controllerintake.cpp
+++ b/src/workflows/controller/controllerintake.cpp
@@ -26,7 +26,8 @@
     if (isStored)
         return {};
     const IntakeDecision decision =
-        this->intake.decide(spec, stamp, this->currentPolicy, live, this->options.clock());
+        this->intake.decide(spec, stamp, this->currentPolicy, live, this->options.clock(),
+                            this->isFullyEvacuated(spec.queue));
     if (decision.verdict == IntakeVerdict::Refuse)
         this->metrics.refused(spec, decision.cause);
     if (decision.verdict != IntakeVerdict::Accept && this->refusalLines < maxRefusalLines) {
@@ -46,6 +47,21 @@
     return found;
 }
 
+/// Counts the live workflows of each account if there are so many that it matters.
+void Controller::countLive(Instant now)
+{
+    std::map<std::string, std::size_t> byAccount;
+    this->machine.read([&](const WorkflowStore &store) {
+        if (!this->intake.isNearlyFull(store.live().size()))
+            return;
+        for (const WorkflowId id : store.live()) {
+            if (const Workflow *workflow = store.find(id))
+                ++byAccount[workflow->spec.account];
+        }
+    });
+    this->intake.liveCounted(byAccount, now);
+}
+
 void Controller::reportIntake()
 {
     const Instant now = this->options.clock();
@@ -53,6 +69,7 @@
         return;
     this->nextIntakeReport = now + intakeReportInterval;
     this->refusalLines = 0;
+    this->countLive(now);
     for (const auto &[queue, policy] : this->currentPolicy.queues)
         this->metrics.expectedWait(queue, this->intake.expectedWait(queue, now));
     logIntakeReport(this->intake.takeReport());
--- a/src/workflows/intake/accountbacklog.h
+++ b/src/workflows/intake/accountbacklog.h
@@ -33,8 +33,8 @@
 
     /// Time until what waits of \a account has been started, if it gets its weighted part of
     /// \a ratePerSecond, of all accounts that have or want something.
-    Milliseconds ownWait(const std::string &account, double ratePerSecond,
-                         const WeightOf &weightOf, Instant now) const;
+    Milliseconds ownWait(const std::string &account, double ratePerSecond, const WeightOf &weightOf,
+                         Instant now) const;
 
 private:
     struct Account
--- a/src/workflows/intake/intake.cpp
+++ b/src/workflows/intake/intake.cpp
@@ -35,6 +35,10 @@
 /// A request that is smaller than what waits has room if this many times its need is free: targets
 /// are left with fragments, and others are accepted meanwhile.
 constexpr std::int64_t roomFactor = 4;
+/// The bound on live workflows is divided into this many parts, see isStoreFullFor().
+constexpr std::size_t liveDivisor = 10;
+/// An operator ends an evacuation; callers ask again meanwhile.
+constexpr Milliseconds evacuatedRetryAfter{2000};
 /// Queues and accounts with a line of their own in a report.
 constexpr std::size_t maxReportKeys = 64;
 
@@ -109,13 +113,14 @@
     this->beingStored.clear();
     this->storingSince.clear();
     this->uncertain.clear();
+    this->live = AccountBacklog();
     this->unplannedMilliCores = 0;
     this->refusals.clear();
     this->report = {};
 }
 
 IntakeDecision Intake::decide(const WorkflowSpec &spec, const CallStamp &stamp,
-                              const Policy &policy, std::size_t live, Instant now)
+                              const Policy &policy, std::size_t live, Instant now, bool isEvacuated)
 {
     if (this->isBeingStored(spec.id))
         return {};
@@ -140,9 +145,12 @@
     const QueuePolicy *queue = policy.queue(spec.queue);
     const bool isRemembered = this->uncertain.size() < this->limits.maxRefusedRequests
         && this->refusals.hasSpaceFor(spec.id, now);
+    if (isEvacuated && isRemembered)
+        return this->refuse(spec, IntakeCause::Evacuated, Milliseconds(0), evacuatedRetryAfter,
+                            now);
     if (!stamp.isKnown() || queue == nullptr || !isRemembered)
         return {};
-    if (live + this->beingStored.size() >= this->limits.maxLiveWorkflows) {
+    if (this->isStoreFullFor(spec, policy, live, now)) {
         return this->refuse(spec, IntakeCause::StoreFull, Milliseconds(0),
                             this->spreadRetryAfter(spec.id, this->limits.maxRetryAfter), now);
     }
@@ -165,6 +173,41 @@
     return {IntakeVerdict::Accept, IntakeCause::None, expected.wait};
 }
 
+std::size_t Intake::nearlyFull() const
+{
+    return this->limits.maxLiveWorkflows / liveDivisor * (liveDivisor - 2);
+}
+
+bool Intake::isNearlyFull(std::size_t stored) const
+{
+    return stored + this->beingStored.size() >= this->nearlyFull();
+}
+
+void Intake::liveCounted(const std::map<std::string, std::size_t> &byAccount, Instant now)
+{
+    this->live.clear(now);
+    for (const auto &[account, count] : byAccount)
+        this->live.add(account, static_cast<double>(count));
+}
+
+/// In the last two tenths, accounts beyond their fair allotment of the rest are refused; the last
+/// tenth is reserved for the most urgent queues.
+bool Intake::isStoreFullFor(const WorkflowSpec &spec, const Policy &policy, std::size_t stored,
+                            Instant now) const
+{
+    const std::size_t all = stored + this->beingStored.size();
+    if (all >= this->limits.maxLiveWorkflows)
+        return true;
+    if (!this->isNearlyFull(stored))
+        return false;
+    const std::size_t unreserved = this->limits.maxLiveWorkflows / liveDivisor * (liveDivisor - 1);
+    const QueuePolicy *queue = policy.queue(spec.queue);
+    if (all >= unreserved && queue->priority > policy.mostUrgentPriority())
+        return true;
+    return this->live.isBeyondShare(spec.account, static_cast<double>(this->nearlyFull()), 1.0,
+                                    weightsOf(policy), now);
+}
+
 Intake::Outlook Intake::outlook(const WorkflowSpec &spec, const QueuePolicy &policy,
                                 Milliseconds age, const AccountBacklog::WeightOf &weightOf,
                                 Instant now)
@@ -274,6 +317,8 @@
     refusal.retryAt = now + retryAfter;
     this->refusals.refused(spec.id, spec.queue, spec.account, refusal);
     this->unstored.refused(spec.account, now);
+    if (cause == IntakeCause::StoreFull)
+        this->live.refused(spec.account, now);
     const auto queue = this->queues.find(spec.queue);
     if (queue != this->queues.end())
         queue->second.waiting.refused(spec.account, now);
@@ -309,6 +354,8 @@
         return;
     }
     this->storingSince.emplace(now, spec.id);
+    if (this->live.total() > 0.0)
+        this->live.add(spec.account, 1.0);
     this->refusals.accepted(spec.id);
     this->unstored.add(spec.account, 1.0);
     this->addUnplanned(spec);
@@ -333,7 +380,8 @@
     const auto found = this->beingStored.find(id);
     if (ofTerm != this->term || found == this->beingStored.end())
         return;
-    if (outcome == StoreOutcome::Unknown && this->uncertain.size() < this->limits.maxRefusedRequests)
+    if (outcome == StoreOutcome::Unknown
+        && this->uncertain.size() < this->limits.maxRefusedRequests)
         this->uncertain.insert(id);
     if (outcome == StoreOutcome::Stored) {
         this->storeDelay.observed(toMilliseconds(now - found->second.since), now);
--- a/src/workflows/intake/intake.h
+++ b/src/workflows/intake/intake.h
@@ -48,8 +48,14 @@
 
     /// Decides on a request that is not stored.
     /// \a live: number of unfinished workflows in the store.
+    /// \a isEvacuated: no target can run it until an operator ends an evacuation.
     IntakeDecision decide(const WorkflowSpec &spec, const CallStamp &stamp, const Policy &policy,
-                          std::size_t live, Instant now);
+                          std::size_t live, Instant now, bool isEvacuated = false);
+
+    /// True if so many workflows are \a live that their accounts matter, see liveCounted().
+    bool isNearlyFull(std::size_t live) const;
+    /// The unfinished workflows in the store, by client account; none unless it is nearly full.
+    void liveCounted(const std::map<std::string, std::size_t> &byAccount, Instant now);
 
     /// The workflow is to be stored; it was not before. Each call is followed by one of settled(),
     /// unless the term ends before.
@@ -113,6 +119,9 @@
                     const AccountBacklog::WeightOf &weightOf, Instant now);
     bool isShort(const Queue &queue, const WorkflowSpec &spec) const;
     Milliseconds storingTime(Instant now) const;
+    std::size_t nearlyFull() const;
+    bool isStoreFullFor(const WorkflowSpec &spec, const Policy &policy, std::size_t live,
+                        Instant now) const;
     bool isBeyondShare(const WorkflowSpec &spec, const Outlook &expected, Milliseconds waited,
                        const Policy &policy, Instant now) const;
     IntakeDecision refuse(const WorkflowSpec &spec, IntakeCause cause, Milliseconds wait,
@@ -128,6 +137,7 @@
     AccountBacklog unstored; ///< accepted requests of all queues that are not stored yet
     DecayingRate stored{rateSeconds}; ///< requests per second
     SustainedDelay storeDelay; ///< from acceptance until stored
+    AccountBacklog live; ///< workflows, while the store is nearly full
     std::map<WorkflowId, Storing> beingStored;
     std::set<std::pair<Instant, WorkflowId>> storingSince; ///< of beingStored, oldest first
     /// Workflows that may be stored although storing them has failed, until the term ends.
--- a/src/workflows/intake/intakedecision.h
+++ b/src/workflows/intake/intakedecision.h
@@ -28,16 +28,18 @@
     BeyondShare, ///< the queue is overloaded, and the account has more than its share
     TooLate, ///< the result would be of no use any more
     StoreFull, ///< the store has its maximum of unfinished workflows
+    Evacuated, ///< all targets of its queue are in evacuated failure domains
     Repeat, ///< sent before the refusal of another attempt of the same request
 };
 
-inline constexpr std::size_t intakeCauseCount = 5;
+inline constexpr std::size_t intakeCauseCount = 6;
 
 inline constexpr EnumNames<IntakeCause, intakeCauseCount> intakeCauseNames{{
     {IntakeCause::None, "none"},
     {IntakeCause::BeyondShare, "beyond-share"},
     {IntakeCause::TooLate, "too-late"},
     {IntakeCause::StoreFull, "store-full"},
+    {IntakeCause::Evacuated, "evacuated"},
     {IntakeCause::Repeat, "repeat"},
 }};
 
--- a/test/workflows/intaketest.cpp
+++ b/test/workflows/intaketest.cpp
@@ -520,3 +520,41 @@
     CHECK(cell.decide(cell.job(9001, "a")).cause == IntakeCause::BeyondShare);
     CHECK(cell.decide(cell.job(9002, "b")).verdict == IntakeVerdict::Accept);
 }
+
+// Guards against one account's batch work that closes the store to everybody.
+TEST_CASE("a nearly full store refuses the accounts with most of the work first", "[intake]")
+{
+    IntakeFixture cell;
+    const std::size_t most = IntakeLimits().maxLiveWorkflows;
+    const std::size_t nearly = most * 85 / 100;
+    cell.policy.queues["patient"].priority = 5;
+    cell.intake.liveCounted({{"a", nearly - 100}, {"b", 100}}, cell.now);
+    const auto cause = [&](std::uint64_t id, const char *account, const char *queue,
+                           std::size_t live) {
+        return cell.intake
+            .decide(cell.job(id, account, queue), cell.stampAt(cell.now), cell.policy, live,
+                    cell.now)
+            .cause;
+    };
+    CHECK(cause(1, "a", "patient", nearly) == IntakeCause::StoreFull);
+    CHECK(cause(2, "b", "patient", nearly) == IntakeCause::None);
+    CHECK(cause(3, "b", "patient", most * 95 / 100) == IntakeCause::StoreFull);
+    CHECK(cause(4, "b", "urgent", most * 95 / 100) == IntakeCause::None);
+    CHECK(cause(5, "b", "urgent", most) == IntakeCause::StoreFull);
+}
+
+// Guards against an attempt that runs after a later one was refused for an evacuation.
+TEST_CASE("a refusal for an evacuation is remembered, and not given for what is being stored",
+          "[intake]")
+{
+    IntakeFixture cell;
+    const CallStamp first = cell.stampAt(cell.now);
+    cell.advance(Milliseconds(100));
+    const auto decide = [&](std::uint64_t id, const CallStamp &stamp, bool isEvacuated) {
+        return cell.intake.decide(cell.job(id), stamp, cell.policy, 0, cell.now, isEvacuated);
+    };
+    CHECK(decide(1, cell.stampAt(cell.now), true).cause == IntakeCause::Evacuated);
+    CHECK(decide(1, first, false).cause == IntakeCause::Repeat);
+    cell.intake.accepted(cell.job(2), cell.now);
+    CHECK(decide(2, cell.stampAt(cell.now), true).verdict == IntakeVerdict::Accept);
+}
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -352,6 +352,8 @@
 TEST_CASE_METHOD(PlanFixture, "a waiting gang does not count as waiting work of its queue",
                  "[planner][intake]")
 {
+    this->policy.queues["q"].stretch = 1.0;
+    this->policy.queues["q"].slackMs = 60000;
     this->accept({step(12)}); // all that the targets hold
     REQUIRE(this->applyPlan() == 12);
     this->add(51, "q", gang(3));
