--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -360,6 +360,8 @@
     void countLoad(const ReadyStep &step, std::size_t placementsBefore, std::size_t waitingBefore)
     {
         QueueLoad &load = this->plan.summary.queues[step.workflow->spec.queue];
+        if (step.spec().gang)
+            return;
         std::size_t started = 0;
         for (std::size_t i = placementsBefore; i < this->plan.placements.size(); ++i)
             started += this->plan.placements[i].placements.size();
@@ -371,9 +373,11 @@
         const std::size_t tasks = step.waiting() - started;
         load.waitingWork[step.workflow->spec.account] +=
             static_cast<double>(tasks) * step.spec().workOfTask();
-        load.waitingMilliCores +=
-            static_cast<std::int64_t>(tasks) * step.spec().reserved()[ResourceKind::MilliCores];
-        load.isShortOfQueriers |= cause == WaitCause::Querier;
+        const std::int64_t ofTask = step.spec().reserved()[ResourceKind::MilliCores];
+        load.waitingMilliCores += static_cast<std::int64_t>(tasks) * ofTask;
+        std::int64_t &smallest = load.smallestTaskMilliCores;
+        smallest = smallest == 0 ? ofTask : std::min(smallest, ofTask);
+        load.isShortOfQueries |= cause != WaitCause::Room;
     }
 
     void countWaiting(const ReadyStep &step, std::size_t tasks)
