--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -414,8 +414,11 @@
     }
     for (const AdmissionQuery &query : made.queries)
         this->sendQuery(query);
-    if (scope != PlanScope::All)
+    if (scope != PlanScope::All) {
+        if (made.shares != nullptr)
+            this->accountUse.addQueries(made.shares->accountLoads());
         return;
+    }
     this->adjustWorkingSet(made);
     const Instant now = this->options.clock();
     this->waits.planned(made.waiting, now);
--- a/src/workflows/shares/accountuse.cpp
+++ b/src/workflows/shares/accountuse.cpp
@@ -33,20 +33,31 @@
     this->decay(kept);
     for (AccountLoads::Row row = 0; row < loads.size(); ++row) {
         const AccountLoad &load = loads[row];
-        if (load.placedTasks == 0 && load.queryMs <= 0.0)
+        if (load.placedTasks == 0)
             continue;
         SharedAmounts &use = this->accounts[loads.accounts()[loads.accountOf(row)]]
                                            [loads.queues()[loads.queueOf(row)]];
         for (std::size_t kind = 0; kind < resourceKindCount; ++kind)
             use[kind] += added * static_cast<double>(load.placed.amounts[kind]);
-        use[queryTimeKind] += load.queryMs / memory;
     }
+    this->addQueries(loads);
     this->dropNegligible();
     this->observedFrom = this->observedFrom.value_or(now);
     this->observedAt = now;
     this->exhaustedFrom = queriesExhaustedFrom;
 }
 
+void AccountUse::addQueries(const AccountLoads &loads)
+{
+    for (AccountLoads::Row row = 0; row < loads.size(); ++row) {
+        const AccountLoad &load = loads[row];
+        if (load.queryMs <= 0.0)
+            continue;
+        this->accounts[loads.accounts()[loads.accountOf(row)]][loads.queues()[loads.queueOf(row)]]
+                      [queryTimeKind] += load.queryMs / seconds(useMemory);
+    }
+}
+
 void AccountUse::forgetRun(const std::string &account, const std::string &queue,
                            const Resources &amount)
 {
--- a/src/workflows/shares/accountuse.h
+++ b/src/workflows/shares/accountuse.h
@@ -31,6 +31,9 @@
     void observe(const AccountLoads &loads, std::optional<std::uint32_t> queriesExhaustedFrom,
                  Instant now);
 
+    /// Records the query time that a plan of some of the steps has reserved.
+    void addQueries(const AccountLoads &loads);
+
     /// Takes a run that did not end by itself out of the account's recent use. Otherwise an account
     /// that has lost its runs with their targets would come last with their restarts.
     void forgetRun(const std::string &account, const std::string &queue, const Resources &amount);
