--- a/src/core/mechanism.h
+++ b/src/core/mechanism.h
@@ -14,20 +14,16 @@
 enum class Mechanism : std::uint8_t {
     Shares, ///< work of client accounts beyond their share comes last
     Intake, ///< requests that would not be served in time are rejected
-    QueryScheduling, ///< the admission service's time is planned as a resource
     Speeds, ///< learned speeds of targets are stored and used
-    Reclaim, ///< urgent work takes back room from batch work
     HeldCalls, ///< entries hold calls while there is no controller
 };
 
-inline constexpr std::size_t mechanismCount = 6;
+inline constexpr std::size_t mechanismCount = 4;
 
 inline constexpr EnumNames<Mechanism, mechanismCount> mechanismNames{{
     {Mechanism::Shares, "shares"},
     {Mechanism::Intake, "intake"},
-    {Mechanism::QueryScheduling, "queries"},
     {Mechanism::Speeds, "speeds"},
-    {Mechanism::Reclaim, "reclaim"},
     {Mechanism::HeldCalls, "held-calls"},
 }};
 
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -278,8 +278,9 @@
     std::string counts;
     for (const auto &[key, count] : report.refused) {
         const auto &[queue, account, cause] = key;
-        counts += (counts.empty() ? "" : ",") + queue + "/" + account + "/"
-            + std::string(enumName(intakeCauseNames, cause)) + ":" + std::to_string(count);
+        counts.append(counts.empty() ? "" : ",").append(queue).append("/").append(account);
+        counts.append("/").append(enumName(intakeCauseNames, cause));
+        counts.append(":").append(std::to_string(count));
         total += count;
     }
     logEvent(LogLevel::Information, "jobs-refused",
