intake: work whose queries are queued behind others counts as waiting

Change: it counts while more queries are open than there are instances. A query that is sent at once takes its time in an idle cell too and does not count.

--- a/src/workflows/planning/planner.cpp
+++ b/src/workflows/planning/planner.cpp
@@ -356,6 +356,10 @@
             from = step.queue->priority;
     }
 
+    /// True if queries wait behind others at their instances. A query that an instance sends at
+    /// once takes its time in an idle cell too.
+    bool areQueriesQueued() const { return this->input.openQueries > this->input.querierCount; }
+
     /// Adds what place() has done with the step to the load of its queue.
     void countLoad(const ReadyStep &step, std::size_t placementsBefore, std::size_t waitingBefore)
     {
@@ -368,7 +372,9 @@
         load.startedWork += static_cast<double>(started) * step.spec().workOfTask();
         const bool isWaiting = this->plan.waiting.size() > waitingBefore;
         const WaitCause cause = isWaiting ? this->plan.waiting.back().cause : WaitCause::Verdict;
-        if (step.isLate || (cause != WaitCause::Room && cause != WaitCause::Querier))
+        const bool countsAsWaiting = cause == WaitCause::Room || cause == WaitCause::Querier
+            || (cause == WaitCause::Admission && this->areQueriesQueued());
+        if (step.isLate || !countsAsWaiting)
             return;
         const std::size_t tasks = step.waiting() - started;
         load.waitingWork[step.workflow->spec.account] +=
--- a/src/workflows/planning/queueload.h
+++ b/src/workflows/planning/queueload.h
@@ -13,8 +13,8 @@
     double startedWork = 0.0; ///< of the tasks that the plan placed, without gangs
     /// By client account, of the ready tasks that wait for room, or for an instance that can query
     /// the admission service, and that can still meet their objective. Without tasks whose query is
-    /// under way, which takes its time in an idle cell too, and without gangs: that one waits says
-    /// nothing of the room for single tasks.
+    /// under way at once, which takes its time in an idle cell too, and without gangs: that one
+    /// waits says nothing of the room for single tasks.
     std::map<std::string, double> waitingWork;
     std::int64_t waitingMilliCores = 0; ///< needed by these tasks
     std::int64_t smallestTaskMilliCores = 0; ///< of these tasks; 0: there are none
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -361,3 +361,18 @@
     this->add(52, "q", step(1));
     CHECK(this->plan().summary.queues.at("q").waitingWork.size() == 1);
 }
+
+// Guards against an intake that takes the time of queries in an idle cell for a shortage, and
+// against one that sees no shortage while queries queue up at the instances.
+TEST_CASE_METHOD(PlanFixture, "tasks wait for queries only if these are queued",
+                 "[planner][intake]")
+{
+    this->accept({step(1)});
+    this->needAdmission();
+    this->admissions[at(0)].asked.insert(incarnation(1));
+    this->querierCount = 2;
+    this->openQueries = 2;
+    CHECK(this->plan().summary.queues["q"].waitingWork.empty());
+    this->openQueries = 3;
+    CHECK(this->plan().summary.queues["q"].waitingWork.size() == 1);
+}
