--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -24,9 +24,6 @@
 /// The pause after a plan, as a multiple of the time that the plan took. Planning never takes more
 /// than a quarter of the loop's time.
 constexpr int planPauseFactor = 3;
-/// Batches of commands that may be in progress. More share fewer writes to the disk, fewer wait
-/// longer: while one is stored, the next one takes what arrives.
-constexpr std::size_t maxBatchesInFlight = 2;
 /// A loop delay beyond this is logged: orders and answers are delayed as much.
 constexpr Milliseconds loopLagLogThreshold{100};
 
@@ -97,8 +94,7 @@
         barrier(this->notLeading());
     this->leads = nowLeads;
     this->term = newTerm;
-    this->batchesInFlight = 0;
-    this->isPlacementInFlight = false;
+    this->isBatchPending = false;
     this->nextSpeedRefresh = {};
     if (!nowLeads)
         return;
@@ -200,7 +196,7 @@
 /// together share a batch.
 void Controller::flush()
 {
-    if (this->batchesInFlight >= maxBatchesInFlight || this->isFlushQueued || !this->leads)
+    if (this->isBatchPending || this->isFlushQueued || !this->leads)
         return;
     this->isFlushQueued = true;
     this->options.post([this, alive = this->alive] {
@@ -212,7 +208,7 @@
 void Controller::flushNow()
 {
     this->isFlushQueued = false;
-    if (this->batchesInFlight >= maxBatchesInFlight || !this->leads)
+    if (this->isBatchPending || !this->leads)
         return;
     if (this->speedsToStore) {
         std::vector<Pending> alone;
@@ -221,7 +217,7 @@
         return;
     }
     std::vector<Pending> batch = std::exchange(this->pending, {});
-    if (this->needsPlan && !this->isPlacementInFlight)
+    if (this->needsPlan)
         this->planInto(batch);
     if (!batch.empty() || !this->waitingBarriers.empty())
         this->propose(std::move(batch));
@@ -272,14 +268,12 @@
     commands.reserve(batch.size());
     for (Pending &one : batch) {
         const bool isPlacement = std::holds_alternative<PlaceRuns>(one.command);
-        proposed->hasPlacement |= isPlacement;
         proposed->makesNoRoom.push_back(isPlacement
                                         || std::holds_alternative<RecordSpeeds>(one.command));
         proposed->done.push_back(std::move(one.done));
         commands.push_back(std::move(one.command));
     }
-    ++this->batchesInFlight;
-    this->isPlacementInFlight |= proposed->hasPlacement;
+    this->isBatchPending = true;
     this->log.propose(encode(commands),
                       [this, alive = this->alive, post = this->options.post,
                        proposed](Result<std::string> outcome) {
@@ -315,10 +309,8 @@
             std::chrono::duration_cast<Milliseconds>(this->options.clock() - proposed.at));
     }
     const bool isOurTerm = this->leads && this->term == proposed.term;
-    if (isOurTerm) {
-        --this->batchesInFlight;
-        this->isPlacementInFlight &= !proposed.hasPlacement;
-    }
+    if (isOurTerm)
+        this->isBatchPending = false;
     Result<CommandOutcomes> outcomes = failure(ErrorCode::Unavailable, "the batch was not stored");
     if (!outcome)
         outcomes = outcome.error();
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -68,11 +68,9 @@
 
 /// Runs workflows while its replica leads: makes decisions, has them stored, and carries them out.
 ///
-/// Plans are made from the stored state, and only while no earlier placement is in progress; so a
-/// plan never has to predict the outcome of the previous one. Other commands do not wait for a
-/// placement that is in progress, so that callers are answered before and beside planning. Commands
-/// are stored in the order of their batches, and a placement that no longer fits is rejected when
-/// it is applied. Everything runs on one loop.
+/// Only one batch of commands is in progress at a time, and plans are made only between two
+/// batches, from the stored state; so a plan never has to predict the outcome of the previous one.
+/// Everything runs on one loop.
 class Controller
 {
 public:
@@ -144,7 +142,6 @@
         Instant at{};
         std::vector<Done<CommandOutcome>> done;
         std::vector<bool> makesNoRoom; ///< placements, and commands without effect on plans
-        bool hasPlacement = false;
         std::vector<Done<Nothing>> barriers;
     };
     struct TargetState
@@ -229,8 +226,7 @@
 
     bool leads = false;
     std::uint64_t term = 0;
-    std::size_t batchesInFlight = 0;
-    bool isPlacementInFlight = false; ///< in one of these batches
+    bool isBatchPending = false;
     bool isFlushQueued = false;
     bool needsPlan = false;
     bool isPlanQueued = false;
--- a/test/workflows/plannertest.cpp
+++ b/test/workflows/plannertest.cpp
@@ -369,6 +369,7 @@
 {
     this->accept({step(1)});
     this->needAdmission();
+    this->policy.queues["q"].slackMs = 1000000000;
     this->admissions[at(0)].asked.insert(incarnation(1));
     this->querierCount = 2;
     this->openQueries = 2;
