--- a/src/controller/heldcalls.h
+++ b/src/controller/heldcalls.h
@@ -15,8 +15,8 @@
 /// Those with the most time left come first. They can still be done in time, and would not be
 /// behind those that are late already.
 ///
-/// Pure: the owner reports the time and the ends of calls. A held call has never been sent, so that
-/// its rejection as not run is true.
+/// Pure: the owner reports the time and the ends of calls. A held call has never been sent, so its
+/// rejection as not run is true of this attempt; of an earlier one elsewhere nothing is known here.
 class HeldCalls
 {
 public:
