sessions: the runs of a leaving target end with it, not with its announcement

What callers saw: tasks ran twice at the same time (TWICE) when the answer to the DELETE of a drained target was lost. The target ends some seconds later; its tasks were started elsewhere after 0.3 s.

Cause: TargetSession::leave waited 0.3 s for a pending poll and then reported all other runs as lost, though the target still listed them and held a lease.

Ruled out as proof of an end: refused and broken connections.

Change: a leaving target is polled without a lease until each of its runs has a known end, another process answers at its address, or the last lease has expired. New: log line target-gone and metric guavavalve_target_departure_seconds, by evidence.

Two checks required the fault and are replaced by checks that are as strict: "tasks of a target that left are started again at once" (now: not before its lease has expired, and within 0.5 s after), and "the runs of a target that leaves without a last answer are lost" (now with the moment of the expiry).

--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -30,6 +30,10 @@
      "",
      "Targets whose process ended without deregistering while work was placed on them. Reported "
      "by the controller."},
+    {Metric::TargetDepartureSeconds, "guavavalve_target_departure_seconds", MetricType::Histogram,
+     "seconds", "evidence",
+     "Time from a target's announcement of its end until nothing can run there any more, by "
+     "evidence: nothing-placed, other-life, lease-expired. Reported by the controller."},
     {Metric::CommitSeconds, "guavavalve_commit_seconds", MetricType::Histogram, "seconds", "",
      "Time from the proposal of a batch of commands until a quorum has stored it and it has been "
      "applied. Reported by the controller."},
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -16,6 +16,7 @@
     WorkflowsTotal,
     RunsTotal,
     TargetCrashesTotal,
+    TargetDepartureSeconds,
     CommitSeconds,
     AdmissionSeconds,
     RequestSeconds,
@@ -62,7 +63,7 @@
     RunsMovedTotal,
 };
 
-inline constexpr std::size_t metricCount = 49;
+inline constexpr std::size_t metricCount = 50;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -290,8 +290,16 @@
     const bool isThisIncarnation = known != this->incarnations.end()
         && (startedAtMs == 0 || known->second.session->identity().startedAtMs == startedAtMs);
     if (isThisIncarnation && !known->second.session->isOver()) {
-        logTargetEnded(known->second.session->identity(), IncarnationEnd::Left);
-        known->second.session->leave([this, newest] { this->forgetIncarnation(newest); });
+        const TargetIdentity identity = known->second.session->identity();
+        logTargetEnded(identity, IncarnationEnd::Left);
+        const Instant announcedAt = this->options.clock();
+        known->second.session->leave([this, newest, identity, announcedAt](DepartureEnd how) {
+            const auto took = std::chrono::duration_cast<Milliseconds>(this->options.clock()
+                                                                       - announcedAt);
+            logTargetGone(identity, how, took);
+            this->metrics.targetGone(how, took);
+            this->forgetIncarnation(newest);
+        });
     }
     done(Nothing{});
 }
--- a/src/workflows/controller/workflowmetrics.cpp
+++ b/src/workflows/controller/workflowmetrics.cpp
@@ -77,6 +77,14 @@
         this->metrics->count(Metric::TargetCrashesTotal);
 }
 
+void WorkflowMetrics::targetGone(DepartureEnd how, Milliseconds took) const
+{
+    if (this->metrics != nullptr) {
+        this->metrics->observe(Metric::TargetDepartureSeconds, seconds(took),
+                               {std::string(enumName(departureEndNames, how))});
+    }
+}
+
 void WorkflowMetrics::speeds(const TargetSpeeds &speeds) const
 {
     if (this->metrics == nullptr)
--- a/src/workflows/controller/workflowmetrics.h
+++ b/src/workflows/controller/workflowmetrics.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "workflows/intake/intakedecision.h"
+#include "workflows/model/departureend.h"
 #include "workflows/model/runend.h"
 #include "workflows/model/workflow.h"
 
@@ -36,6 +37,8 @@
     void expectedWait(const std::string &queue, Milliseconds wait) const;
     /// A target's process ended while it had work.
     void targetCrashed() const;
+    /// Nothing runs any more on a target that announced its end \a took ago.
+    void targetGone(DepartureEnd how, Milliseconds took) const;
     /// Sets the number of targets by how fast they are.
     void speeds(const TargetSpeeds &speeds) const;
     /// A run was stopped in order to be restarted on another target.
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -248,6 +248,15 @@
               {"how", std::string(enumName(incarnationEndNames, how))}});
 }
 
+void logTargetGone(const TargetIdentity &target, DepartureEnd how, Milliseconds took)
+{
+    logEvent(LogLevel::Information, "target-gone",
+             {{"target", target.name},
+              {"born", std::to_string(target.startedAtMs)},
+              {"how", std::string(enumName(departureEndNames, how))},
+              {"tookMs", std::to_string(took.count())}});
+}
+
 void logDomainEvacuation(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
                          std::size_t runs)
 {
--- a/src/workflows/log/decisionlog.h
+++ b/src/workflows/log/decisionlog.h
@@ -5,6 +5,7 @@
 #include "workflows/health/targethealth.h"
 #include "workflows/health/targetspeeds.h"
 #include "workflows/intake/intakereport.h"
+#include "workflows/model/departureend.h"
 #include "workflows/model/incarnationend.h"
 #include "workflows/model/losscount.h"
 #include "workflows/model/policy.h"
@@ -73,6 +74,8 @@
 /// \a before: the target's capacity until now.
 void logTargetResized(const TargetIdentity &target, const Resources &before);
 void logTargetEnded(const TargetIdentity &target, IncarnationEnd how);
+/// Nothing runs any more on a target that announced its end \a took ago.
+void logTargetGone(const TargetIdentity &target, DepartureEnd how, Milliseconds took);
 /// \a runs: number of runs on these targets or on their way there.
 void logDomainEvacuation(const std::string &failureDomain, bool isEvacuated, std::size_t targets,
                          std::size_t runs);
--- a/src/workflows/sessions/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -103,7 +103,10 @@
     this->highestStoredEnd = this->highestListedEnd;
     for (auto run = this->runs.begin(); run != this->runs.end();)
         run = run->second.phase == Phase::Over ? this->runs.erase(run) : std::next(run);
-    if (std::exchange(this->isAwaitingStore, false))
+    const bool isPollDue = std::exchange(this->isAwaitingStore, false);
+    if (this->isLeaving && this->runs.empty())
+        this->finishLeaving(DepartureEnd::NothingPlaced);
+    else if (isPollDue)
         this->hold();
 }
 
@@ -126,44 +129,38 @@
     this->end();
 }
 
-/// Guards against running a task again although its end was listed: a target answers its pending
-/// poll when it leaves.
-void TargetSession::leave(std::function<void()> done)
+/// Guards against two runs of a task at once: the answer to the target's announcement may be lost,
+/// and it then runs on for seconds. A broken or refused connection does not prove that it has ended:
+/// networks cause both, and a process may close its listener before its tasks have ended.
+void TargetSession::leave(std::function<void(DepartureEnd how)> done)
 {
-    if (this->hasEnded || this->isLeaving)
+    if (this->isOver())
         return;
     this->isLeaving = true;
     this->onLeft = std::move(done);
     this->updateUsable();
-    if (this->isPolling)
-        this->runLater(this->limits.finalAnswerTimeout, [this] { this->finishLeaving(); });
-    else
-        this->finishLeaving();
-}
-
-void TargetSession::processFinalAnswer(const Result<HoldAnswer> &answer)
-{
-    std::vector<RunEnd> over;
-    if (answer && answer.value().reply == OrderReply::Done)
-        this->processEnds(answer.value(), over);
-    if (!over.empty()) {
-        ++this->pendingReports;
-        this->hooks.runsOver(std::move(over));
-    }
-    this->finishLeaving();
+    if (this->runs.empty())
+        this->finishLeaving(DepartureEnd::NothingPlaced);
+    else if (!this->isAwaitingStore)
+        this->hold();
 }
 
-void TargetSession::finishLeaving()
+void TargetSession::finishLeaving(DepartureEnd how)
 {
     this->declareLost();
     if (const auto done = std::exchange(this->onLeft, nullptr))
-        done();
+        done(how);
 }
 
 void TargetSession::tick()
 {
     if (this->hasEnded || this->restsNow)
         return;
+    if (this->isLeaving) {
+        if (this->clock() > this->leasesExpireAt)
+            this->finishLeaving(DepartureEnd::LeaseExpired);
+        return;
+    }
     if (this->failures >= maxUnansweredPolls && this->clock() > this->leasesExpireAt
         && this->hasRunList) {
         this->hasRunList = false; // its next list is compared with an empty table
@@ -247,10 +244,11 @@
 /// Guards against starting a run elsewhere while it still runs here: the target's clock may be
 /// slow, and it was read before the answer arrived. A controller that has lost its followers, but
 /// not its targets, grants no more leases, because the next controller counts this one's leases
-/// from its own election.
+/// from its own election. A target that has announced its end gets none either: if the end itself
+/// goes unnoticed, its work is restarted one lease later at most.
 std::int64_t TargetSession::grantLease()
 {
-    if (this->answeredAt == Instant{} || this->failures >= maxUnansweredPolls
+    if (this->answeredAt == Instant{} || this->failures >= maxUnansweredPolls || this->isLeaving
         || !this->hooks.isCurrent())
         return 0;
     const Instant now = this->clock();
@@ -324,15 +322,16 @@
     this->isPolling = false;
     if (this->hasEnded)
         return;
-    if (this->isLeaving) {
-        this->processFinalAnswer(answer);
+    if (this->isLeaving && answer && answer.value().reply == OrderReply::OtherIncarnation) {
+        this->finishLeaving(DepartureEnd::OtherIncarnation);
         return;
     }
     const bool wasWaking = std::exchange(this->isWaking, false);
     if (!answer) {
         ++this->failures;
         this->updateUsable();
-        this->runLater(this->limits.resendDelay, [this] { this->hold(); });
+        this->runLater(this->isLeaving ? this->limits.departedPollDelay : this->limits.resendDelay,
+                       [this] { this->hold(); });
         return;
     }
     if (!this->processReply(answer.value().reply))
--- a/src/workflows/sessions/targetsession.h
+++ b/src/workflows/sessions/targetsession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "workflows/model/departureend.h"
 #include "workflows/model/runend.h"
 #include "workflows/model/targetidentity.h"
 #include "workflows/sessions/targetport.h"
@@ -37,8 +38,10 @@
     /// run started.
     Milliseconds startTimeout{2000};
     Milliseconds resendDelay{150}; ///< between two attempts to send an order
+    /// Between two polls of a leaving target that does not answer: most have ended by then, and each
+    /// poll costs a connection attempt.
+    Milliseconds departedPollDelay{500};
     Milliseconds stopLimit{900}; ///< from a stop until the end of its run is listed
-    Milliseconds finalAnswerTimeout{300}; ///< for the last answer of a target that leaves
     /// If a target falls silent within this time after it has started a run, the run may have
     /// crashed it. Long enough for a task to initialise.
     Milliseconds earlyLossWindow{500};
@@ -118,9 +121,10 @@
     void setEvacuated(bool isEvacuated);
     /// The incarnation is over: reports all its runs as lost and ends the session.
     void declareLost();
-    /// The target leaves. Ends that it lists in the answer to a pending poll still count; all other
-    /// runs there are lost then. \a done: called when everything has been reported.
-    void leave(std::function<void()> done);
+    /// The target has announced that it ends soon. It is polled until it has, and gets no further
+    /// lease: until then its runs continue, and ends that it lists count. \a done: called once its
+    /// end is known or its last lease has expired, when everything has been reported.
+    void leave(std::function<void(DepartureEnd how)> done);
     /// Detects expired leases. Must be called frequently.
     void tick();
 
@@ -168,8 +172,7 @@
     };
 
     void hold();
-    void processFinalAnswer(const Result<HoldAnswer> &answer);
-    void finishLeaving();
+    void finishLeaving(DepartureEnd how);
     void onHold(Instant sentAt, Result<HoldAnswer> answer);
     bool isIdle(const HoldAnswer &answer) const;
     void processLists(const HoldAnswer &answer, Instant sentAt);
@@ -216,7 +219,7 @@
     bool isFenced = false;
     bool hasEnded = false;
     bool isLeaving = false;
-    std::function<void()> onLeft;
+    std::function<void(DepartureEnd how)> onLeft;
     bool reportsReady = false;
     bool isEvacuated = false;
     Instant coldUntil{};
--- a/test/workflows/controllertest.cpp
+++ b/test/workflows/controllertest.cpp
@@ -165,13 +165,16 @@
     CHECK(onDraining == 0);
 }
 
-TEST_CASE_METHOD(ControllerFixture, "tasks of a target that left are started again at once",
+TEST_CASE_METHOD(ControllerFixture,
+                 "tasks of a target that left are started again when its lease has expired",
                  "[controller]")
 {
     this->submit(job, {StoreFixture::step(1)});
     this->runFor(Milliseconds(100));
     this->leave(this->targetOf());
-    this->runFor(Milliseconds(100));
+    this->runFor(Milliseconds(5900));
+    CHECK(this->runOf() == 1);
+    this->runFor(Milliseconds(600));
     CHECK(this->runOf() == 2);
 }
 
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -118,6 +118,11 @@
 void Simulation::leave(const std::string &name)
 {
     this->fleet.crash(name);
+    this->announceEnd(name);
+}
+
+void Simulation::announceEnd(const std::string &name)
+{
     this->controller().targetLeft(name, this->identities.at(name).startedAtMs,
                                   [](const Result<Nothing> &) {});
 }
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -84,6 +84,8 @@
     void replace(const std::string &name);
     /// The target leaves permanently.
     void leave(const std::string &name);
+    /// The target announces that it leaves. It continues until its process is ended.
+    void announceEnd(const std::string &name);
 
     /// Requests or withdraws an evacuation, and repeats the request until it is acknowledged.
     void evacuate(const std::string &failureDomain, bool isEvacuated);
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -42,8 +42,13 @@
         this->lastLease = order.leaseUntilMs;
         if (order.leaseUntilMs != 0)
             this->lastGrantAt = this->loop.now();
+        if (this->holdError) {
+            this->loop.runAfter(Milliseconds(100), [done = std::move(done),
+                                                    error = *this->holdError] { done(error); });
+            return;
+        }
         HoldAnswer lists;
-        lists.reply = OrderReply::Done;
+        lists.reply = this->holdReply;
         lists.clockMs = this->clockMs;
         lists.running = this->running;
         lists.ends = this->ends;
@@ -71,6 +76,8 @@
     Instant lastGrantAt{};
     int starts = 0;
     OrderReply startReply = OrderReply::Done;
+    OrderReply holdReply = OrderReply::Done;
+    std::optional<Error> holdError; ///< if set, polls fail with it
     /// If set, no start is sent, and its sender receives this error.
     std::optional<Error> unsentStart;
     std::vector<RunningTask> running;
@@ -113,6 +120,11 @@
         this->session->start(order);
     }
 
+    void leave()
+    {
+        this->session->leave([this](DepartureEnd how) { this->goneBy = how; });
+    }
+
     void tickFor(Milliseconds span)
     {
         for (Milliseconds passed(0); passed < span; passed += Milliseconds(10)) {
@@ -130,6 +142,7 @@
     std::vector<RunEnd> over;
     bool rests = false;
     Instant overAt{};
+    std::optional<DepartureEnd> goneBy; ///< set once the target has left
     std::shared_ptr<TargetSession> session;
 };
 
@@ -310,30 +323,79 @@
     this->port.running.clear();
     this->port.ends = {{1, this->task, 1, RunOutcome::Succeeded, ""}};
     this->tickFor(Milliseconds(100)); // the next poll will be answered with the end
-    bool isGone = false;
     this->over.clear();
-    this->session->leave([&isGone] { isGone = true; });
+    this->leave();
     CHECK_FALSE(this->session->isUsable());
     CHECK(this->over.empty());
     this->tickFor(Milliseconds(200));
-    CHECK(isGone);
     REQUIRE(this->over.size() == 1);
     CHECK(this->over[0].outcome == RunOutcome::Succeeded);
+    CHECK_FALSE(this->goneBy);
+    this->session->committed();
+    CHECK(this->goneBy == DepartureEnd::NothingPlaced);
 }
 
-TEST_CASE_METHOD(SessionFixture, "the runs of a target that leaves without a last answer are lost",
+// Guards against two runs of a task at once: a leaving target that does not answer may still run it.
+TEST_CASE_METHOD(SessionFixture,
+                 "the runs of a leaving target that falls silent are lost when its lease expires",
                  "[session]")
 {
     this->startTask();
     this->tickFor(Milliseconds(500));
     this->port.isSilent = true;
-    this->tickFor(Milliseconds(150));
-    bool isGone = false;
-    this->session->leave([&isGone] { isGone = true; });
-    this->tickFor(this->limits.finalAnswerTimeout + Milliseconds(20));
-    CHECK(isGone);
+    this->leave();
+    const Milliseconds drift = this->limits.lease * this->limits.maxClockDriftPerThousand / 1000;
+    const Instant expiry = this->port.lastGrantAt + this->limits.lease + drift;
+    this->tickFor(Milliseconds(10000));
+    CHECK(this->goneBy == DepartureEnd::LeaseExpired);
     REQUIRE(this->over.size() == 1);
     CHECK(this->over[0].outcome == RunOutcome::Lost);
+    CHECK(this->overAt >= expiry);
+    CHECK(this->overAt <= expiry + this->limits.leaseMargin + Milliseconds(100));
+}
+
+// Guards against a target that never ends although it said so, with its leases renewed for ever.
+TEST_CASE_METHOD(SessionFixture, "a leaving target is polled and gets no further lease", "[session]")
+{
+    this->startTask();
+    this->tickFor(Milliseconds(500));
+    this->leave();
+    this->tickFor(Milliseconds(500));
+    CHECK(this->port.lastLease == 0);
+    CHECK(this->over.empty());
+    this->tickFor(Milliseconds(10000));
+    CHECK(this->goneBy == DepartureEnd::LeaseExpired);
+}
+
+// Guards against work that waits for a lease although the process that held it is known to be gone.
+TEST_CASE_METHOD(SessionFixture,
+                 "the runs of a leaving target end when another process answers at its address",
+                 "[session]")
+{
+    this->startTask();
+    this->tickFor(Milliseconds(500));
+    this->leave();
+    this->port.holdReply = OrderReply::OtherIncarnation;
+    this->tickFor(Milliseconds(300));
+    CHECK(this->goneBy == DepartureEnd::OtherIncarnation);
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].outcome == RunOutcome::Lost);
+}
+
+// Guards against taking a broken or refused connection, which a network causes too, for the end of a
+// process.
+TEST_CASE_METHOD(SessionFixture,
+                 "a leaving target whose connections are broken or refused may still run its tasks",
+                 "[session]")
+{
+    this->startTask();
+    this->tickFor(Milliseconds(500));
+    this->leave();
+    this->port.holdError = failure(ErrorCode::Unavailable, "the connection failed");
+    this->port.holdError->ran = GENERATE(Ran::Unknown, Ran::No);
+    this->tickFor(Milliseconds(3000));
+    CHECK_FALSE(this->goneBy);
+    CHECK(this->over.empty());
 }
 
 // Guards against a run that nobody watches: its placement was being stored when its target was put
