sessions: a start that reached a target's next incarnation is settled there

What callers saw: tasks ran twice at the same time (TWICE) after a target had crashed behind a short cut and restarted under its name.

Cause: an order names its target, not one incarnation. A start that is sent again, or sent around the restart, is carried out by the next incarnation, and its run was reported as lost with the earlier one.

Ruled out: withholding the second copy until the target was heard from. The first copy of an order has the same gap.

Change: only runs that the earlier incarnation has listed, with all copies of their start answered, end with it. The others are kept until the next incarnation registers, are stopped there and reported by its list, or given up after the longest lease. A new leader hands runs of superseded incarnations to the newest one.

Related paths mended with it: ends listed by the next incarnation count; a new leader that polls an earlier incarnation; gangs and lasting tasks go the same way, as their runs are ordinary runs here.

Tests: the simulated targets now carry out orders meant for an earlier incarnation, as real ones do.

--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -76,6 +76,8 @@
     this->health.clear();
     this->speeds.clear();
     this->speedsToStore.reset();
+    this->unsettledRuns.clear();
+    this->unsettledCounts.clear();
     this->moveCounts.clear();
     this->admissions.clear();
     this->admittedFractions.clear();
@@ -518,6 +520,7 @@
         all.push_back(session);
     for (const auto &session : all)
         session->tick();
+    this->giveUpUnsettled();
     this->startNextResting();
     this->stopIncompleteGangs();
     this->forgetOld();
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -144,6 +144,11 @@
         std::vector<bool> makesNoRoom; ///< placements, and commands without effect on plans
         std::vector<Done<Nothing>> barriers;
     };
+    struct UnsettledRuns
+    {
+        std::vector<UnsettledRun> runs;
+        Instant giveUpAt{}; ///< by then no later incarnation can run them any more
+    };
     struct TargetState
     {
         std::shared_ptr<TargetSession> session;
@@ -200,6 +205,11 @@
     void forgetUse(const RunEnd &end, const WorkflowStore &store);
     void learnSpeed(IncarnationId incarnation, const RunEnd &end, const WorkflowStore &store);
     void incarnationOver(IncarnationId incarnation, IncarnationEnd how);
+    void keepUnsettled(TargetSession &session);
+    void inheritUnsettled(TargetSession &session);
+    std::map<IncarnationId, std::vector<UnsettledRun>> supersededRuns();
+    void runSettled(IncarnationId placedOn);
+    void giveUpUnsettled();
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
     void forgetIncarnation(IncarnationId incarnation);
     using PlacedTasks = std::vector<std::pair<IncarnationId, TaskAddress>>;
@@ -255,6 +265,10 @@
     /// Stored in a batch of its own: replicas of the previous version skip batches with commands
     /// that they do not know.
     std::optional<RecordSpeeds> speedsToStore;
+    /// By target name, until a later incarnation under that name has registered.
+    std::map<std::string, UnsettledRuns> unsettledRuns;
+    /// Number of unsettled runs by the incarnation that they were placed on.
+    std::map<IncarnationId, std::size_t> unsettledCounts;
     /// Number of runs stopped because their target had stalled.
     std::map<TaskAddress, unsigned> moveCounts;
     AdmissionTable admissions;
--- a/src/workflows/controller/controllerpolling.cpp
+++ b/src/workflows/controller/controllerpolling.cpp
@@ -27,13 +27,19 @@
 {
     const IncarnationTable known =
         this->machine.read([](const WorkflowStore &store) { return store.incarnations(); });
+    const auto superseded = this->supersededRuns();
     for (const auto &[incarnation, record] : known) {
+        if (this->unsettledCounts.count(incarnation) != 0)
+            continue; // its runs are settled by the session of the newest incarnation
         TargetSession &session = this->openSession(incarnation, record);
+        const auto inherited = superseded.find(incarnation);
+        if (inherited != superseded.end())
+            session.inherit(inherited->second);
         const bool isInDoubt =
             this->machine.read([number = incarnation](const WorkflowStore &store) {
                 return store.losses().hasOpenLosses(number);
             });
-        if (!record.placed.empty() || isInDoubt) {
+        if (!record.placed.empty() || isInDoubt || inherited != superseded.end()) {
             this->sessionsToStart.push_back(incarnation);
             continue;
         }
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -35,9 +35,10 @@
         else
             this->woken(incarnation);
     };
-    hooks.incarnationOver = [this, incarnation] {
-        this->incarnationOver(incarnation, IncarnationEnd::Replaced);
+    hooks.incarnationOver = [this, incarnation](IncarnationEnd how) {
+        this->incarnationOver(incarnation, how);
     };
+    hooks.settled = [this](IncarnationId placedOn) { this->runSettled(placedOn); };
     hooks.runAfter = this->options.runAfter;
     hooks.isCurrent = [this] { return this->isCurrent(); };
     hooks.loopLag = [this] { return this->lag; };
@@ -68,6 +69,7 @@
         if (isOver)
             session->stop(task);
     }
+    this->inheritUnsettled(*session);
     return *session;
 }
 
@@ -137,11 +139,16 @@
 void Controller::incarnationOver(IncarnationId incarnation, IncarnationEnd how)
 {
     const auto found = this->incarnations.find(incarnation);
-    if (found == this->incarnations.end())
+    if (found == this->incarnations.end() || this->unsettledCounts.count(incarnation) != 0)
         return;
     logTargetEnded(found->second.session->identity(), how);
     const std::shared_ptr<TargetSession> session = found->second.session;
-    session->declareLost();
+    if (how == IncarnationEnd::Reborn)
+        this->keepUnsettled(*session);
+    else
+        session->declareLost();
+    if (this->unsettledCounts.count(incarnation) != 0)
+        return; // it is forgotten when they are settled
     this->recordCrash(incarnation, how);
     this->forgetIncarnation(incarnation);
 }
@@ -294,8 +301,8 @@
         logTargetEnded(identity, IncarnationEnd::Left);
         const Instant announcedAt = this->options.clock();
         known->second.session->leave([this, newest, identity, announcedAt](DepartureEnd how) {
-            const auto took = std::chrono::duration_cast<Milliseconds>(this->options.clock()
-                                                                       - announcedAt);
+            const auto took =
+                std::chrono::duration_cast<Milliseconds>(this->options.clock() - announcedAt);
             logTargetGone(identity, how, took);
             this->metrics.targetGone(how, took);
             this->forgetIncarnation(newest);
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -81,6 +81,7 @@
               {"fenced", yesNo(standing.isFenced)},
               {"failures", std::to_string(standing.failures)},
               {"foreign", std::to_string(standing.foreignRuns)},
+              {"unsettled", std::to_string(standing.unsettledRuns)},
               {"answerAgeMs", std::to_string(standing.answerAge.count())}});
 }
 
@@ -248,6 +249,14 @@
               {"how", std::string(enumName(incarnationEndNames, how))}});
 }
 
+void logRunsUnsettled(const TargetIdentity &target, std::size_t runs)
+{
+    logEvent(LogLevel::Information, "runs-unsettled",
+             {{"target", target.name},
+              {"born", std::to_string(target.startedAtMs)},
+              {"runs", std::to_string(runs)}});
+}
+
 void logTargetGone(const TargetIdentity &target, DepartureEnd how, Milliseconds took)
 {
     logEvent(LogLevel::Information, "target-gone",
--- a/src/workflows/log/decisionlog.h
+++ b/src/workflows/log/decisionlog.h
@@ -74,6 +74,9 @@
 /// \a before: the target's capacity until now.
 void logTargetResized(const TargetIdentity &target, const Resources &before);
 void logTargetEnded(const TargetIdentity &target, IncarnationEnd how);
+/// Runs of an incarnation that is over wait for its successor's list: their starts may have reached
+/// it.
+void logRunsUnsettled(const TargetIdentity &target, std::size_t runs);
 /// Nothing runs any more on a target that announced its end \a took ago.
 void logTargetGone(const TargetIdentity &target, DepartureEnd how, Milliseconds took);
 /// \a runs: number of runs on these targets or on their way there.
--- a/src/workflows/model/targetstanding.h
+++ b/src/workflows/model/targetstanding.h
@@ -14,6 +14,8 @@
     unsigned failures = 0; ///< consecutive polls without an answer
     /// Runs that it lists but that this controller did not place; they are being stopped.
     std::size_t foreignRuns = 0;
+    /// Runs of earlier incarnations that it may have started; they are being stopped.
+    std::size_t unsettledRuns = 0;
     Milliseconds answerAge{}; ///< time since its last answer
 };
 
--- a/src/workflows/sessions/targetport.h
+++ b/src/workflows/sessions/targetport.h
@@ -79,11 +79,13 @@
     NoTicket, ///< the admission ticket is missing or has expired
     Fenced, ///< the target has accepted orders of a later controller
     Refused, ///< by an unhealthy target, or for a malformed order; nothing was done
-    OtherIncarnation, ///< another incarnation of the target, or another target, answers at the
-                      ///< address
+    OtherIncarnation, ///< another target answers at the address and has done nothing
+    /// A later incarnation under the target's name answers at the address. It may have carried out
+    /// this order and earlier ones: orders name their target, not its incarnation.
+    Reborn,
 };
 
-inline constexpr EnumNames<OrderReply, 8> orderReplyNames{{
+inline constexpr EnumNames<OrderReply, 9> orderReplyNames{{
     {OrderReply::Done, "done"},
     {OrderReply::Settled, "settled"},
     {OrderReply::Late, "late"},
@@ -92,6 +94,7 @@
     {OrderReply::Fenced, "fenced"},
     {OrderReply::Refused, "refused"},
     {OrderReply::OtherIncarnation, "other-life"},
+    {OrderReply::Reborn, "reborn"},
 }};
 
 struct OrderAnswer
--- a/src/workflows/sessions/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -103,6 +103,8 @@
     this->highestStoredEnd = this->highestListedEnd;
     for (auto run = this->runs.begin(); run != this->runs.end();)
         run = run->second.phase == Phase::Over ? this->runs.erase(run) : std::next(run);
+    if (this->hasEnded)
+        return;
     const bool isPollDue = std::exchange(this->isAwaitingStore, false);
     if (this->isLeaving && this->runs.empty())
         this->finishLeaving(DepartureEnd::NothingPlaced);
@@ -129,9 +131,66 @@
     this->end();
 }
 
+/// True if no copy of the run's start can be carried out by a later incarnation: this one has
+/// listed the run, and every copy that was sent has been answered.
+bool TargetSession::isBoundToIncarnation(const Run &run)
+{
+    return run.wasListed && run.unansweredCopies == 0 && run.phase != Phase::Adopted
+        && run.inheritedFrom == IncarnationId::None;
+}
+
+/// Guards against two runs of a task at once: a copy of its start, sent or answered around the
+/// target's restart, may have reached the later incarnation.
+std::vector<UnsettledRun> TargetSession::supersede()
+{
+    std::vector<UnsettledRun> unsettled;
+    if (this->hasEnded)
+        return unsettled;
+    for (auto &[task, run] : this->runs) {
+        if (run.phase == Phase::Over || isBoundToIncarnation(run))
+            continue;
+        const bool isInherited = run.inheritedFrom != IncarnationId::None;
+        UnsettledRun one;
+        one.placedOn = isInherited ? run.inheritedFrom : this->number;
+        one.ifAbsent = this->over(task, run, this->lossOf(run), {});
+        unsettled.push_back(std::move(one));
+    }
+    this->settledFrom.clear(); // they are settled by the next incarnation
+    this->declareLost();
+    return unsettled;
+}
+
+void TargetSession::inherit(const std::vector<UnsettledRun> &unsettled)
+{
+    if (unsettled.empty())
+        return;
+    this->leasesExpireAt =
+        std::max(this->leasesExpireAt, this->clock() + settlingTime(this->limits));
+    for (const UnsettledRun &one : unsettled) {
+        Run run;
+        run.run = one.ifAbsent.run;
+        run.phase = Phase::Sending;
+        run.checkpoint = one.ifAbsent.checkpoint;
+        run.inheritedFrom = one.placedOn;
+        run.ifAbsent = one.ifAbsent.outcome;
+        run.isStopRequested = true;
+        this->runs[one.ifAbsent.task] = std::move(run);
+        ++this->unansweredStarts;
+        ++this->unsettledRuns;
+        this->sendStop(one.ifAbsent.task, one.ifAbsent.run);
+    }
+    this->updateUsable();
+}
+
+Milliseconds TargetSession::settlingTime(const SessionLimits &limits)
+{
+    const Milliseconds drift = limits.longestLease * limits.maxClockDriftPerThousand / perThousand;
+    return limits.orderTimeout + limits.longestLease + drift + limits.leaseMargin;
+}
+
 /// Guards against two runs of a task at once: the answer to the target's announcement may be lost,
-/// and it then runs on for seconds. A broken or refused connection does not prove that it has ended:
-/// networks cause both, and a process may close its listener before its tasks have ended.
+/// and it then runs on for seconds. A broken or refused connection does not prove that it has
+/// ended: networks cause both, and a process may close its listener before its tasks have ended.
 void TargetSession::leave(std::function<void(DepartureEnd how)> done)
 {
     if (this->isOver())
@@ -176,7 +235,7 @@
     const Instant now = this->clock();
     return !this->isOver() && !this->restsNow && this->hasRunList && !this->isFenced
         && this->reportsReady && this->failures == 0 && this->foreignRuns.empty()
-        && now >= this->unreachableUntil
+        && this->unsettledRuns == 0 && now >= this->unreachableUntil
         && now
         < this->answeredAt + this->limits.maxHoldWait + this->limits.orderTimeout + this->loopLag()
         && !this->hasUnansweredStart(now);
@@ -225,7 +284,8 @@
         this->answeredAt == Instant{} ? Microseconds{} : this->clock() - this->answeredAt;
     logTargetUsable(this->targetIdentity, isNow,
                     {this->reportsReady, this->hasRunList, this->isFenced, this->failures,
-                     this->foreignRuns.size(), std::chrono::duration_cast<Milliseconds>(age)});
+                     this->foreignRuns.size(), this->unsettledRuns,
+                     std::chrono::duration_cast<Milliseconds>(age)});
     this->hooks.usableChanged();
 }
 
@@ -288,8 +348,9 @@
 /// Returns false if the session can no longer be used.
 bool TargetSession::processReply(OrderReply reply)
 {
-    if (reply == OrderReply::OtherIncarnation) {
-        this->hooks.incarnationOver();
+    if (reply == OrderReply::OtherIncarnation || reply == OrderReply::Reborn) {
+        this->hooks.incarnationOver(reply == OrderReply::Reborn ? IncarnationEnd::Reborn
+                                                                : IncarnationEnd::Replaced);
         return false;
     }
     if (reply == OrderReply::Fenced)
@@ -382,8 +443,7 @@
             this->highestStoredEnd = this->highestListedEnd;
         return;
     }
-    ++this->pendingReports;
-    this->hooks.runsOver(std::move(over));
+    this->report(std::move(over));
 }
 
 void TargetSession::processEnds(const HoldAnswer &answer, std::vector<RunEnd> &over)
@@ -433,9 +493,12 @@
             continue;
         const bool isKnown = run.phase == Phase::Confirmed && run.confirmedAt < sentAt;
         if (run.phase == Phase::Adopted || isKnown) {
-            const RunOutcome notListed =
-                run.wasRefused ? RunOutcome::Refused : RunOutcome::NeverStarted;
-            over.push_back(this->over(task, run, run.wasListed ? RunOutcome::Lost : notListed, {}));
+            RunOutcome outcome = run.wasRefused ? RunOutcome::Refused : RunOutcome::NeverStarted;
+            if (run.inheritedFrom != IncarnationId::None)
+                outcome = run.ifAbsent;
+            else if (run.wasListed)
+                outcome = RunOutcome::Lost;
+            over.push_back(this->over(task, run, outcome, {}));
         }
     }
 }
@@ -445,6 +508,10 @@
 {
     if (std::exchange(run.phase, Phase::Over) == Phase::Sending)
         --this->unansweredStarts;
+    if (run.inheritedFrom != IncarnationId::None) {
+        --this->unsettledRuns;
+        this->settledFrom.push_back(run.inheritedFrom);
+    }
     RunEnd end;
     end.task = task;
     end.run = run.run;
@@ -461,19 +528,31 @@
         && this->answeredAt < run.confirmedAt + this->limits.earlyLossWindow;
 }
 
+void TargetSession::report(std::vector<RunEnd> ends)
+{
+    ++this->pendingReports;
+    this->hooks.runsOver(std::move(ends));
+    for (const IncarnationId placedOn : std::exchange(this->settledFrom, {}))
+        this->hooks.settled(placedOn);
+}
+
+RunOutcome TargetSession::lossOf(const Run &run) const
+{
+    if (run.inheritedFrom != IncarnationId::None)
+        return run.ifAbsent;
+    return this->isEarly(run) ? RunOutcome::LostEarly : RunOutcome::Lost;
+}
+
 void TargetSession::reportLost()
 {
     std::vector<RunEnd> ends;
     for (auto &[task, run] : this->runs) {
         if (run.phase == Phase::Over)
             continue;
-        const RunOutcome outcome = this->isEarly(run) ? RunOutcome::LostEarly : RunOutcome::Lost;
-        ends.push_back(this->over(task, run, outcome, {}));
+        ends.push_back(this->over(task, run, this->lossOf(run), {}));
     }
-    if (ends.empty())
-        return;
-    ++this->pendingReports;
-    this->hooks.runsOver(std::move(ends));
+    if (!ends.empty())
+        this->report(std::move(ends));
 }
 
 void TargetSession::sendStart(const TaskAddress &task)
@@ -491,6 +570,7 @@
             this->runLater(this->limits.resendDelay, [this, task] { this->sendStart(task); });
         return;
     }
+    ++run.unansweredCopies;
     this->port.start(
         this->targetIdentity, run.order, this->clock() + this->limits.orderTimeout,
         [weak = this->weak_from_this(), task, number = run.run](const Result<OrderAnswer> &answer) {
@@ -503,13 +583,17 @@
 void TargetSession::onStart(const TaskAddress &task, RunNumber number,
                             const Result<OrderAnswer> &answer)
 {
-    if (answer && answer.value().reply != OrderReply::OtherIncarnation)
+    if (answer && answer.value().reply != OrderReply::OtherIncarnation
+        && answer.value().reply != OrderReply::Reborn)
         this->answered(answer.value().clockMs);
     const auto found = this->runs.find(task);
-    if (found == this->runs.end() || found->second.run != number
-        || found->second.phase != Phase::Sending)
+    if (found == this->runs.end() || found->second.run != number)
         return;
     Run &run = found->second;
+    if (answer || answer.error().ran == Ran::No)
+        --run.unansweredCopies;
+    if (run.phase != Phase::Sending)
+        return;
     if (!answer) {
         this->startFailed(task, run, answer.error());
         return;
@@ -564,8 +648,7 @@
 
 void TargetSession::giveUpUnsent(const TaskAddress &task, Run &run)
 {
-    ++this->pendingReports;
-    this->hooks.runsOver({this->over(task, run, RunOutcome::NeverStarted, {})});
+    this->report({this->over(task, run, RunOutcome::NeverStarted, {})});
 }
 
 void TargetSession::resolveByStop(const TaskAddress &task, Run &run)
--- a/src/workflows/sessions/targetsession.h
+++ b/src/workflows/sessions/targetsession.h
@@ -2,8 +2,10 @@
 
 #include "core/clock.h"
 #include "workflows/model/departureend.h"
+#include "workflows/model/incarnationend.h"
 #include "workflows/model/runend.h"
 #include "workflows/model/targetidentity.h"
+#include "workflows/model/unsettledrun.h"
 #include "workflows/sessions/targetport.h"
 
 #include <cstdint>
@@ -22,6 +24,9 @@
     /// Length of a granted lease: long enough to outlast a change of controller (about 2 s), and no
     /// longer than targets accept.
     Milliseconds lease{6000};
+    /// The longest lease that a target accepts. An order that reaches a later incarnation may get
+    /// it there: the end that it states is a time on the earlier incarnation's clock.
+    Milliseconds longestLease{6000};
     /// How much slower a target's clock may run, in thousandths. Its leases last longer by that
     /// much.
     std::int64_t maxClockDriftPerThousand = 20;
@@ -38,8 +43,8 @@
     /// run started.
     Milliseconds startTimeout{2000};
     Milliseconds resendDelay{150}; ///< between two attempts to send an order
-    /// Between two polls of a leaving target that does not answer: most have ended by then, and each
-    /// poll costs a connection attempt.
+    /// Between two polls of a leaving target that does not answer: most have ended by then, and
+    /// each poll costs a connection attempt.
     Milliseconds departedPollDelay{500};
     Milliseconds stopLimit{900}; ///< from a stop until the end of its run is listed
     /// If a target falls silent within this time after it has started a run, the run may have
@@ -70,7 +75,10 @@
         /// The target is no longer polled, or is polled again. May be empty if it never rests.
         std::function<void(bool rests)> restChanged;
         /// Another incarnation, or another target, answers at its address.
-        std::function<void()> incarnationOver;
+        std::function<void(IncarnationEnd how)> incarnationOver;
+        /// The end of a run inherited from \a placedOn has been reported. May be empty if none is
+        /// inherited.
+        std::function<void(IncarnationId placedOn)> settled;
         std::function<void(Microseconds delay, std::function<void()>)> runAfter;
         /// True if no later controller can have made decisions yet: only then are leases granted.
         std::function<bool()> isCurrent;
@@ -121,6 +129,15 @@
     void setEvacuated(bool isEvacuated);
     /// The incarnation is over: reports all its runs as lost and ends the session.
     void declareLost();
+    /// The incarnation is over and a later one has begun under the same name. Reports the runs that
+    /// no order can start there as lost, ends the session and returns the others.
+    std::vector<UnsettledRun> supersede();
+    /// Settles runs of earlier incarnations: stops them, so that no order can start them any more,
+    /// and reports their ends. Until then the target is not usable.
+    void inherit(const std::vector<UnsettledRun> &unsettled);
+    /// How long runs remain unsettled at most if nothing is heard of a later incarnation: until the
+    /// last order has arrived and the longest lease that it may have got there has expired.
+    static Milliseconds settlingTime(const SessionLimits &limits);
     /// The target has announced that it ends soon. It is polled until it has, and gets no further
     /// lease: until then its runs continue, and ends that it lists count. \a done: called once its
     /// end is known or its last lease has expired, when everything has been reported.
@@ -168,6 +185,10 @@
         bool maybeSent = false;
         Instant placedAt{}; ///< when its start was first sent; not set for adopted runs
         bool wasRefused = false; ///< an unhealthy target refused its start
+        unsigned unansweredCopies = 0; ///< sent copies of its start that may still arrive
+        /// The earlier incarnation that it was placed on, or None if it was placed on this one.
+        IncarnationId inheritedFrom = IncarnationId::None;
+        RunOutcome ifAbsent = RunOutcome::Lost; ///< of an inherited run that is not found
         bool isStopRequested = false;
     };
 
@@ -195,7 +216,10 @@
     Microseconds loopLag() const;
     bool processReply(OrderReply reply);
     RunEnd over(const TaskAddress &task, Run &run, RunOutcome outcome, std::string checkpoint);
+    void report(std::vector<RunEnd> ends);
     void reportLost();
+    RunOutcome lossOf(const Run &run) const;
+    static bool isBoundToIncarnation(const Run &run);
     bool isEarly(const Run &run) const;
     void updateUsable();
 
@@ -229,6 +253,8 @@
     bool isWaking = false; ///< polled again, and not answered yet
     unsigned failures = 0; ///< consecutive polls without an answer
     std::size_t unansweredStarts = 0; ///< number of runs in phase Sending
+    std::size_t unsettledRuns = 0; ///< number of inherited runs whose end has not been reported
+    std::vector<IncarnationId> settledFrom; ///< by the ends that are being reported
     Instant unreachableUntil{}; ///< after a failed connection; no new work before this
     Instant trialUntil{};
     Instant lastHeartbeatAt{};
--- a/test/workflows/departuretest.cpp
+++ b/test/workflows/departuretest.cpp
@@ -83,9 +83,10 @@
 }
 
 // Guards against work that waits for a lease although the process that held it is known to be gone.
-TEST_CASE_METHOD(DepartureFixture,
-                 "a task starts elsewhere once another target answers at the address of a leaving one",
-                 "[departure]")
+TEST_CASE_METHOD(
+    DepartureFixture,
+    "a task starts elsewhere once another target answers at the address of a leaving one",
+    "[departure]")
 {
     this->announceEnd(this->leaving);
     this->runFor(Milliseconds(1000));
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -102,7 +102,7 @@
     Target &target = this->targets.at(name);
     const TargetIdentity before = target.identity;
     target.isUp = true; // requests to the old target are answered by the new one
-    target.identity.startedAtMs = this->loop.nowMs();
+    target.isReplaced = true;
     this->add(successor, before.capacity[ResourceKind::MilliCores], before.failureDomain);
 }
 
@@ -184,8 +184,12 @@
     if (!isLate && this->chance(this->faults.lostRequest))
         return;
     const Milliseconds delay = isLate ? this->randomDelay(2000, 12000) : this->randomDelay(1, 4);
-    this->loop.runAfter(delay, [this, name, isLate, answered, done, act] {
+    // A late order is held by the process that it was sent to, and ends with it.
+    const std::int64_t heldBy = this->targets.at(name).identity.startedAtMs;
+    this->loop.runAfter(delay, [this, name, isLate, heldBy, answered, done, act] {
         Target &target = this->targets.at(name);
+        if (isLate && target.identity.startedAtMs != heldBy)
+            return;
         if (!target.isUp || (target.isCut && !isLate))
             return;
         this->expireLease(target);
@@ -415,22 +419,20 @@
         });
         return;
     }
-    this->deliver<OrderAnswer>(
-        target.name, true, deadline, std::move(done),
-        [this, order, startedAtMs = target.startedAtMs, sentAt = this->loop.now()](Target &at) {
-            if (at.identity.startedAtMs != startedAtMs)
-                return OrderAnswer{OrderReply::OtherIncarnation, 0};
-            return this->startRun(at, order, sentAt);
-        });
+    this->deliver<OrderAnswer>(target.name, true, deadline, std::move(done),
+                               [this, order, sentAt = this->loop.now()](Target &at) {
+                                   if (at.isReplaced)
+                                       return OrderAnswer{OrderReply::OtherIncarnation, 0};
+                                   return this->startRun(at, order, sentAt);
+                               });
 }
 
 void SimulatedFleet::stop(const TargetIdentity &target, const StopOrder &order, Instant deadline,
                           Done<OrderAnswer> done)
 {
     this->deliver<OrderAnswer>(
-        target.name, true, deadline, std::move(done),
-        [this, order, startedAtMs = target.startedAtMs](Target &at) {
-            if (at.identity.startedAtMs != startedAtMs)
+        target.name, true, deadline, std::move(done), [this, order](Target &at) {
+            if (at.isReplaced)
                 return OrderAnswer{OrderReply::OtherIncarnation, 0};
             if (order.term < at.fence)
                 return OrderAnswer{OrderReply::Fenced, this->clockOf(at)};
@@ -462,7 +464,7 @@
         [this, order, startedAtMs = target.startedAtMs](Target &at) {
             HoldAnswer answer;
             answer.reply = OrderReply::OtherIncarnation;
-            if (at.identity.startedAtMs != startedAtMs)
+            if (at.isReplaced)
                 return answer;
             answer.clockMs = this->clockOf(at);
             answer.reply = OrderReply::Fenced;
@@ -472,6 +474,10 @@
             answer.reply = OrderReply::Done;
             if (order.leaseUntilMs != 0)
                 this->renew(at, order.leaseUntilMs);
+            if (at.identity.startedAtMs != startedAtMs) {
+                answer.reply = OrderReply::Reborn;
+                return answer;
+            }
             const auto forgotten =
                 std::stable_partition(at.ends.begin(), at.ends.end(), [&](const ListedEnd &end) {
                     return end.number > order.lastSeen;
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -94,6 +94,7 @@
     {
         TargetIdentity identity;
         bool isUp = true;
+        bool isReplaced = false; ///< another target answers at its address
         bool isCut = false;
         bool isCutOneWay = false;
         std::int64_t previousCapacity = 0; ///< still granted to starts until shrinkEnforcedAt
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -72,6 +72,8 @@
 
 void Simulation::heartbeat(const std::string &name)
 {
+    if (this->unheard.count(name) != 0)
+        return;
     TargetReport report;
     report.identity = this->identities.at(name);
     report.isReady = this->draining.count(name) == 0;
@@ -92,6 +94,18 @@
     this->heartbeat(name);
 }
 
+void Simulation::restartUnheard(const std::string &name)
+{
+    this->unheard.insert(name);
+    this->restart(name);
+}
+
+void Simulation::announce(const std::string &name)
+{
+    this->unheard.erase(name);
+    this->heartbeat(name);
+}
+
 void Simulation::resize(const std::string &name, std::int64_t milliCores)
 {
     this->fleet.resize(name, milliCores);
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -78,6 +78,9 @@
     void heartbeat(const std::string &name);
     void drain(const std::string &name);
     void restart(const std::string &name);
+    /// Starts a later incarnation whose heartbeats are not delivered until it is announced.
+    void restartUnheard(const std::string &name);
+    void announce(const std::string &name);
     /// Changes the target's capacity, which its heartbeats report from now on.
     void resize(const std::string &name, std::int64_t milliCores);
     /// The target's process has ended, and another one starts at its address under a new name.
@@ -118,6 +121,7 @@
     SimulatedFleet fleet;
     WorkflowStoreMachine machine;
     std::set<std::string> draining;
+    std::set<std::string> unheard; ///< targets whose heartbeats are not delivered
 
     Controller &controller() { return *this->terms.back()->controller; }
 
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -43,8 +43,9 @@
         if (order.leaseUntilMs != 0)
             this->lastGrantAt = this->loop.now();
         if (this->holdError) {
-            this->loop.runAfter(Milliseconds(100), [done = std::move(done),
-                                                    error = *this->holdError] { done(error); });
+            this->loop.runAfter(
+                Milliseconds(100),
+                [done = std::move(done), error = *this->holdError] { done(error); });
             return;
         }
         HoldAnswer lists;
@@ -94,7 +95,8 @@
             this->overAt = this->loop.now();
         };
         hooks.usableChanged = [] {};
-        hooks.incarnationOver = [] {};
+        hooks.incarnationOver = [](IncarnationEnd) {};
+        hooks.settled = [this](IncarnationId placedOn) { this->settledFrom.push_back(placedOn); };
         hooks.restChanged = [this](bool rests) { this->rests = rests; };
         hooks.runAfter = [this](Microseconds delay, std::function<void()> action) {
             this->loop.runAfter(delay, std::move(action));
@@ -142,6 +144,7 @@
     std::vector<RunEnd> over;
     bool rests = false;
     Instant overAt{};
+    std::vector<IncarnationId> settledFrom; ///< of inherited runs
     std::optional<DepartureEnd> goneBy; ///< set once the target has left
     std::shared_ptr<TargetSession> session;
 };
@@ -335,7 +338,8 @@
     CHECK(this->goneBy == DepartureEnd::NothingPlaced);
 }
 
-// Guards against two runs of a task at once: a leaving target that does not answer may still run it.
+// Guards against two runs of a task at once: a leaving target that does not answer may still run
+// it.
 TEST_CASE_METHOD(SessionFixture,
                  "the runs of a leaving target that falls silent are lost when its lease expires",
                  "[session]")
@@ -355,7 +359,8 @@
 }
 
 // Guards against a target that never ends although it said so, with its leases renewed for ever.
-TEST_CASE_METHOD(SessionFixture, "a leaving target is polled and gets no further lease", "[session]")
+TEST_CASE_METHOD(SessionFixture, "a leaving target is polled and gets no further lease",
+                 "[session]")
 {
     this->startTask();
     this->tickFor(Milliseconds(500));
@@ -382,8 +387,8 @@
     CHECK(this->over[0].outcome == RunOutcome::Lost);
 }
 
-// Guards against taking a broken or refused connection, which a network causes too, for the end of a
-// process.
+// Guards against taking a broken or refused connection, which a network causes too, for the end of
+// a process.
 TEST_CASE_METHOD(SessionFixture,
                  "a leaving target whose connections are broken or refused may still run its tasks",
                  "[session]")
@@ -444,3 +449,75 @@
     this->loop.runFor(Milliseconds(2000));
     CHECK(this->rests);
 }
+
+// Guards against a run that is lost although a later incarnation may have received its start.
+TEST_CASE_METHOD(SessionFixture,
+                 "only runs that cannot reach a later incarnation are lost with their own",
+                 "[session]")
+{
+    const auto startAnother = [this](std::uint16_t index) {
+        StartOrder order;
+        order.task = {this->task.step, index};
+        order.run = 1;
+        this->session->start(order);
+    };
+    this->startTask();
+    this->tickFor(Milliseconds(500)); // confirmed and listed
+    startAnother(1);
+    this->tickFor(Milliseconds(120)); // confirmed, and not listed yet
+    this->port.isSilent = true;
+    startAnother(2);
+    this->tickFor(Milliseconds(200)); // not answered
+    const std::vector<UnsettledRun> unsettled = this->session->supersede();
+    REQUIRE(unsettled.size() == 2);
+    CHECK(unsettled[0].ifAbsent.task.index == 1);
+    CHECK(unsettled[1].ifAbsent.task.index == 2);
+    CHECK(unsettled[1].placedOn == this->session->incarnation());
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over[0].task == this->task);
+    CHECK(this->session->supersede().empty());
+}
+
+// Guards against new work beside runs that an order for the earlier incarnation may still start.
+TEST_CASE_METHOD(SessionFixture, "an inherited run is over once it is stopped and not listed",
+                 "[session]")
+{
+    UnsettledRun run;
+    run.placedOn = static_cast<IncarnationId>(9);
+    run.ifAbsent.task = this->task;
+    run.ifAbsent.run = 4;
+    run.ifAbsent.outcome = RunOutcome::LostEarly;
+    SECTION("it was never started")
+    {
+        this->session->inherit({run});
+        CHECK_FALSE(this->session->isUsable());
+        this->tickFor(Milliseconds(1000));
+        REQUIRE(this->over.size() == 1);
+        CHECK(this->over[0].outcome == RunOutcome::LostEarly);
+    }
+    SECTION("it has ended there")
+    {
+        this->port.ends = {{1, this->task, 4, RunOutcome::Succeeded, ""}};
+        this->session->inherit({run});
+        this->tickFor(Milliseconds(1000));
+        REQUIRE(this->over.size() == 1);
+        CHECK(this->over[0].outcome == RunOutcome::Succeeded);
+    }
+    SECTION("it runs there")
+    {
+        this->port.running = {{this->task, 4, ""}};
+        this->session->inherit({run});
+        this->tickFor(Milliseconds(1000));
+        CHECK(this->over.empty());
+        CHECK_FALSE(this->session->isUsable());
+        this->port.running.clear();
+        this->port.ends = {{1, this->task, 4, RunOutcome::Stopped, ""}};
+        this->tickFor(Milliseconds(500));
+        REQUIRE(this->over.size() == 1);
+        CHECK(this->over[0].outcome == RunOutcome::Stopped);
+    }
+    CHECK(this->settledFrom == std::vector<IncarnationId>{run.placedOn});
+    this->session->committed();
+    this->tickFor(Milliseconds(500));
+    CHECK(this->session->isUsable());
+}
