controller: a late announcement does not end a target's next incarnation

Cause: a DELETE without a start time counted for the newest incarnation under its name. Carried out late, by an instance that had stood still, it ended the session of the next incarnation.

Change: it counts only for an incarnation that drains; one that names its start time counts as before. Log line target-end-ignored.

Test: "an announcement that names no incarnation does not end one that does not drain"; without the change its leases lapse and the task is started a third time (seen).

--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -111,7 +111,8 @@
     void heartbeatReceived(const TargetReport &report, const Done<Nothing> &done);
     /// Other replicas have answered reports of these incarnations that contained nothing new.
     void unchangedReportsReceived(const std::vector<IncarnationId> &heard);
-    /// A target has announced that its incarnation is over.
+    /// A target has announced that its incarnation is over. \a startedAtMs: the incarnation; 0: not
+    /// stated.
     void targetLeft(const std::string &name, std::int64_t startedAtMs, const Done<Nothing> &done);
 
     const WorkflowStoreMachine &store() const { return this->machine; }
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -284,6 +284,10 @@
                   });
 }
 
+/// An announcement that names no incarnation counts for the newest one only if that one drains.
+///
+/// Guards against an announcement that is carried out late and ends the next incarnation: its tasks
+/// would get no further lease.
 void Controller::targetLeft(const std::string &name, std::int64_t startedAtMs,
                             const Done<Nothing> &done)
 {
@@ -294,8 +298,15 @@
     const IncarnationId newest = this->machine.read(
         [&](const WorkflowStore &store) { return store.newestIncarnation(name); });
     const auto known = this->incarnations.find(newest);
+    const bool isDraining = this->machine.read([newest](const WorkflowStore &store) {
+        const IncarnationRecord *record = store.find(newest);
+        return record != nullptr && record->isDraining;
+    });
     const bool isThisIncarnation = known != this->incarnations.end()
-        && (startedAtMs == 0 || known->second.session->identity().startedAtMs == startedAtMs);
+        && (startedAtMs == 0 ? isDraining
+                             : known->second.session->identity().startedAtMs == startedAtMs);
+    if (!isThisIncarnation)
+        logAnnouncementIgnored(name, startedAtMs);
     if (isThisIncarnation && !known->second.session->isOver()) {
         const TargetIdentity identity = known->second.session->identity();
         logTargetEnded(identity, IncarnationEnd::Left);
--- a/src/workflows/log/decisionlog.cpp
+++ b/src/workflows/log/decisionlog.cpp
@@ -249,6 +249,12 @@
               {"how", std::string(enumName(incarnationEndNames, how))}});
 }
 
+void logAnnouncementIgnored(const std::string &target, std::int64_t startedAtMs)
+{
+    logEvent(LogLevel::Information, "target-end-ignored",
+             {{"target", target}, {"born", std::to_string(startedAtMs)}});
+}
+
 void logRunsUnsettled(const TargetIdentity &target, std::size_t runs)
 {
     logEvent(LogLevel::Information, "runs-unsettled",
--- a/src/workflows/log/decisionlog.h
+++ b/src/workflows/log/decisionlog.h
@@ -74,6 +74,9 @@
 /// \a before: the target's capacity until now.
 void logTargetResized(const TargetIdentity &target, const Resources &before);
 void logTargetEnded(const TargetIdentity &target, IncarnationEnd how);
+/// A target's announcement of its end concerns no known incarnation. \a startedAtMs: the one that
+/// it names; 0: none.
+void logAnnouncementIgnored(const std::string &target, std::int64_t startedAtMs);
 /// Runs of an incarnation that is over wait for its successor's list: their starts may have reached
 /// it.
 void logRunsUnsettled(const TargetIdentity &target, std::size_t runs);
--- a/test/workflows/departuretest.cpp
+++ b/test/workflows/departuretest.cpp
@@ -127,3 +127,32 @@
     CHECK(this->fleet.violation.empty());
     CHECK(this->stateOf(job) == WorkflowState::Completed);
 }
+
+// Guards against an announcement that an instance carries out late: the tasks of the target's next
+// incarnation lose their lease.
+TEST_CASE_METHOD(DepartureFixture,
+                 "an announcement that names no incarnation does not end one that does not drain",
+                 "[departure]")
+{
+    constexpr Milliseconds longWork{9000}; // longer than a lease
+    this->fleet.workOf = [](const TaskAddress &) { return longWork; };
+    this->fleet.crash(this->leaving);
+    this->restart(this->leaving);
+    this->drain(this->leaving == "t1" ? "t2" : "t1");
+    this->runFor(Milliseconds(200));
+    REQUIRE(this->placedOn() == this->leaving);
+    this->controller().targetLeft(this->leaving, 0, [](const Result<Nothing> &) {});
+    this->runFor(longWork + Milliseconds(1000));
+    CHECK(this->stateOf(job) == WorkflowState::Completed);
+    CHECK(this->fleet.starts == 2);
+}
+
+TEST_CASE_METHOD(DepartureFixture, "an announcement that names no incarnation ends a draining one",
+                 "[departure]")
+{
+    this->controller().targetLeft(this->leaving, 0, [](const Result<Nothing> &) {});
+    this->fleet.crash(this->leaving);
+    this->runFor(longestLease);
+    CHECK(this->fleet.starts == 2);
+    CHECK(this->controller().knownTargets() == 1);
+}
