sessions: a poll that may reach a next incarnation acknowledges no ends

What callers would see: a task that has succeeded is started again (TWICE).

Cause: found on reading. A poll names its target, not one incarnation, and carries the number up to which ends are stored. A target that restarted under its name counts its ends anew, so a poll for the earlier incarnation made it forget ends that nobody had counted, such as that of a start that had reached it; its run was then reported as lost.

Change: after a poll without an answer, and when a resting target is woken, the next poll acknowledges nothing. The one after its answer does.

Test: the simulated targets process that number before they answer for another incarnation; "an end in a later incarnation is counted and not acknowledged before" fails without the change (11 starts instead of 10, and a start after an acknowledged success) and passes with it.

--- a/src/workflows/model/departureend.h
+++ b/src/workflows/model/departureend.h
@@ -9,7 +9,7 @@
 /// How a controller learned that nothing runs any more on a target that has announced its end.
 enum class DepartureEnd : std::uint8_t {
     NothingPlaced, ///< every run that was placed there has a known end
-    OtherIncarnation, ///< another incarnation, or another target, answers at its address
+    OtherIncarnation, ///< another target answers at its address
     LeaseExpired, ///< every lease that it may have received has expired
 };
 
--- a/src/workflows/sessions/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -365,7 +365,9 @@
     this->isPolling = true;
     HoldOrder order;
     order.term = this->term;
-    order.lastSeen = this->highestStoredEnd;
+    // A later incarnation counts its ends anew and would forget those up to this number.
+    const bool isSameIncarnation = this->failures == 0 && !this->isWaking;
+    order.lastSeen = isSameIncarnation ? this->highestStoredEnd : 0;
     order.leaseUntilMs = this->grantLease();
     const bool mayWait = this->hasRunList && this->failures == 0 && !this->isWaking;
     order.waitMs = mayWait ? this->limits.maxHoldWait.count() : 0;
--- a/test/workflows/rebirthtest.cpp
+++ b/test/workflows/rebirthtest.cpp
@@ -25,7 +25,12 @@
         : Simulation(1, 2, 4000)
     {
         spdlog::set_level(std::getenv("GUAVAVALVE_LOG") ? spdlog::level::info : spdlog::level::off);
-        this->fleet.workOf = [](const TaskAddress &) { return Milliseconds(3000); };
+        this->fleet.workOf = [this](const TaskAddress &) { return this->work; };
+        this->work = Milliseconds(200);
+        this->submit(static_cast<WorkflowId>(2), {StoreFixture::step(8)}); // both have listed ends
+        this->runFor(Milliseconds(1000));
+        this->work = Milliseconds(3000);
+        this->startsBefore = this->fleet.starts;
         for (const std::string &name : this->fleet.names())
             this->fleet.cut(name, true);
         this->submit(job, {StoreFixture::step(1)});
@@ -49,6 +54,8 @@
             [](const WorkflowStore &store) { return store.incarnations().size() == 2; }));
     }
 
+    Milliseconds work{0}; ///< of each task
+    std::size_t startsBefore = 0; ///< number of starts before the job's
     std::string reborn;
 };
 
@@ -115,6 +122,19 @@
     this->checkOutcome();
 }
 
+// Guards against an end that a poll for the earlier incarnation acknowledges and nobody counts.
+TEST_CASE_METHOD(RebirthFixture,
+                 "an end in a later incarnation is counted and not acknowledged before",
+                 "[rebirth]")
+{
+    this->work = Milliseconds(100);
+    this->loop.runFor(Milliseconds(2500)); // a poll is answered by the later incarnation
+    this->announce(this->reborn);
+    const std::size_t starts = this->fleet.starts;
+    this->checkOutcome();
+    CHECK(this->fleet.starts == starts);
+}
+
 // Guards against a copy of a start that arrives after the run was reported as lost.
 TEST_CASE_METHOD(RebirthFixture,
                  "a later incarnation settles runs before their starts are sent again", "[rebirth]")
@@ -148,7 +168,7 @@
     this->fleet.crash(this->reborn);
     this->runFor(Milliseconds(7500));
     CHECK(this->stateOf(job) == WorkflowState::Running);
-    CHECK(this->fleet.starts == 3);
+    CHECK(this->fleet.starts == this->startsBefore + 3);
     CHECK(this->fleet.violation.empty());
 }
 
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -474,10 +474,6 @@
             answer.reply = OrderReply::Done;
             if (order.leaseUntilMs != 0)
                 this->renew(at, order.leaseUntilMs);
-            if (at.identity.startedAtMs != startedAtMs) {
-                answer.reply = OrderReply::Reborn;
-                return answer;
-            }
             const auto forgotten =
                 std::stable_partition(at.ends.begin(), at.ends.end(), [&](const ListedEnd &end) {
                     return end.number > order.lastSeen;
@@ -487,6 +483,10 @@
                     this->acknowledged.insert(end->task);
             }
             at.ends.erase(forgotten, at.ends.end());
+            if (at.identity.startedAtMs != startedAtMs) {
+                answer.reply = OrderReply::Reborn;
+                return answer;
+            }
             answer.ends = at.ends;
             for (const auto &[task, running] : at.running)
                 answer.running.push_back(
