--- a/test/workflows/departuretest.cpp
+++ b/test/workflows/departuretest.cpp
@@ -14,6 +14,7 @@
 
 constexpr WorkflowId job = static_cast<WorkflowId>(1);
 constexpr Milliseconds work{5000}; ///< of each task
+constexpr Milliseconds longWork{9000}; ///< longer than a lease
 constexpr Milliseconds linger{3000}; ///< between an announced end and the end itself
 /// Longest lease, by the slowest clock, with the margin and the time that a tick takes to see it.
 constexpr Milliseconds longestLease{6500};
@@ -134,7 +135,6 @@
                  "an announcement that names no incarnation does not end one that does not drain",
                  "[departure]")
 {
-    constexpr Milliseconds longWork{9000}; // longer than a lease
     this->fleet.workOf = [](const TaskAddress &) { return longWork; };
     this->fleet.crash(this->leaving);
     this->restart(this->leaving);
