sessions: only an answered poll shows that the incarnation is the same

What callers would see: a task that has succeeded is started again (TWICE).

Cause: answers to starts and stops name no incarnation, yet they reset the count of unanswered polls. A next incarnation that answered a repeated start was then polled with the earlier one's number of stored ends and forgot its own.

Change: ends are acknowledged only if the last poll was answered by this incarnation.

--- a/src/workflows/sessions/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -365,9 +365,9 @@
     this->isPolling = true;
     HoldOrder order;
     order.term = this->term;
-    // A later incarnation counts its ends anew and would forget those up to this number.
-    const bool isSameIncarnation = this->failures == 0 && !this->isWaking;
-    order.lastSeen = isSameIncarnation ? this->highestStoredEnd : 0;
+    // A later incarnation counts its ends anew and would forget those up to this number. Answers to
+    // other orders do not tell incarnations apart.
+    order.lastSeen = this->wasPollAnswered && !this->isWaking ? this->highestStoredEnd : 0;
     order.leaseUntilMs = this->grantLease();
     const bool mayWait = this->hasRunList && this->failures == 0 && !this->isWaking;
     order.waitMs = mayWait ? this->limits.maxHoldWait.count() : 0;
@@ -389,6 +389,7 @@
         this->finishLeaving(DepartureEnd::OtherIncarnation);
         return;
     }
+    this->wasPollAnswered = answer && answer.value().reply == OrderReply::Done;
     const bool wasWaking = std::exchange(this->isWaking, false);
     if (!answer) {
         ++this->failures;
--- a/src/workflows/sessions/targetsession.h
+++ b/src/workflows/sessions/targetsession.h
@@ -239,6 +239,7 @@
     std::size_t pendingReports = 0;
     bool isAwaitingStore = false;
     bool isPolling = false;
+    bool wasPollAnswered = false; ///< the last one, by this incarnation
     bool hasRunList = false; ///< listed its runs in this term, and since its leases last expired
     bool isFenced = false;
     bool hasEnded = false;
