--- a/review/standin-2/cell.h
+++ b/review/standin-2/cell.h
@@ -655,6 +655,25 @@
         const int i = std::atoi(name.c_str() + 5);
         return this->net + std::to_string((name[0] == 'c' ? 10 : 30) + i);
     }
+    json controls(const std::vector<int> &numbers) const
+    {
+        json list = json::array();
+        for (const int i : numbers)
+            list.push_back(this->control(i).text());
+        return list;
+    }
+    /// Writes other seeds into the settings of a machine that runs.
+    void turnOver(const std::string &name, const std::vector<int> &seeds)
+    {
+        const fs::path file = this->folder / (name + ".json");
+        std::ifstream before(file);
+        json settings = json::parse(before);
+        settings["SeedNodes"] = this->controls(seeds);
+        const fs::path next = file.string() + ".new";
+        std::ofstream(next) << settings.dump(1);
+        fs::rename(next, file);
+        this->signal(name, SIGHUP, "other seeds, SIGHUP");
+    }
     Address control(int i) const { return {this->ip(core(i)), this->controlPort}; }
     Address frontend(int i) const { return {this->ip(entry(i)), this->frontendPort}; }
     Address workerAddress(int i) const
@@ -670,7 +689,8 @@
             this->start(entry(i), true);
     }
 
-    void start(const std::string &name, bool isFirst)
+    /// \a seeds: numbers of the core machines that the settings name.
+    void start(const std::string &name, bool isFirst, const std::vector<int> &seeds = {0, 1, 2})
     {
         const bool isCore = name[0] == 'c';
         const std::string ip = this->ip(name);
@@ -688,8 +708,7 @@
             {"Region", "region"},
             {"Zones", {{"zone-a", "region"}, {"zone-b", "region"}, {"zone-c", "region"}}},
             {"InternalPorts", {this->firstInternal, this->firstInternal + 15}},
-            {"SeedNodes",
-             {this->control(0).text(), this->control(1).text(), this->control(2).text()}},
+            {"SeedNodes", this->controls(seeds)},
             {"Bootstrap", isFirst},
             {"InFaultDomain", isCore},
             {"Limits",
@@ -734,8 +753,7 @@
             for (int fd = 3; fd < 1024; ++fd)
                 close(fd);
             const char *arguments[] = {this->node.c_str(), role, "--metrics_port=9464", nullptr};
-            const char *environment[] = {variable.c_str(), "PATH=/usr/bin:/bin", "HOME=/",
-                                         nullptr};
+            const char *environment[] = {variable.c_str(), "PATH=/usr/bin:/bin", "HOME=/", nullptr};
             execve(this->node.c_str(), const_cast<char **>(arguments),
                    const_cast<char **>(environment));
             _exit(127);
