controller: a new leader waits for runs that a later incarnation may keep

What users saw (their report; not reproduced with real processes): long tasks ran twice after targets had started again under their names, had been cut off soon after and the leader had changed.

Cause, shown by a simulation: a start reaches a target that has just restarted, which carries it out; its answer is lost as the target is cut off, and the leader changes. The end of the lease in the start is a time on the clock of the earlier incarnation, so the later one keeps the run for the longest lease that it accepts, 6 or 10 s. The new leader hears nothing, counts the lease that leaders give, 3.2 s from its election, and starts the task elsewhere.

Change: the sessions of a new leader hold runs in doubt, as those of the leader that sent the starts do, until any incarnation has listed its runs or the longest lease from the election has expired, if the run was placed so recently that its start may still have been sent: 2.7 s before the election. Each replica observes that by itself (RecentPlacements, the placements of the last 10 s, in memory); the log and the stored state stay as they are. Runs that were placed earlier, and steps that last, are lost with the lease as before.

Evidence: "a run that a later incarnation may keep is not started again", under a new controller, fails on the untouched code with two runs at once, and passes now.

--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -219,6 +219,7 @@
     std::map<IncarnationId, std::vector<UnsettledRun>> supersededRuns();
     void runSettled(IncarnationId placedOn);
     void forgetSettled();
+    bool mayBeStarting(const TaskAddress &task, RunNumber run) const;
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
     void forgetIncarnation(IncarnationId incarnation);
     using PlacedTasks = std::vector<std::pair<IncarnationId, TaskAddress>>;
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -58,7 +58,9 @@
             const TaskProgress *progress = workflow == nullptr ? nullptr : workflow->task(task);
             if (progress == nullptr)
                 continue;
-            session->adopt(task, progress->run);
+            const StepSpec &step = workflow->spec.steps[task.step.step];
+            const bool isInDoubt = !step.longRunning && this->mayBeStarting(task, progress->run);
+            session->adopt(task, progress->run, isInDoubt);
         }
     });
     this->incarnations[incarnation].session = session;
--- a/src/workflows/controller/controllerunsettled.cpp
+++ b/src/workflows/controller/controllerunsettled.cpp
@@ -8,6 +8,14 @@
 
 namespace guavavalve::workflows {
 
+/// True if an earlier controller may still have been sending the start of the run.
+bool Controller::mayBeStarting(const TaskAddress &task, RunNumber run) const
+{
+    const SessionLimits &limits = this->options.session;
+    const Instant lastSent = this->machine.placedAt(task.step, run) + limits.startTimeout;
+    return this->options.clock() <= lastSent + limits.orderTimeout;
+}
+
 /// Settles the runs of an incarnation that a later one under the same name may have started, or may
 /// still start. Returns false if there are none.
 bool Controller::keepUnsettled(TargetSession &session)
--- a/src/workflows/store/workflowstoremachine.cpp
+++ b/src/workflows/store/workflowstoremachine.cpp
@@ -2,13 +2,28 @@
 
 #include "core/codec.h"
 
+#include <utility>
+
 namespace guavavalve::workflows {
 
+WorkflowStoreMachine::WorkflowStoreMachine(Clock clock)
+    : clock(std::move(clock))
+    , placements(this->clock())
+{}
+
 std::string WorkflowStoreMachine::apply(LogIndex, const std::string &command)
 {
     const auto batch = decode<CommandBatch>(command);
     if (!batch)
         return encode(CommandOutcomes()); // every replica reads the same bytes and rejects them
+    const Instant now = this->clock();
+    {
+        const std::lock_guard lock(this->placementsMutex);
+        for (const Command &one : batch.value()) {
+            if (const auto *placed = std::get_if<PlaceRuns>(&one))
+                this->placements.placed(placed->step, placed->run, now);
+        }
+    }
     const std::lock_guard lock(this->mutex);
     return encode(this->store.apply(batch.value()));
 }
@@ -21,8 +36,18 @@
 
 Result<void> WorkflowStoreMachine::restoreSnapshot(const std::string &snapshot)
 {
+    {
+        const std::lock_guard lock(this->placementsMutex);
+        this->placements.forgetAll(this->clock());
+    }
     const std::lock_guard lock(this->mutex);
     return this->store.restore(snapshot);
 }
 
+Instant WorkflowStoreMachine::placedAt(const StepAddress &step, RunNumber run) const
+{
+    const std::lock_guard lock(this->placementsMutex);
+    return this->placements.placedAt(step, run);
+}
+
 } // namespace guavavalve::workflows
--- a/src/workflows/store/workflowstoremachine.h
+++ b/src/workflows/store/workflowstoremachine.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "core/clock.h"
 #include "replicas/statemachine.h"
+#include "workflows/store/recentplacements.h"
 #include "workflows/store/workflowstore.h"
 
 #include <mutex>
@@ -12,6 +14,8 @@
 class WorkflowStoreMachine : public StateMachine
 {
 public:
+    explicit WorkflowStoreMachine(Clock clock = monotonicNow);
+
     std::string apply(LogIndex index, const std::string &command) override;
     std::string takeSnapshot() override;
     Result<void> restoreSnapshot(const std::string &snapshot) override;
@@ -24,9 +28,16 @@
         return std::forward<Reader>(reader)(this->store);
     }
 
+    /// When this replica applied the placement of the run at the latest; much earlier times are
+    /// not kept apart.
+    Instant placedAt(const StepAddress &step, RunNumber run) const;
+
 private:
+    Clock clock;
     mutable std::mutex mutex;
     WorkflowStore store;
+    mutable std::mutex placementsMutex; ///< may be locked while the store is read
+    RecentPlacements placements;
 };
 
 } // namespace guavavalve::workflows
--- a/test/workflows/latestarttest.cpp
+++ b/test/workflows/latestarttest.cpp
@@ -178,6 +178,11 @@
 TEST_CASE_METHOD(CutRebirthFixture, "a run that a later incarnation may keep is not started again",
                  "[fence]")
 {
+    SECTION("under the same controller") {}
+    SECTION("under a new controller")
+    {
+        this->changeController(Milliseconds(0));
+    }
     this->runFor(Milliseconds(9000));
     this->fleet.heal(this->reborn);
     this->announce(this->reborn);
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -133,7 +133,7 @@
     Policy policy; ///< read from every configuration document
     Metrics metrics;
     SimulatedFleet fleet;
-    WorkflowStoreMachine machine;
+    WorkflowStoreMachine machine{[this] { return this->loop.now(); }};
     std::set<std::string> draining;
     std::set<std::string> unheard; ///< targets whose heartbeats are not delivered
 
