sessions: a lease meant for an earlier incarnation counts on the next one

Cause: the end of a lease in a start or a poll is a time on the target's clock, which starts anew. One that was meant for the earlier incarnation and reaches the next one, before the leader has heard of that, lies far ahead on its clock. The session of the next incarnation counted its own leases alone, 3.2 s, so when the target was cut off its tasks were started elsewhere while they still ran.

Change: a session keeps when it sent the orders with a lease that its own incarnation has not answered. An answer by a clock that has started anew ends the granting of leases at once, as a poll without an answer does. RecentPlacements became RecentTimes for that. And a controller that may have been deposed sends nothing to a target that has fenced it.

--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -82,6 +82,8 @@
     this->speeds.clear();
     this->speedsToStore.reset();
     this->settling.clear();
+    this->leasesLeft.clear();
+    this->leadsSince = this->options.clock();
     this->unsettledCounts.clear();
     this->moveCounts.clear();
     this->admissions.clear();
@@ -595,6 +597,10 @@
         for (auto claim = this->claims.begin(); claim != this->claims.end();)
             claim = claim->second.until < now ? this->claims.erase(claim) : std::next(claim);
     });
+    for (auto left = this->leasesLeft.begin(); left != this->leasesLeft.end();) {
+        const bool isOld = left->second + this->options.session.longestOrderDelay < now;
+        left = isOld ? this->leasesLeft.erase(left) : std::next(left);
+    }
     this->waits.dropOld(now);
     if (!command.ids.empty())
         this->enqueue(std::move(command), [](const Result<CommandOutcome> &) {});
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -220,6 +220,8 @@
     void runSettled(IncarnationId placedOn);
     void forgetSettled();
     bool mayBeStarting(const TaskAddress &task, RunNumber run) const;
+    bool mayHoldEarlierLease(const std::string &target) const;
+    void recordLeaseLeft(const TargetSession &session);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
     void forgetIncarnation(IncarnationId incarnation);
     using PlacedTasks = std::vector<std::pair<IncarnationId, TaskAddress>>;
@@ -279,6 +281,10 @@
     FenceSequence fences;
     /// The incarnation whose session settles, by target name, until a later one has registered.
     std::map<std::string, IncarnationId> settling;
+    /// When the last order that may have left a lease on the next incarnation was sent, by target
+    /// name.
+    std::map<std::string, Instant> leasesLeft;
+    Instant leadsSince{};
     /// Number of unsettled runs that were placed on each incarnation that is kept for them, or for
     /// those of earlier ones that it has inherited.
     std::map<IncarnationId, std::size_t> unsettledCounts;
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -78,6 +78,8 @@
         if (isOver)
             session->stop(task);
     }
+    if (this->mayHoldEarlierLease(record.identity.name))
+        session->expectEarlierLease();
     this->inheritUnsettled(*session);
     return *session;
 }
@@ -166,6 +168,7 @@
         return;
     logTargetEnded(found->second.session->identity(), how);
     const std::shared_ptr<TargetSession> session = found->second.session;
+    this->recordLeaseLeft(*session);
     if (how != IncarnationEnd::Reborn)
         session->declareLost();
     else if (this->keepUnsettled(*session))
@@ -456,6 +459,7 @@
     if (isThisIncarnation && !known->second.session->isOver()) {
         const TargetIdentity identity = known->second.session->identity();
         logTargetEnded(identity, IncarnationEnd::Left);
+        this->recordLeaseLeft(*known->second.session);
         const Instant announcedAt = this->options.clock();
         known->second.session->leave([this, newest, identity, announcedAt](DepartureEnd how) {
             const auto took =
--- a/src/workflows/controller/controllerunsettled.cpp
+++ b/src/workflows/controller/controllerunsettled.cpp
@@ -16,6 +16,25 @@
     return this->options.clock() <= lastSent + limits.orderTimeout;
 }
 
+/// True if orders for an earlier incarnation may have given the one that is registered now a lease.
+/// What an earlier controller sent is not known.
+bool Controller::mayHoldEarlierLease(const std::string &target) const
+{
+    const Instant now = this->options.clock();
+    const Milliseconds longestDelay = this->options.session.longestOrderDelay;
+    if (this->machine.registeredAt(target) + longestDelay < now)
+        return false;
+    const auto left = this->leasesLeft.find(target);
+    return now < this->leadsSince + longestDelay
+        || (left != this->leasesLeft.end() && now < left->second + longestDelay);
+}
+
+void Controller::recordLeaseLeft(const TargetSession &session)
+{
+    if (session.lastUnansweredGrant() != Instant{})
+        this->leasesLeft[session.identity().name] = session.lastUnansweredGrant();
+}
+
 /// Settles the runs of an incarnation that a later one under the same name may have started, or may
 /// still start. Returns false if there are none.
 bool Controller::keepUnsettled(TargetSession &session)
--- a/src/workflows/sessions/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -300,6 +300,10 @@
 {
     if (this->isPolling || this->hasEnded)
         return;
+    if (this->isFenced && !this->hooks.isCurrent()) { // a later controller may lead
+        this->runLater(this->limits.resendDelay, [this] { this->hold(); });
+        return;
+    }
     this->isPolling = true;
     HoldOrder order;
     order.fence = this->fence;
@@ -312,6 +316,8 @@
     order.waitMs = mayWait ? this->limits.maxHoldWait.count() : 0;
     const Instant now = this->clock();
     const Instant deadline = now + Milliseconds(order.waitMs) + this->limits.orderTimeout;
+    if (order.leaseUntilMs != 0)
+        this->recordGrant(now);
     this->port.hold(this->targetIdentity, order, deadline,
                     [weak = this->weak_from_this(), order, now](Result<HoldAnswer> answer) {
                         if (const auto self = weak.lock())
@@ -331,6 +337,8 @@
     }
     if (answer && this->isOfLaterClock(answer.value().reply, answer.value().clockMs, sentAt))
         answer = unknownAnswer();
+    else if (isFinished(answer) && order.leaseUntilMs != 0)
+        this->finishGrant(sentAt);
     if (this->isLeaving && answer && answer.value().reply == OrderReply::OtherIncarnation) {
         this->finishLeaving(DepartureEnd::OtherIncarnation);
         return;
--- a/src/workflows/sessions/targetsession.h
+++ b/src/workflows/sessions/targetsession.h
@@ -157,6 +157,11 @@
     /// How long runs remain unsettled at most if nothing is heard of a later incarnation: until the
     /// last order has arrived and the longest lease that it may have got there has expired.
     static Milliseconds settlingTime(const SessionLimits &limits);
+    /// When the latest order that may have given a later incarnation a lease was sent; not set if
+    /// there is none.
+    Instant lastUnansweredGrant() const;
+    /// Orders for an earlier incarnation may have given this one the longest lease.
+    void expectEarlierLease();
     /// Gives later orders a higher fencing token than any other of this controller.
     void renewFence();
     /// Number of unsettled runs, of this incarnation and of earlier ones.
@@ -267,6 +272,19 @@
     bool isOfLaterClock(OrderReply reply, std::int64_t clockMs, Instant sentAt) const;
     static Error unknownAnswer();
     void fenceOffCopies();
+    void recordGrant(Instant sentAt);
+    void finishGrant(Instant sentAt);
+    void laterClockSeen();
+    /// True if no later incarnation can carry out the order: this one has answered it, or nothing
+    /// was sent.
+    template<typename Answer>
+    static bool isFinished(const Result<Answer> &answer)
+    {
+        if (!answer)
+            return answer.error().ran == Ran::No;
+        return answer.value().reply != OrderReply::OtherIncarnation
+            && answer.value().reply != OrderReply::Reborn;
+    }
     Instant inDoubtUntil(const Run &run) const;
     RunEnd over(const TaskAddress &task, Run &run, RunOutcome outcome, std::string checkpoint);
     void report(std::vector<RunEnd> ends);
@@ -324,6 +342,8 @@
     Instant leasesExpireAt{}; ///< by then every lease that may have been granted has expired
     /// By then every lease that a later incarnation may have got from these orders has expired.
     Instant laterLeasesExpireAt{};
+    /// When orders that grant a lease, and that this incarnation has not answered, were sent.
+    std::multiset<Instant> unansweredGrants;
 };
 
 } // namespace guavavalve::workflows
--- a/src/workflows/sessions/targetsessionorders.cpp
+++ b/src/workflows/sessions/targetsessionorders.cpp
@@ -55,6 +55,7 @@
     ++run.unansweredCopies;
     run.order.fence = sent.fence;
     run.startFence = sent.fence;
+    this->recordGrant(sent.sentAt);
     run.copiesExpireAt = sent.sentAt + this->limits.longestOrderDelay;
     this->port.start(
         this->targetIdentity, run.order, sent.sentAt + this->limits.orderTimeout,
@@ -68,18 +69,21 @@
 void TargetSession::onStart(const TaskAddress &task, const Attempt &sent,
                             Result<OrderAnswer> answer)
 {
-    if (answer && this->isOfLaterClock(answer.value().reply, answer.value().clockMs, sent.sentAt))
+    if (answer && this->isOfLaterClock(answer.value().reply, answer.value().clockMs, sent.sentAt)) {
         answer = unknownAnswer();
-    const bool isOfThis = answer && answer.value().reply != OrderReply::OtherIncarnation
-        && answer.value().reply != OrderReply::Reborn;
-    if (isOfThis)
+        this->laterClockSeen();
+    }
+    const bool isOver = isFinished(answer);
+    if (isOver)
+        this->finishGrant(sent.sentAt);
+    if (isOver && answer)
         this->answered(answer.value().clockMs);
     const auto found = this->runs.find(task);
     if (found == this->runs.end() || found->second.run != sent.run)
         return;
     Run &run = found->second;
     // A copy that a later incarnation has answered may have been carried out there.
-    if (isOfThis || (!answer && answer.error().ran == Ran::No))
+    if (isOver)
         --run.unansweredCopies;
     if (run.phase != Phase::Sending)
         return;
@@ -150,6 +154,10 @@
 
 void TargetSession::sendStop(const TaskAddress &task, RunNumber run)
 {
+    if (this->isFenced && !this->hooks.isCurrent()) { // a later controller may lead
+        this->runLater(this->limits.resendDelay, [this, task, run] { this->sendStop(task, run); });
+        return;
+    }
     StopOrder order;
     order.task = task;
     order.run = run;
--- a/src/workflows/sessions/targetsessionsettling.cpp
+++ b/src/workflows/sessions/targetsessionsettling.cpp
@@ -162,6 +162,44 @@
     return limits.orderTimeout + limits.longestLease + drift + limits.leaseMargin;
 }
 
+void TargetSession::recordGrant(Instant sentAt)
+{
+    const auto expired =
+        this->unansweredGrants.lower_bound(sentAt - this->limits.longestOrderDelay);
+    this->unansweredGrants.erase(this->unansweredGrants.begin(), expired);
+    this->unansweredGrants.insert(sentAt);
+}
+
+void TargetSession::finishGrant(Instant sentAt)
+{
+    const auto found = this->unansweredGrants.find(sentAt);
+    if (found != this->unansweredGrants.end())
+        this->unansweredGrants.erase(found);
+}
+
+/// Guards against leases by the earlier incarnation's clock: they would last up to the longest one
+/// on the later incarnation, which the polls have not shown yet.
+void TargetSession::laterClockSeen()
+{
+    ++this->failures;
+    this->fenceOffCopies();
+    this->updateUsable();
+}
+
+Instant TargetSession::lastUnansweredGrant() const
+{
+    return this->unansweredGrants.empty() ? Instant{} : *this->unansweredGrants.rbegin();
+}
+
+/// Guards against two runs of a task at once: the end of a lease in an order for an earlier
+/// incarnation is a time on that one's clock. It applies to all that runs on this one, for up to
+/// the longest lease that the target accepts, and no later order shortens it.
+void TargetSession::expectEarlierLease()
+{
+    this->leasesExpireAt =
+        std::max(this->leasesExpireAt, this->clock() + settlingTime(this->limits));
+}
+
 RunOutcome TargetSession::lossOf(const Run &run) const
 {
     if (run.unsettledFrom != IncarnationId::None)
--- a/src/workflows/store/workflowstoremachine.cpp
+++ b/src/workflows/store/workflowstoremachine.cpp
@@ -9,6 +9,7 @@
 WorkflowStoreMachine::WorkflowStoreMachine(Clock clock)
     : clock(std::move(clock))
     , placements(this->clock())
+    , registrations(this->clock())
 {}
 
 std::string WorkflowStoreMachine::apply(LogIndex, const std::string &command)
@@ -18,10 +19,12 @@
         return encode(CommandOutcomes()); // every replica reads the same bytes and rejects them
     const Instant now = this->clock();
     {
-        const std::lock_guard lock(this->placementsMutex);
+        const std::lock_guard lock(this->recentMutex);
         for (const Command &one : batch.value()) {
             if (const auto *placed = std::get_if<PlaceRuns>(&one))
-                this->placements.placed(placed->step, placed->run, now);
+                this->placements.record({placed->step, placed->run}, now);
+            else if (const auto *registered = std::get_if<RegisterIncarnation>(&one))
+                this->registrations.record(registered->identity.name, now);
         }
     }
     const std::lock_guard lock(this->mutex);
@@ -37,8 +40,9 @@
 Result<void> WorkflowStoreMachine::restoreSnapshot(const std::string &snapshot)
 {
     {
-        const std::lock_guard lock(this->placementsMutex);
+        const std::lock_guard lock(this->recentMutex);
         this->placements.forgetAll(this->clock());
+        this->registrations.forgetAll(this->clock());
     }
     const std::lock_guard lock(this->mutex);
     return this->store.restore(snapshot);
@@ -46,8 +50,14 @@
 
 Instant WorkflowStoreMachine::placedAt(const StepAddress &step, RunNumber run) const
 {
-    const std::lock_guard lock(this->placementsMutex);
-    return this->placements.placedAt(step, run);
+    const std::lock_guard lock(this->recentMutex);
+    return this->placements.latest({step, run});
+}
+
+Instant WorkflowStoreMachine::registeredAt(const std::string &target) const
+{
+    const std::lock_guard lock(this->recentMutex);
+    return this->registrations.latest(target);
 }
 
 } // namespace guavavalve::workflows
--- a/src/workflows/store/workflowstoremachine.h
+++ b/src/workflows/store/workflowstoremachine.h
@@ -2,10 +2,11 @@
 
 #include "core/clock.h"
 #include "replicas/statemachine.h"
-#include "workflows/store/recentplacements.h"
+#include "workflows/store/recenttimes.h"
 #include "workflows/store/workflowstore.h"
 
 #include <mutex>
+#include <string>
 #include <utility>
 
 namespace guavavalve::workflows {
@@ -28,16 +29,18 @@
         return std::forward<Reader>(reader)(this->store);
     }
 
-    /// When this replica applied the placement of the run at the latest; much earlier times are
-    /// not kept apart.
+    /// The latest time at which this replica may have applied the placement of the run.
     Instant placedAt(const StepAddress &step, RunNumber run) const;
+    /// The latest time at which this replica may have applied a registration of the target.
+    Instant registeredAt(const std::string &target) const;
 
 private:
     Clock clock;
     mutable std::mutex mutex;
     WorkflowStore store;
-    mutable std::mutex placementsMutex; ///< may be locked while the store is read
-    RecentPlacements placements;
+    mutable std::mutex recentMutex; ///< may be locked while the store is read
+    RecentTimes<std::pair<StepAddress, RunNumber>> placements;
+    RecentTimes<std::string> registrations;
 };
 
 } // namespace guavavalve::workflows
--- a/test/workflows/latestarttest.cpp
+++ b/test/workflows/latestarttest.cpp
@@ -190,3 +190,41 @@
     CHECK(this->fleet.violation.empty());
     CHECK(this->stateOf(job) == WorkflowState::Completed);
 }
+
+// Guards against two runs of a task: a start for the earlier incarnation has given the later one
+// the longest lease, since its end is a time on the earlier one's clock, and no order shortens it.
+TEST_CASE("a lease that was meant for an earlier incarnation is waited for", "[fence]")
+{
+    spdlog::set_level(std::getenv("GUAVAVALVE_LOG") ? spdlog::level::info : spdlog::level::off);
+    Simulation simulation(1, 2, 4000);
+    simulation.fleet.workOf = [](const TaskAddress &) { return Milliseconds(14000); };
+    simulation.session.lease = Milliseconds(3200); // shorter than the longest
+    simulation.changeController(Milliseconds(0));
+    simulation.runFor(Milliseconds(20000));
+    for (const std::string &name : simulation.fleet.names()) {
+        simulation.fleet.crash(name);
+        simulation.restartUnheard(name);
+    }
+    simulation.submit(job, {StoreFixture::step(2)});
+    simulation.loop.runFor(Milliseconds(100));
+    REQUIRE(simulation.fleet.starts > 0);
+    for (const std::string &name : simulation.fleet.names())
+        simulation.announce(name);
+    simulation.submit(static_cast<WorkflowId>(2), {StoreFixture::step(4)});
+    simulation.runFor(Milliseconds(1000)); // the tasks that are settled have been started again
+    simulation.controller().cancel(static_cast<WorkflowId>(2),
+                                   [](const Result<CommandOutcome> &) {});
+    simulation.runFor(Milliseconds(300)); // the other target has room
+    SECTION("under the same controller") {}
+    SECTION("under a new controller")
+    {
+        simulation.changeController(Milliseconds(0));
+        simulation.runFor(Milliseconds(100));
+    }
+    simulation.fleet.cut("t1", false);
+    simulation.runFor(Milliseconds(9000));
+    simulation.fleet.heal("t1");
+    simulation.runFor(Milliseconds(60000));
+    CHECK(simulation.fleet.violation.empty());
+    CHECK(simulation.isAllOver());
+}
