--- a/test/workflows/targetagentstest.cpp
+++ b/test/workflows/targetagentstest.cpp
@@ -183,6 +183,34 @@
     CHECK(agents.carried == 2);
 }
 
+// Guards against an agent that delivers a start late, when the target has been polled since.
+TEST_CASE("an order that an agent carries keeps its fencing token", "[agents]")
+{
+    spdlog::set_level(spdlog::level::off);
+    VirtualLoop loop;
+    SimulatedFleet fleet(loop, 1);
+    SimulatedAgents agents(loop, fleet, 1);
+    const auto port = agents.portOf(0);
+    const TargetIdentity target = fleet.add("t1", 4000);
+    HoldOrder poll;
+    poll.fence = 5;
+    port->hold(target, poll, loop.now() + Milliseconds(700), [](const Result<HoldAnswer> &) {});
+    loop.runFor(Milliseconds(50));
+    StartOrder order;
+    order.task = {{StoreFixture::job, 0, 0}, 0};
+    order.run = 1;
+    order.fence = 4;
+    order.leaseUntilMs = 6000;
+    order.sendBy = loop.now() + Milliseconds(250);
+    Result<OrderAnswer> started = failure(ErrorCode::Internal, "not answered");
+    port->start(target, order, loop.now() + Milliseconds(700),
+                [&](const Result<OrderAnswer> &answer) { started = answer; });
+    loop.runFor(Milliseconds(50));
+    REQUIRE(started);
+    CHECK(started.value().reply == OrderReply::Fenced);
+    CHECK(agents.carried == 2);
+}
+
 TEST_CASE("a start that no agent received is reported as not sent", "[agents]")
 {
     spdlog::set_level(spdlog::level::off);
