--- a/test/workflows/targetagentstest.cpp
+++ b/test/workflows/targetagentstest.cpp
@@ -149,66 +149,76 @@
     CHECK(pool.sharedTargets() == 0);
 }
 
-TEST_CASE("an order is carried unchanged, and the target's answer is returned", "[agents]")
+namespace {
+
+/// One target, whose orders another instance carries.
+struct CarriedFixture
 {
-    spdlog::set_level(spdlog::level::off);
+    CarriedFixture()
+    {
+        spdlog::set_level(spdlog::level::off);
+        WorkflowSpec spec;
+        spec.id = StoreFixture::job;
+        spec.steps = {StoreFixture::step(1)};
+        this->fleet.announce(spec);
+    }
+
+    Result<OrderAnswer> start(std::uint64_t fence)
+    {
+        StartOrder order;
+        order.task = this->task;
+        order.run = 1;
+        order.fence = fence;
+        order.leaseUntilMs = 6000;
+        order.sendBy = this->loop.now() + Milliseconds(250);
+        Result<OrderAnswer> started = failure(ErrorCode::Internal, "not answered");
+        this->port->start(this->target, order, this->loop.now() + Milliseconds(700),
+                          [&](const Result<OrderAnswer> &answer) { started = answer; });
+        this->loop.runFor(Milliseconds(50));
+        return started;
+    }
+
+    Result<HoldAnswer> poll(std::uint64_t fence)
+    {
+        Result<HoldAnswer> listed = failure(ErrorCode::Internal, "not answered");
+        this->port->hold(this->target, {6000, 0, 0, fence}, this->loop.now() + Milliseconds(700),
+                         [&](const Result<HoldAnswer> &answer) { listed = answer; });
+        this->loop.runFor(Milliseconds(50));
+        return listed;
+    }
+
+    TaskAddress task{{StoreFixture::job, 0, 0}, 0};
     VirtualLoop loop;
-    SimulatedFleet fleet(loop, 1);
-    SimulatedAgents agents(loop, fleet, 1);
-    const auto port = agents.portOf(0);
-    const TargetIdentity target = fleet.add("t1", 4000);
-    WorkflowSpec spec;
-    spec.id = StoreFixture::job;
-    spec.steps = {StoreFixture::step(1)};
-    fleet.announce(spec);
-    StartOrder order;
-    order.task = {{StoreFixture::job, 0, 0}, 0};
-    order.run = 1;
-    order.fence = 1;
-    order.leaseUntilMs = 6000;
-    order.sendBy = loop.now() + Milliseconds(250);
-    Result<OrderAnswer> started = failure(ErrorCode::Internal, "not answered");
-    port->start(target, order, loop.now() + Milliseconds(700),
-                [&](const Result<OrderAnswer> &answer) { started = answer; });
-    loop.runFor(Milliseconds(50));
+    SimulatedFleet fleet{this->loop, 1};
+    SimulatedAgents agents{this->loop, this->fleet, 1};
+    const decltype(agents.portOf(0)) port = this->agents.portOf(0);
+    const TargetIdentity target = this->fleet.add("t1", 4000);
+};
+
+} // namespace
+
+TEST_CASE_METHOD(CarriedFixture,
+                 "an order is carried unchanged, and the target's answer is returned", "[agents]")
+{
+    const auto started = this->start(1);
     REQUIRE(started);
     CHECK(started.value().reply == OrderReply::Done);
-    Result<HoldAnswer> listed = failure(ErrorCode::Internal, "not answered");
-    port->hold(target, {6000, 0, 0, 1}, loop.now() + Milliseconds(700),
-               [&](const Result<HoldAnswer> &answer) { listed = answer; });
-    loop.runFor(Milliseconds(50));
+    const auto listed = this->poll(1);
     REQUIRE(listed);
     REQUIRE(listed.value().running.size() == 1);
-    CHECK(listed.value().running.front().task == order.task);
-    CHECK(agents.carried == 2);
+    CHECK(listed.value().running.front().task == this->task);
+    CHECK(this->agents.carried == 2);
 }
 
 // Guards against an agent that delivers a start late, when the target has been polled since.
-TEST_CASE("an order that an agent carries keeps its fencing token", "[agents]")
+TEST_CASE_METHOD(CarriedFixture, "an order that an agent carries keeps its fencing token",
+                 "[agents]")
 {
-    spdlog::set_level(spdlog::level::off);
-    VirtualLoop loop;
-    SimulatedFleet fleet(loop, 1);
-    SimulatedAgents agents(loop, fleet, 1);
-    const auto port = agents.portOf(0);
-    const TargetIdentity target = fleet.add("t1", 4000);
-    HoldOrder poll;
-    poll.fence = 5;
-    port->hold(target, poll, loop.now() + Milliseconds(700), [](const Result<HoldAnswer> &) {});
-    loop.runFor(Milliseconds(50));
-    StartOrder order;
-    order.task = {{StoreFixture::job, 0, 0}, 0};
-    order.run = 1;
-    order.fence = 4;
-    order.leaseUntilMs = 6000;
-    order.sendBy = loop.now() + Milliseconds(250);
-    Result<OrderAnswer> started = failure(ErrorCode::Internal, "not answered");
-    port->start(target, order, loop.now() + Milliseconds(700),
-                [&](const Result<OrderAnswer> &answer) { started = answer; });
-    loop.runFor(Milliseconds(50));
+    REQUIRE(this->poll(5));
+    const auto started = this->start(4);
     REQUIRE(started);
     CHECK(started.value().reply == OrderReply::Fenced);
-    CHECK(agents.carried == 2);
+    CHECK(this->agents.carried == 2);
 }
 
 TEST_CASE("a start that no agent received is reported as not sent", "[agents]")
