http: the framing of a request takes no memory without a bound

Callers saw: a process that runs out of memory while a few clients send trailers without an end behind a chunked body. Cause: headers and bodies have limits, the read buffer had none, and the parser asks for more until a line, or the trailers, end. So sizes of chunks, extensions and trailers each grew the buffer byte for byte, on every port that speaks HTTP; the budget of bytes counts decoded bodies alone.

The connection now reads by itself and passes what has arrived to the parser (HttpInput): what the parser cannot use yet is bounded by the limit on headers, and so is the framing of a whole message, beside 16 bytes for each byte of its body, so that chunks of one byte pass. Beyond that the request is refused with 431 and the connection is closed. Memory that only a large message needs is released after it. A bound on trailers alone would leave the other three forms; one on the buffer alone would leave the connection to framing that the parser consumes.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -8,7 +8,6 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -129,6 +128,7 @@
     : socket(std::move(socket))
     , owner(std::move(owner))
     , loop(std::move(loop))
+    , input(this->owner->options.maxHeaderBytes)
 {
     boost::system::error_code ignored;
     const auto endpoint = this->socket.remote_endpoint(ignored);
@@ -138,40 +138,63 @@
 
 void HttpConnection::start()
 {
-    this->readHeader();
+    this->readRequest();
 }
 
-void HttpConnection::readHeader()
+void HttpConnection::readRequest()
 {
-    this->parser.emplace();
-    this->parser->header_limit(static_cast<std::uint32_t>(this->owner->options.maxHeaderBytes));
-    this->parser->body_limit(this->owner->options.maxBodyBytes);
-    const bool hasBytes = this->buffer.size() > 0;
     const HttpServerOptions &options = this->owner->options;
-    this->deadline = monotonicNow() + (hasBytes ? options.transferTimeout : options.idleTimeout);
-    http::async_read_header(
-        this->socket, this->buffer, *this->parser,
-        [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
-            self->onHeader(error);
+    this->parser.emplace();
+    this->parser->header_limit(static_cast<std::uint32_t>(options.maxHeaderBytes));
+    this->parser->body_limit(options.maxBodyBytes);
+    this->input.beginMessage();
+    const bool hasInput = !this->input.isEmpty();
+    this->deadline = monotonicNow() + (hasInput ? options.transferTimeout : options.idleTimeout);
+    this->parseInput();
+}
+
+void HttpConnection::readMore()
+{
+    this->socket.async_read_some(
+        this->input.space(),
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+            self->onInput(error, bytes);
         });
 }
 
-void HttpConnection::onHeader(boost::system::error_code error)
+void HttpConnection::onInput(boost::system::error_code error, std::size_t bytes)
 {
     if (!this->isOpen)
         return;
-    if (error == http::error::bad_method && this->skipEmptyLine()) {
-        this->readHeader();
-        return;
-    }
-    if (error) {
+    this->input.received(bytes);
+    if (error == asio::error::eof)
+        error = HttpInput::finish(*this->parser);
+    if (error)
         this->handleReadError(error);
-        return;
-    }
-    if (this->parser->is_done()) {
-        this->onRequest({});
-        return;
-    }
+    else
+        this->parseInput();
+}
+
+void HttpConnection::parseInput()
+{
+    const bool wasHeader = !this->parser->is_header_done();
+    const boost::system::error_code error = this->input.parse(*this->parser);
+    if (error == http::error::bad_method && this->skipEmptyLine())
+        this->readRequest();
+    else if (error)
+        this->handleReadError(error);
+    else if (this->parser->is_done())
+        this->onRequest();
+    else if (wasHeader && this->parser->is_header_done())
+        this->onHeader();
+    else if (this->takeBytes(this->parser->get().body().size()))
+        this->readMore();
+    else
+        this->refuseForBytes();
+}
+
+void HttpConnection::onHeader()
+{
     this->deadline = monotonicNow() + this->owner->options.transferTimeout;
     // The length of a chunked body is known as it arrives.
     if (!this->takeBytes(static_cast<std::size_t>(this->parser->content_length().value_or(0)))) {
@@ -188,6 +211,8 @@
     http::async_write(this->socket, *continueResponse,
                       [self = this->shared_from_this(),
                        continueResponse](boost::system::error_code failed, std::size_t) {
+                          if (!self->isOpen)
+                              return;
                           if (failed)
                               return self->close();
                           self->readBody();
@@ -197,18 +222,7 @@
 void HttpConnection::readBody()
 {
     this->parser->eager(true);
-    http::async_read_some(
-        this->socket, this->buffer, *this->parser,
-        [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
-            if (!self->isOpen)
-                return;
-            if (error || self->parser->is_done())
-                self->onRequest(error);
-            else if (self->takeBytes(self->parser->get().body().size()))
-                self->readBody();
-            else
-                self->refuseForBytes();
-        });
+    this->parseInput();
 }
 
 /// Takes the memory of a body of \a bodyBytes, in steps that are few for a body of unknown length.
@@ -237,22 +251,16 @@
 /// Only one is skipped, so that empty lines cannot keep a connection open.
 bool HttpConnection::skipEmptyLine()
 {
-    const auto bytes = this->buffer.data();
+    const auto bytes = this->input.pending();
     const std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
     if (text.substr(0, 2) != "\r\n" || std::exchange(this->hasSkippedLine, true))
         return false;
-    this->buffer.consume(2);
+    this->input.skip(2);
     return true;
 }
 
-void HttpConnection::onRequest(boost::system::error_code error)
+void HttpConnection::onRequest()
 {
-    if (!this->isOpen)
-        return;
-    if (error) {
-        this->handleReadError(error);
-        return;
-    }
     this->deadline = Instant::max(); // handlers have no time limit here
     HttpResponse refused;
     this->isAdmitted = this->owner->admit(this->peer, refused);
@@ -260,7 +268,7 @@
         this->answer(std::move(refused));
         return;
     }
-    auto request = this->parse();
+    auto request = this->parsedRequest();
     if (!request) {
         this->answer(httpRefusal(400, "invalid-argument", request.error().message));
         return;
@@ -274,7 +282,7 @@
     }
 }
 
-Result<HttpRequest> HttpConnection::parse() const
+Result<HttpRequest> HttpConnection::parsedRequest() const
 {
     const auto &parsed = this->parser->get();
     if (parsed.count(http::field::host) > 1)
@@ -308,8 +316,8 @@
                         "the body is over " + std::to_string(options.maxBodyBytes) + " bytes"));
     } else if (error == http::error::header_limit) {
         this->answer(httpRefusal(431, "invalid-argument",
-                                 "the headers are over " + std::to_string(options.maxHeaderBytes)
-                                     + " bytes"));
+                                 "the headers, or the framing of the body, are over "
+                                     + std::to_string(options.maxHeaderBytes) + " bytes"));
     } else if (error.category() == http::make_error_code(http::error::bad_method).category()
                && error != http::error::end_of_stream && error != http::error::partial_message) {
         this->answer(httpRefusal(400, "invalid-argument", "not a valid HTTP request"));
@@ -363,7 +371,7 @@
     if (error) {
         this->close();
     } else if (this->message.keep_alive()) {
-        this->readHeader();
+        this->readRequest();
     } else {
         this->discardInput();
     }
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -2,10 +2,10 @@
 
 #include "core/clock.h"
 #include "runtime/bytebudget.h"
+#include "runtime/httpinput.h"
 #include "runtime/httpserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -65,15 +65,18 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using Message = boost::beast::http::response<boost::beast::http::string_body>;
 
-    void readHeader();
-    void onHeader(boost::system::error_code error);
+    void readRequest();
+    void readMore();
+    void onInput(boost::system::error_code error, std::size_t bytes);
+    void parseInput();
+    void onHeader();
     void readBody();
     bool takeBytes(std::size_t bodyBytes);
     void refuseForBytes();
     void releaseBytes();
-    void onRequest(boost::system::error_code error);
+    void onRequest();
     /// \errors InvalidArgument if the request has several hosts, or its URI is malformed.
-    Result<HttpRequest> parse() const;
+    Result<HttpRequest> parsedRequest() const;
     bool skipEmptyLine();
     void handleReadError(boost::system::error_code error);
     void answer(HttpResponse response);
@@ -84,7 +87,7 @@
     std::shared_ptr<HttpConnectionOwner> owner;
     std::weak_ptr<IoLoop> loop; ///< weak: a late reply may outlive the server and its loop
     std::string peer;
-    boost::beast::flat_buffer buffer;
+    HttpInput input;
     std::optional<Parser> parser;
     Message message;
     std::vector<ByteBudget::Share> bytes; ///< of the request that is read or in progress
--- /dev/null
+++ b/src/runtime/httpinput.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <cstddef>
+
+namespace guavavalve::internal {
+
+/// The bytes of a connection on their way to an HTTP parser, which has limits for headers and
+/// bodies but none for the framing of a chunked body: sizes and extensions of chunks, and trailers.
+///
+/// Guards against peers that send framing without an end: the parser keeps nothing of it, but waits
+/// for the end of a line or of the trailers while the buffer grows.
+class HttpInput
+{
+public:
+    /// \a maxFraming: bytes of a line or of the trailers, and in all of a message without a body.
+    explicit HttpInput(std::size_t maxFraming);
+
+    /// Where the next bytes are to be received.
+    boost::asio::mutable_buffer space();
+    void received(std::size_t bytes) { this->buffer.commit(bytes); }
+    bool isEmpty() const { return this->buffer.size() == 0; }
+    /// What has been received and not been parsed yet.
+    boost::asio::const_buffer pending() const { return this->buffer.cdata(); }
+    void skip(std::size_t bytes) { this->buffer.consume(bytes); }
+    /// Bytes of memory in use.
+    std::size_t capacity() const { return this->buffer.capacity(); }
+
+    /// Begins a message. Releases the memory that only a large one needs.
+    void beginMessage();
+    /// Passes on to \a parser what it can use, up to the end of the header if that was not
+    /// complete. \returns the error of the parser, or header_limit if the framing exceeds its
+    /// limit.
+    template<typename Parser>
+    boost::system::error_code parse(Parser &parser);
+    /// The peer has closed the connection.
+    /// \returns end_of_stream before the message has begun, and the error of the parser if the
+    /// message is not complete.
+    template<typename Parser>
+    static boost::system::error_code finish(Parser &parser);
+
+private:
+    template<typename Parser>
+    bool exceedsFraming(const Parser &parser) const;
+
+    const std::size_t maxFraming;
+    boost::beast::flat_buffer buffer;
+    std::size_t bodyInput = 0; ///< bytes of the message after its header
+};
+
+template<typename Parser>
+boost::system::error_code HttpInput::parse(Parser &parser)
+{
+    namespace http = boost::beast::http;
+    boost::system::error_code error;
+    while (!this->isEmpty() && !parser.is_done()) {
+        const bool isBody = parser.is_header_done();
+        const std::size_t used = parser.put(this->buffer.data(), error);
+        this->buffer.consume(used);
+        if (error == http::error::need_more)
+            error = {};
+        else if (error || parser.is_header_done() != isBody)
+            return error;
+        this->bodyInput += isBody ? used : 0;
+        if (used == 0)
+            break;
+    }
+    if (this->exceedsFraming(parser))
+        error = http::error::header_limit;
+    return error;
+}
+
+template<typename Parser>
+boost::system::error_code HttpInput::finish(Parser &parser)
+{
+    boost::system::error_code error = boost::beast::http::error::end_of_stream;
+    if (parser.got_some())
+        parser.put_eof(error);
+    return error;
+}
+
+/// The framing of a body may take several times the body, since chunks may be of one byte.
+template<typename Parser>
+bool HttpInput::exceedsFraming(const Parser &parser) const
+{
+    constexpr std::size_t framingOfByte = 16; // of a chunk of one byte, its size padded with zeros
+    if (parser.is_done())
+        return false; // what is pending is of the next message
+    const std::size_t body = parser.get().body().size();
+    return this->buffer.size() > this->maxFraming
+        || this->bodyInput > body + body * framingOfByte + this->maxFraming;
+}
+
+} // namespace guavavalve::internal
