http: the framing of a response takes no memory without a bound

The same cause on the client's side: answers of targets, of the admission service and of the platform were read into a buffer without a limit. Four targets whose answers never end took a leader of 64 MB to 160 to 330 MB. HttpClientConnection reads through HttpInput now, with 8 KB for headers, trailers and lines of chunks; beyond that the call fails and the connection is closed.

In httpframingtest.cpp, "framing of a response beyond the limit fails the call" ended with the calls' deadline before (504 == 0, three of four).

--- a/src/runtime/httpclientconnection.cpp
+++ b/src/runtime/httpclientconnection.cpp
@@ -3,7 +3,6 @@
 #include "runtime/ioloop.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/tcp.h>
@@ -25,6 +24,8 @@
 constexpr std::size_t uncountedBytes = std::size_t{16} << 10U;
 /// A body grows by copying, and is decoded before it is freed.
 constexpr std::size_t copiesOfBody = 2;
+/// Of the responses of targets and services, which have a few short headers and no trailers.
+constexpr std::uint32_t maxHeaderBytes = std::uint32_t{8} << 10U;
 
 } // namespace
 
@@ -37,6 +38,7 @@
     , forLongPolls(isForLongPolls)
     , socket(loop.context())
     , timer(loop.context())
+    , input(maxHeaderBytes)
 {}
 
 void HttpClientConnection::start(HttpClient::Call call, Instant deadline,
@@ -134,46 +136,60 @@
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
-/// Returns a completion handler that calls \a next, or fails the call if the connection broke.
-auto HttpClientConnection::continueWith(void (HttpClientConnection::*next)())
-{
-    return [self = this->shared_from_this(), next](boost::system::error_code error, std::size_t) {
-        if (!self->done)
-            return;
-        if (error)
-            self->fail(ErrorCode::Unavailable, "the connection broke: " + error.message());
-        else
-            (self.get()->*next)();
-    };
-}
-
 void HttpClientConnection::write()
 {
     this->isSent = true;
-    http::async_write(this->socket, this->request, this->continueWith(&HttpClientConnection::read));
+    http::async_write(
+        this->socket, this->request,
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+            if (!self->done)
+                return;
+            if (error)
+                self->fail(ErrorCode::Unavailable, "the connection broke: " + error.message());
+            else
+                self->readResponse();
+        });
 }
 
-void HttpClientConnection::read()
+void HttpClientConnection::readResponse()
 {
     this->parser.emplace();
+    this->parser->header_limit(maxHeaderBytes);
     this->parser->body_limit(this->options.maxResponseBytes);
-    http::async_read_header(this->socket, this->buffer, *this->parser,
-                            this->continueWith(&HttpClientConnection::readBody));
+    this->input.beginMessage();
+    this->readMore();
 }
 
-void HttpClientConnection::readBody()
+void HttpClientConnection::readMore()
 {
-    if (!this->takeBytes(this->parser->get().body().size())) {
-        this->fail(ErrorCode::LimitExceeded, "the responses in progress take too much memory");
+    this->socket.async_read_some(
+        this->input.space(),
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+            self->onInput(error, bytes);
+        });
+}
+
+void HttpClientConnection::onInput(boost::system::error_code error, std::size_t bytes)
+{
+    if (!this->done)
         return;
+    this->input.received(bytes);
+    if (error == asio::error::eof)
+        error = HttpInput::finish(*this->parser);
+    else if (!error)
+        error = this->input.parse(*this->parser);
+    if (!error && this->parser->is_header_done() && !this->parser->is_done()) {
+        this->parser->eager(true);
+        error = this->input.parse(*this->parser);
     }
-    if (this->parser->is_done()) {
+    if (error)
+        this->fail(ErrorCode::Unavailable, "the connection broke: " + error.message());
+    else if (!this->takeBytes(this->parser->get().body().size()))
+        this->fail(ErrorCode::LimitExceeded, "the responses in progress take too much memory");
+    else if (this->parser->is_done())
         this->succeed();
-        return;
-    }
-    this->parser->eager(true);
-    http::async_read_some(this->socket, this->buffer, *this->parser,
-                          this->continueWith(&HttpClientConnection::readBody));
+    else
+        this->readMore();
 }
 
 /// Takes the memory of a response as it arrives: its declared length costs the peer nothing.
--- a/src/runtime/httpclientconnection.h
+++ b/src/runtime/httpclientconnection.h
@@ -2,10 +2,10 @@
 
 #include "runtime/bytebudget.h"
 #include "runtime/httpclient.h"
+#include "runtime/httpinput.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -62,10 +62,10 @@
     void connect();
     void onConnect(boost::system::error_code error);
     void enableDeadPeerDetection();
-    auto continueWith(void (HttpClientConnection::*next)());
     void write();
-    void read();
-    void readBody();
+    void readResponse();
+    void readMore();
+    void onInput(boost::system::error_code error, std::size_t bytes);
     bool takeBytes(std::size_t bodyBytes);
     void succeed();
     void fail(ErrorCode code, const std::string &message);
@@ -78,7 +78,7 @@
     boost::asio::steady_timer timer;
     boost::beast::http::request<boost::beast::http::string_body> request;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
-    boost::beast::flat_buffer buffer;
+    HttpInput input;
     std::vector<ByteBudget::Share> bytes; ///< for the response that is being received
     std::size_t takenBytes = 0; ///< of its body
     Done<HttpResponse> done;
--- a/test/runtime/httpframingtest.cpp
+++ b/test/runtime/httpframingtest.cpp
@@ -1,13 +1,17 @@
 #include <catch2/catch.hpp>
 
+#include "fakes/eventually.h"
+#include "runtime/httpclient.h"
 #include "runtime/httpserver.h"
+#include "runtime/ioloop.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <atomic>
 #include <chrono>
-#include <memory>
+#include <list>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,6 +24,7 @@
 
 constexpr std::size_t limitBytes = 1000; ///< of headers
 const std::string chunkedHead = "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string chunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Each piece arrives by itself.
 void sendInPieces(tcp::socket &socket, const std::vector<std::string> &pieces)
@@ -104,3 +109,68 @@
                      + repeated("X: 0123456789\r\n", 20) + "\r\n"})
           == "<hi>");
 }
+
+namespace {
+
+/// A server that sends the given bytes to whoever calls, and then keeps the connection open.
+struct RawAnswerFixture
+{
+    RawAnswerFixture()
+    {
+        this->acceptor.open(tcp::v4());
+        this->acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+        this->acceptor.listen();
+        this->acceptor.non_blocking(true);
+    }
+    ~RawAnswerFixture() { this->loop->stop(); }
+
+    /// The status with which a call ends that is answered with \a pieces; 0 if it fails, and 504 if
+    /// it has no answer by its deadline. The connection stays open.
+    int call(const std::vector<std::string> &pieces)
+    {
+        std::atomic<int> status{-1};
+        this->loop->post([this, &status] {
+            HttpClient::Call call;
+            call.method = "GET";
+            call.target = "/";
+            this->client.call("127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()),
+                              std::move(call), monotonicNow() + Milliseconds(5000),
+                              [&status](const Result<HttpResponse> &answer) {
+                                  if (answer)
+                                      status = answer.value().status;
+                                  else
+                                      status = answer.error().code == ErrorCode::DeadlineExceeded
+                                          ? 504
+                                          : 0;
+                              });
+        });
+        tcp::socket &socket = this->sockets.emplace_back(this->context);
+        boost::system::error_code error;
+        REQUIRE(fakes::eventually([&] {
+            this->acceptor.accept(socket, error);
+            return !error;
+        }));
+        sendInPieces(socket, pieces);
+        CHECK(fakes::eventually([&status] { return status >= 0; }));
+        return status;
+    }
+
+    std::shared_ptr<IoLoop> loop = std::make_shared<IoLoop>();
+    HttpClient client{this->loop, HttpClientOptions()};
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{this->context};
+    std::list<tcp::socket> sockets;
+};
+
+} // namespace
+
+// Guards against a read buffer that grows until the framing of a response ends.
+TEST_CASE_METHOD(RawAnswerFixture, "framing of a response beyond the limit fails the call",
+                 "[http][framing]")
+{
+    CHECK(this->call({chunkedAnswer + "2\r\nhi\r\n0\r\n", repeated("X: 0123456789\r\n", 2000)})
+          == 0);
+    CHECK(this->call({chunkedAnswer + "2;x=", repeated("0123456789", 2000)}) == 0);
+    CHECK(this->call({chunkedAnswer, std::string(20000, '0')}) == 0);
+    CHECK(this->call({chunkedAnswer + "2;x=y\r\nhi\r\n0\r\nX: y\r\n\r\n"}) == 200);
+}
