http: input after a response is not taken for the next one

A peer that sends two responses to one call had the second one taken as the answer to whatever was called next on that connection: found while the reader was rewritten. The connection is closed instead; the answer of the current call counts.

--- a/src/runtime/httpclientconnection.cpp
+++ b/src/runtime/httpclientconnection.cpp
@@ -222,7 +222,7 @@
     this->timer.cancel();
     this->isSent = false;
     const Done<HttpResponse> callback = std::exchange(this->done, nullptr);
-    if (message.keep_alive()) {
+    if (message.keep_alive() && this->input.isEmpty()) { // what follows answers no call
         this->owner->completed(this->shared_from_this());
     } else {
         this->close();
--- a/test/runtime/httpframingtest.cpp
+++ b/test/runtime/httpframingtest.cpp
@@ -174,3 +174,13 @@
     CHECK(this->call({chunkedAnswer, std::string(20000, '0')}) == 0);
     CHECK(this->call({chunkedAnswer + "2;x=y\r\nhi\r\n0\r\nX: y\r\n\r\n"}) == 200);
 }
+
+// Guards against bytes that nobody asked for and that are taken for the next response.
+TEST_CASE_METHOD(RawAnswerFixture, "a connection with input after a response is not used again",
+                 "[http][framing]")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    CHECK(this->call({answer + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"})
+          == 200);
+    CHECK(this->call({answer}) == 200);
+}
