http: a last chunk that arrives in pieces does not end the process

Callers saw: any process ends (abort, status 6) by three packets of one client: the header of a chunked request, "0 CRLF", and one more byte. Cause: once the line of the last chunk has been seen, the parser asserts that at least five bytes are there when it is called again, which holds only if another chunk came before. Assertions are on in our builds, and stay on: the parser is not called with less than the shortest end of a chunked body, "0 CRLF CRLF", which never delays a whole one.

--- a/src/runtime/httpinput.h
+++ b/src/runtime/httpinput.h
@@ -44,6 +44,10 @@
     static boost::system::error_code finish(Parser &parser);
 
 private:
+    /// Bytes that a chunked body ends with at least, "0 CRLF CRLF". The parser asserts that the line
+    /// of the last chunk does not arrive without them.
+    static constexpr std::size_t shortestChunkedRest = 5;
+
     template<typename Parser>
     bool exceedsFraming(const Parser &parser) const;
 
@@ -59,6 +63,8 @@
     boost::system::error_code error;
     while (!this->isEmpty() && !parser.is_done()) {
         const bool isBody = parser.is_header_done();
+        if (isBody && parser.chunked() && this->buffer.size() < shortestChunkedRest)
+            break;
         const std::size_t used = parser.put(this->buffer.data(), error);
         this->buffer.consume(used);
         if (error == http::error::need_more)
--- a/test/runtime/httpframingtest.cpp
+++ b/test/runtime/httpframingtest.cpp
@@ -184,3 +184,20 @@
           == 200);
     CHECK(this->call({answer}) == 200);
 }
+
+// Guards against an assertion of the parser, which ends the process: it takes the last chunk's line
+// for longer than it may be.
+TEST_CASE_METHOD(ServerFixture, "a last chunk that arrives in pieces is read", "[http][framing]")
+{
+    CHECK(this->ask({chunkedHead, "0\r\n", "X", ": y\r\n\r\n"}) == "<>");
+    CHECK(this->ask({chunkedHead, "0", "\r", "\n", "\r", "\n"}) == "<>");
+    CHECK(this->ask({chunkedHead, "2\r\nhi", "\r", "\n", "0", "\r", "\n", "\r", "\n"}) == "<hi>");
+    CHECK(this->ask({chunkedHead, "0\r\n", "X"}).empty());
+}
+
+// As above, for responses.
+TEST_CASE_METHOD(RawAnswerFixture, "a last chunk of a response that arrives in pieces is read",
+                 "[http][framing]")
+{
+    CHECK(this->call({chunkedAnswer, "0\r\n", "X", ": y\r\n\r\n"}) == 200);
+}
