http: connections without a request do not keep others out

Callers saw: no answer at all, the connection is closed at once, for as long as some hundreds (of an entry: thousands) of other connections hold a header that they do not finish, or send nothing: up to 60 s, and again. Cause: a listener that is full turned away whoever came next.

When a connection arrives and the listener is full, the one that has waited longest for a request, or for the rest of one, is closed for it (WaitingConnections); those that have begun or never sent a request go before idle ones of callers that were served. Connections on which a request is being served are never closed for another. A header has 10 s from its first byte, where it had 60 s. Weighed and not taken: a share for each address (behind a balancer many callers share one), and a shorter time alone (a crowd comes back faster than any time that sound callers need).

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -138,6 +138,7 @@
 
 void HttpConnection::start()
 {
+    this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
     this->readRequest();
 }
 
@@ -148,8 +149,9 @@
     this->parser->header_limit(static_cast<std::uint32_t>(options.maxHeaderBytes));
     this->parser->body_limit(options.maxBodyBytes);
     this->input.beginMessage();
-    const bool hasInput = !this->input.isEmpty();
-    this->deadline = monotonicNow() + (hasInput ? options.transferTimeout : options.idleTimeout);
+    this->hasBegunRequest = !this->input.isEmpty();
+    this->deadline =
+        monotonicNow() + (this->hasBegunRequest ? options.headerTimeout : options.idleTimeout);
     this->parseInput();
 }
 
@@ -167,6 +169,10 @@
     if (!this->isOpen)
         return;
     this->input.received(bytes);
+    if (bytes > 0 && !std::exchange(this->hasBegunRequest, true)) {
+        this->deadline = monotonicNow() + this->owner->options.headerTimeout;
+        this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
+    }
     if (error == asio::error::eof)
         error = HttpInput::finish(*this->parser);
     if (error)
@@ -261,6 +267,7 @@
 
 void HttpConnection::onRequest()
 {
+    this->owner->waiting.remove(this->place);
     this->deadline = Instant::max(); // handlers have no time limit here
     HttpResponse refused;
     this->isAdmitted = this->owner->admit(this->peer, refused);
@@ -371,8 +378,13 @@
     if (error) {
         this->close();
     } else if (this->message.keep_alive()) {
+        if (this->input.isEmpty())
+            this->owner->waiting.addIdle(this->shared_from_this(), this->place);
+        else
+            this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
         this->readRequest();
     } else {
+        this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
         this->discardInput();
     }
 }
@@ -407,6 +419,7 @@
         return;
     if (!this->isAdmitted) // a handler may still work on an admitted request
         this->releaseBytes();
+    this->owner->waiting.remove(this->place);
     boost::system::error_code ignored;
     this->socket.close(ignored);
     this->owner->closed(this->shared_from_this());
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -4,6 +4,7 @@
 #include "runtime/bytebudget.h"
 #include "runtime/httpinput.h"
 #include "runtime/httpserver.h"
+#include "runtime/waitingconnections.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/message.hpp>
@@ -42,6 +43,7 @@
     virtual void closed(const std::shared_ptr<HttpConnection> &connection) = 0;
 
     HttpServerOptions options;
+    WaitingConnections waiting;
     std::atomic<bool> accepting{true};
     std::atomic<bool> closing{false}; ///< true: each response closes its connection
 };
@@ -92,10 +94,12 @@
     Message message;
     std::vector<ByteBudget::Share> bytes; ///< of the request that is read or in progress
     std::size_t takenBytes = 0; ///< of its body
+    WaitingConnections::Place place;
     std::array<char, 4096> discarded{}; ///< input of a refused request, never used
     Instant deadline = Instant::max();
     bool isAdmitted = false;
     bool isOpen = true;
+    bool hasBegunRequest = false;
     bool hasSkippedLine = false; ///< before the request that is being read
 };
 
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -73,6 +73,7 @@
     std::unique_ptr<asio::steady_timer> sweepTimer;
     std::set<std::shared_ptr<internal::HttpConnection>> connections;
     std::uint64_t rejectedConnections = 0;
+    std::uint64_t reclaimedConnections = 0;
     std::uint16_t port = 0;
 
     std::mutex mutex;
@@ -81,6 +82,7 @@
     std::map<std::string, std::size_t> inFlightOfPeer;
 
     const Route *find(const std::string &method, const std::string &path, bool &pathKnown) const;
+    bool reclaim(const std::shared_ptr<internal::HttpConnection> &connection);
     void accept();
     void acceptLater();
     void sweep();
@@ -160,6 +162,18 @@
     this->connections.erase(connection);
 }
 
+/// Closes \a connection to make room; false if it is null.
+bool HttpServer::Private::reclaim(const std::shared_ptr<internal::HttpConnection> &connection)
+{
+    if (!connection)
+        return false;
+    connection->close();
+    ++this->reclaimedConnections;
+    if (this->options.onReclaimed)
+        this->options.onReclaimed();
+    return true;
+}
+
 void HttpServer::Private::accept()
 {
     auto handler = [weak = this->weak_from_this()](boost::system::error_code error,
@@ -173,7 +187,11 @@
             else
                 self->accept();
         });
-        if (!error && self->connections.size() < self->options.maxConnections) {
+        const auto hasRoom = [&self] {
+            return self->connections.size() < self->options.maxConnections
+                || self->reclaim(self->waiting.first());
+        };
+        if (!error && hasRoom()) {
             auto connection =
                 std::make_shared<internal::HttpConnection>(std::move(socket), self, self->loop);
             self->connections.insert(connection);
@@ -329,6 +347,11 @@
     return this->d->rejectedConnections;
 }
 
+std::uint64_t HttpServer::reclaimedConnections() const
+{
+    return this->d->reclaimedConnections;
+}
+
 bool HttpServer::waitUntilIdle(Instant deadline)
 {
     std::unique_lock lock(this->d->mutex);
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -63,15 +63,20 @@
     std::size_t maxInFlight = 4096; ///< further requests are refused with 503
     std::size_t maxInFlightPerPeer = 1024; ///< per IP; further ones are refused with 429
     std::size_t maxHeaderBytes = 32U << 10U; ///< larger headers are refused with 431
-    std::size_t maxConnections = 8192; ///< further ones are closed at once
-    /// Limits reading the rest of a request once part of it has been received, and separately
-    /// writing a response, so that a slow peer cannot hold a connection indefinitely.
+    /// When a further one arrives, the one that has waited longest for its request is closed, or
+    /// the new one if a request is being served on each.
+    std::size_t maxConnections = 8192;
+    Milliseconds headerTimeout{
+        10000}; ///< from the first byte of a request to the end of its header
+    /// Limits reading the body of a request, and separately writing a response, so that a slow peer
+    /// cannot hold a connection indefinitely.
     Milliseconds transferTimeout{30000};
     Milliseconds idleTimeout{60000}; ///< a connection without a request is closed after this time
     std::shared_ptr<IoLoop> loop; ///< null: the server creates its own
     /// Shared by all that the process reads; null: none. A request that does not fit is refused
     /// with 503 before its body is read.
     std::shared_ptr<ByteBudget> budget;
+    std::function<void()> onReclaimed; ///< a connection was closed to make room; may be empty
 };
 
 /// An HTTP server (Boost.Beast) with one listener and a route table.
@@ -112,9 +117,12 @@
 
     /// Open connections. Must be called on the loop, or while the loop is stopped.
     std::size_t connections() const;
-    /// Connections closed at once because maxConnections were open. Must be called on the loop, or
-    /// while the loop is stopped.
+    /// Connections closed at once because requests were being served on maxConnections. Must be
+    /// called on the loop, or while the loop is stopped.
     std::uint64_t rejectedConnections() const;
+    /// Connections closed to make room for others. Must be called on the loop, or while the loop is
+    /// stopped.
+    std::uint64_t reclaimedConnections() const;
 
     /// Waits until inFlight() is zero; false if \a deadline passes first. Must not be called on the
     /// loop.
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -48,6 +48,7 @@
     ConnectionsOpenedTotal,
     CallsWaiting,
     CallsRefusedTotal,
+    ConnectionsReclaimedTotal,
     LoopLagSeconds,
     IntakeRefusedTotal,
     ExpectedWaitSeconds,
@@ -71,7 +72,7 @@
     ExceptionsTotal,
 };
 
-inline constexpr std::size_t metricCount = 58;
+inline constexpr std::size_t metricCount = 59;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
