http: requests that have stopped to arrive give their memory back

Callers saw: 503 for up to 30 s, again and again, while a few hundred connections hold the memory for requests: each announces a body and sends no more. Headers were in no budget at all: 3,370 connections with 31 kB of a header each took an entry from 8 to 144 MB (seen from outside).

Cause: an announced body counts whole, four times, until it has come or 30 s have passed. When a request does not fit, the unfinished one that has waited longest, and has not sent a byte for 1 s, is now closed for it; a sound client sends without pauses, and callers that were refused come back after 1 s, as Retry-After says. Requests that do arrive are not touched: a large one that does not fit beside them is still refused with 503. Read buffers above 4 KB are charged to the budget as well.

--- a/src/runtime/bytebudget.cpp
+++ b/src/runtime/bytebudget.cpp
@@ -37,7 +37,7 @@
 
 std::optional<ByteBudget::Share> ByteBudget::take(std::size_t bytes)
 {
-    const std::size_t allowed = bytes <= smallRequest ? this->limit : this->limit - this->reserve;
+    const std::size_t allowed = this->allowed(bytes);
     std::size_t used = this->inUse;
     do {
         if (bytes > allowed || used > allowed - bytes) {
--- a/src/runtime/bytebudget.h
+++ b/src/runtime/bytebudget.h
@@ -36,12 +36,20 @@
     /// None if too much is in use.
     std::optional<Share> take(std::size_t bytes);
 
+    /// False if \a bytes are too many even if nothing else is in use.
+    bool canHold(std::size_t bytes) const { return bytes <= this->allowed(bytes); }
+
     std::size_t used() const { return this->inUse; }
     std::uint64_t refused() const { return this->refusals; }
 
     static constexpr std::size_t smallRequest = std::size_t{256} << 10U; ///< bytes
 
 private:
+    std::size_t allowed(std::size_t bytes) const
+    {
+        return bytes <= smallRequest ? this->limit : this->limit - this->reserve;
+    }
+
     const std::size_t limit;
     const std::size_t reserve;
     std::atomic<std::size_t> inUse{0};
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -73,6 +73,8 @@
 /// A body is copied on its way: into the request, into the call that is relayed, and into the frame
 /// that carries it.
 constexpr std::size_t copiesOfBody = 4;
+/// The headers of most requests fit.
+constexpr std::size_t uncountedInputBytes = std::size_t{4} << 10U;
 /// Large requests are over within a second.
 constexpr int bytesRetryAfterMs = 1000;
 
@@ -169,8 +171,9 @@
     if (!this->isOpen)
         return;
     this->input.received(bytes);
+    this->lastInput = monotonicNow();
     if (bytes > 0 && !std::exchange(this->hasBegunRequest, true)) {
-        this->deadline = monotonicNow() + this->owner->options.headerTimeout;
+        this->deadline = this->lastInput + this->owner->options.headerTimeout;
         this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
     }
     if (error == asio::error::eof)
@@ -193,7 +196,7 @@
         this->onRequest();
     else if (wasHeader && this->parser->is_header_done())
         this->onHeader();
-    else if (this->takeBytes(this->parser->get().body().size()))
+    else if (this->takeBytes(this->parser->get().body().size()) && this->takeInputBytes())
         this->readMore();
     else
         this->refuseForBytes();
@@ -239,11 +242,34 @@
     const std::size_t step = this->takenBytes == 0
         ? bodyBytes
         : std::max(bodyBytes, 2 * this->takenBytes) - this->takenBytes;
-    auto share = this->owner->options.budget->take(step * copiesOfBody);
+    if (!this->takeShare(step * copiesOfBody))
+        return false;
+    this->takenBytes += step;
+    return true;
+}
+
+/// Takes the memory of a read buffer that has grown.
+bool HttpConnection::takeInputBytes()
+{
+    const std::size_t capacity = this->input.capacity();
+    if (!this->owner->options.budget
+        || capacity <= std::max(this->takenInputBytes, uncountedInputBytes))
+        return true;
+    if (!this->takeShare(capacity - this->takenInputBytes))
+        return false;
+    this->takenInputBytes = capacity;
+    return true;
+}
+
+bool HttpConnection::takeShare(std::size_t shareBytes)
+{
+    ByteBudget &budget = *this->owner->options.budget;
+    auto share = budget.take(shareBytes);
+    while (!share && budget.canHold(shareBytes) && this->owner->reclaimBytes(*this))
+        share = budget.take(shareBytes);
     if (!share)
         return false;
     this->bytes.push_back(std::move(*share));
-    this->takenBytes += step;
     return true;
 }
 
@@ -366,6 +392,7 @@
 {
     this->bytes.clear();
     this->takenBytes = 0;
+    this->takenInputBytes = 0;
 }
 
 void HttpConnection::onAnswered(boost::system::error_code error)
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -41,6 +41,9 @@
     virtual void finished(const std::string &peer) = 0;
     virtual void serve(HttpRequest request, HttpReply reply) = 0;
     virtual void closed(const std::shared_ptr<HttpConnection> &connection) = 0;
+    /// Closes a connection whose request takes memory and has stopped to arrive. False if there is
+    /// none other than \a requester.
+    virtual bool reclaimBytes(const HttpConnection &requester) = 0;
 
     HttpServerOptions options;
     WaitingConnections waiting;
@@ -61,6 +64,11 @@
     /// Closes the connection if its deadline has passed, so that a peer that is slow, idle or gone
     /// cannot hold it indefinitely.
     void closeIfExpired(Instant now);
+    /// True if its request takes memory, and nothing of it has arrived since \a then.
+    bool isStalledSince(Instant then) const
+    {
+        return this->lastInput < then && !this->bytes.empty();
+    }
 
 private:
     class Reply;
@@ -74,6 +82,8 @@
     void onHeader();
     void readBody();
     bool takeBytes(std::size_t bodyBytes);
+    bool takeInputBytes();
+    bool takeShare(std::size_t shareBytes);
     void refuseForBytes();
     void releaseBytes();
     void onRequest();
@@ -94,7 +104,9 @@
     Message message;
     std::vector<ByteBudget::Share> bytes; ///< of the request that is read or in progress
     std::size_t takenBytes = 0; ///< of its body
+    std::size_t takenInputBytes = 0;
     WaitingConnections::Place place;
+    Instant lastInput{};
     std::array<char, 4096> discarded{}; ///< input of a refused request, never used
     Instant deadline = Instant::max();
     bool isAdmitted = false;
--- a/src/runtime/httpinput.h
+++ b/src/runtime/httpinput.h
@@ -44,8 +44,8 @@
     static boost::system::error_code finish(Parser &parser);
 
 private:
-    /// Bytes that a chunked body ends with at least, "0 CRLF CRLF". The parser asserts that the line
-    /// of the last chunk does not arrive without them.
+    /// Bytes that a chunked body ends with at least, "0 CRLF CRLF". The parser asserts that the
+    /// line of the last chunk does not arrive without them.
     static constexpr std::size_t shortestChunkedRest = 5;
 
     template<typename Parser>
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -29,6 +29,9 @@
 constexpr Milliseconds sweepInterval{500};
 constexpr Milliseconds acceptRetryDelay{50}; ///< after a connection could not be accepted
 
+/// A sound client sends a request without pauses; a lost packet is sent again within this time.
+constexpr Milliseconds stalledAfter{1000};
+
 struct Route
 {
     std::string method;
@@ -93,6 +96,7 @@
     void finished(const std::string &peer) override;
     void serve(HttpRequest request, HttpReply reply) override;
     void closed(const std::shared_ptr<internal::HttpConnection> &connection) override;
+    bool reclaimBytes(const internal::HttpConnection &requester) override;
 };
 
 const Route *HttpServer::Private::find(const std::string &method, const std::string &path,
@@ -174,6 +178,14 @@
     return true;
 }
 
+bool HttpServer::Private::reclaimBytes(const internal::HttpConnection &requester)
+{
+    const Instant then = monotonicNow() - stalledAfter;
+    return this->reclaim(this->waiting.firstUnfinished([&](const auto &connection) {
+        return &connection != &requester && connection.isStalledSince(then);
+    }));
+}
+
 void HttpServer::Private::accept()
 {
     auto handler = [weak = this->weak_from_this()](boost::system::error_code error,
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -74,7 +74,7 @@
     Milliseconds idleTimeout{60000}; ///< a connection without a request is closed after this time
     std::shared_ptr<IoLoop> loop; ///< null: the server creates its own
     /// Shared by all that the process reads; null: none. A request that does not fit is refused
-    /// with 503 before its body is read.
+    /// with 503 before its body is read, unless others that have stopped to arrive make room.
     std::shared_ptr<ByteBudget> budget;
     std::function<void()> onReclaimed; ///< a connection was closed to make room; may be empty
 };
--- a/src/runtime/waitingconnections.cpp
+++ b/src/runtime/waitingconnections.cpp
@@ -1,5 +1,6 @@
 #include "runtime/waitingconnections.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace guavavalve::internal {
@@ -36,4 +37,12 @@
     return this->idle.empty() ? nullptr : this->idle.front();
 }
 
+std::shared_ptr<HttpConnection> WaitingConnections::firstUnfinished(
+    const std::function<bool(const HttpConnection &)> &matches) const
+{
+    const auto found = std::find_if(this->unfinished.begin(), this->unfinished.end(),
+                                    [&matches](const auto &one) { return matches(*one); });
+    return found == this->unfinished.end() ? nullptr : *found;
+}
+
 } // namespace guavavalve::internal
--- a/src/runtime/waitingconnections.h
+++ b/src/runtime/waitingconnections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <list>
 #include <memory>
 
@@ -11,8 +12,8 @@
 /// closed to make room for others: those that have begun or never sent a request before those that
 /// are idle between two requests, and the longest waiting first. Not thread-safe.
 ///
-/// Guards against clients that hold all connections without ever finishing a request. A client that
-/// sends its request at once is served before its turn comes.
+/// Guards against clients that hold all connections, or all memory for requests, without ever
+/// finishing a request. A client that sends its request at once is served before its turn comes.
 class WaitingConnections
 {
 public:
@@ -32,6 +33,9 @@
 
     /// Null if none is waiting.
     std::shared_ptr<HttpConnection> first() const;
+    /// The first unfinished one for which \a matches returns true, or null.
+    std::shared_ptr<HttpConnection>
+    firstUnfinished(const std::function<bool(const HttpConnection &)> &matches) const;
 
 private:
     void add(List &list, const std::shared_ptr<HttpConnection> &connection, Place &place);
