--- a/test/untrusted/smallcell.cpp
+++ b/test/untrusted/smallcell.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-SmallCell::SmallCell()
+SmallCell::SmallCell(std::size_t configurationBytes)
 {
     CellOptions options;
     options.program = SOAK_PROGRAM;
@@ -64,16 +64,22 @@
     };
     this->cell = std::make_unique<Cell>(options, hooks);
     this->cell->startAll();
-    if (!fakes::eventually([this] { return this->configure(); })
+    if (!fakes::eventually([&] { return this->configure(configurationBytes); })
         || !fakes::eventually([this] { return this->acceptsJob(); }))
         throw std::runtime_error("the cell does not start");
 }
 
 SmallCell::~SmallCell() = default;
 
-bool SmallCell::configure()
+bool SmallCell::configure(std::size_t bytes)
 {
-    const std::string change = this->changes.next().dump();
+    nlohmann::json document = this->changes.next();
+    constexpr std::size_t keyBytes = 100;
+    for (std::size_t i = 0; i < bytes / keyBytes; ++i) {
+        const std::string key = std::to_string(i);
+        document["Tenants"][0]["ApiKeys"].push_back(key + std::string(keyBytes - key.size(), 'k'));
+    }
+    const std::string change = document.dump();
     const auto machines = this->cell->replicas();
     return std::any_of(machines.begin(), machines.end(), [&change](const Machine &machine) {
         HttpConnection connection(machine.ip, Ports::control);
--- a/test/untrusted/smallcell.h
+++ b/test/untrusted/smallcell.h
@@ -20,7 +20,8 @@
     static constexpr std::size_t memoryMb = 64; ///< of each process
     static constexpr std::size_t maxFiles = 600; ///< descriptors of each process
 
-    SmallCell();
+    /// \a configurationBytes: size of the configuration at least.
+    explicit SmallCell(std::size_t configurationBytes = 0);
     ~SmallCell();
 
     soak::Machine entry() const { return this->cell->entries().front(); }
@@ -39,7 +40,7 @@
     std::string violations();
 
 private:
-    bool configure();
+    bool configure(std::size_t bytes);
 
     TemporaryFolder folder;
     std::mutex mutex;
