http: an idle connection does not hold its last answer

The body is released once it is written (by swap: an assignment of empty braces keeps the capacity of a string, and failed the test as before).

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -402,6 +402,7 @@
         this->owner->finished(this->peer);
     if (!this->isOpen)
         return;
+    std::string().swap(this->message.body()); // an idle connection may stay open for long
     if (error) {
         this->close();
     } else if (this->message.keep_alive()) {
--- a/test/untrusted/unreadanswertest.cpp
+++ b/test/untrusted/unreadanswertest.cpp
@@ -1,10 +1,12 @@
 #include "fakes/eventually.h"
+#include "soak/httpconnection.h"
 #include "soak/nodesettingsfile.h"
 #include "untrusted/rawclient.h"
 #include "untrusted/smallcell.h"
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,3 +31,20 @@
     CHECK_THAT(cell.violations(), Catch::Equals(""));
     CHECK(cell.acceptsJob());
 }
+
+// Guards against answers that are held for connections which have received them and stay open.
+TEST_CASE("idle connections hold no answers")
+{
+    constexpr std::size_t configurationBytes = 1000000;
+    constexpr int readers = 60; // below the connections of the control port
+    SmallCell cell(configurationBytes);
+    std::vector<std::unique_ptr<soak::HttpConnection>> connections;
+    for (int i = 0; i < readers; ++i) {
+        connections.push_back(
+            std::make_unique<soak::HttpConnection>(cell.replica().ip, Ports::control));
+        const auto deadline = monotonicNow() + std::chrono::seconds(20);
+        CHECK(connections.back()->call("GET", "/config", {}, "", deadline).status == 200);
+    }
+    CHECK_THAT(cell.violations(), Catch::Equals(""));
+    CHECK(cell.acceptsJob());
+}
