controller: a run that a later incarnation may keep is held, however long ago it was placed

Callers saw: two runs of a task at once after targets restarted under their names and the leader changed. Cause: which starts were answered, by which incarnation and under which lease, is known to the leader alone that sent them. The next one held runs that were placed in the 2.7 s before its election for the longest lease, and all others for the shorter lease that leaders grant, 3.4 s. A start that a later incarnation has carried out unheard gives it the longest lease, 6 or 10 s from the last order. So a leader that ends 3 s after the placement, or two in a row, had the run started elsewhere while it went on.

The run is now held until no later incarnation can keep it: the time for which a start is sent, that in which an unanswered poll is noticed, and the longest lease, from the placement as each replica has observed it, at most the longest lease from the election. Weighed and not taken: to store each change of leaders (older replicas reject a batch with an unknown command), and to hold all runs for the longest lease from the election (the same for a run of a second and of a minute ago).

The simulated targets take their longest lease as a parameter; its default is as before.

--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -219,7 +219,7 @@
     std::map<IncarnationId, std::vector<UnsettledRun>> supersededRuns();
     void runSettled(IncarnationId placedOn);
     void forgetSettled();
-    bool mayBeStarting(const TaskAddress &task, RunNumber run) const;
+    Instant keptUntil(const TaskAddress &task, RunNumber run) const;
     bool mayHoldEarlierLease(const std::string &target) const;
     void recordLeaseLeft(const TargetSession &session);
     void neverStarted(IncarnationId incarnation, const TaskAddress &task, RunNumber run);
--- a/src/workflows/controller/controllertargets.cpp
+++ b/src/workflows/controller/controllertargets.cpp
@@ -59,8 +59,9 @@
             if (progress == nullptr)
                 continue;
             const StepSpec &step = workflow->spec.steps[task.step.step];
-            const bool isInDoubt = !step.longRunning && this->mayBeStarting(task, progress->run);
-            session->adopt(task, progress->run, isInDoubt);
+            const Instant keptUntil =
+                step.longRunning ? Instant{} : this->keptUntil(task, progress->run);
+            session->adopt(task, progress->run, keptUntil);
         }
     });
     this->incarnations[incarnation].session = session;
--- a/src/workflows/controller/controllerunsettled.cpp
+++ b/src/workflows/controller/controllerunsettled.cpp
@@ -2,18 +2,25 @@
 
 #include "workflows/log/decisionlog.h"
 
+#include <algorithm>
 #include <utility>
 
 // Runs whose start orders may have reached a later incarnation of their target.
 
 namespace guavavalve::workflows {
 
-/// True if an earlier controller may still have been sending the start of the run.
-bool Controller::mayBeStarting(const TaskAddress &task, RunNumber run) const
+/// The time by which a later incarnation that has carried out the start of a run, sent by an
+/// earlier controller, keeps it no longer.
+///
+/// Guards against two runs of a task at once: which starts were answered, and by which incarnation,
+/// is known to the controller alone that sent them. It sends a start for the start timeout; what it
+/// sends until it has noticed that the target does not answer extends the lease.
+Instant Controller::keptUntil(const TaskAddress &task, RunNumber run) const
 {
     const SessionLimits &limits = this->options.session;
-    const Instant lastSent = this->machine.placedAt(task.step, run) + limits.startTimeout;
-    return this->options.clock() <= lastSent + limits.orderTimeout;
+    const Instant lastSent = this->machine.placedAt(task.step, run) + limits.startTimeout
+        + limits.maxHoldWait + limits.orderTimeout;
+    return std::min(lastSent, this->options.clock()) + TargetSession::settlingTime(limits);
 }
 
 /// True if orders for an earlier incarnation may have given the one that is registered now a lease.
--- a/src/workflows/sessions/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -28,7 +28,6 @@
     this->leasesExpireAt = this->clock() + this->limits.lease
         + this->limits.lease * this->limits.maxClockDriftPerThousand / perThousand
         + this->limits.leaseMargin;
-    this->laterLeasesExpireAt = this->clock() + settlingTime(this->limits);
 }
 
 void TargetSession::begin()
--- a/src/workflows/sessions/targetsession.h
+++ b/src/workflows/sessions/targetsession.h
@@ -118,9 +118,9 @@
     void end();
 
     /// Adds a run that an earlier controller placed. It is unknown whether its order arrived.
-    /// \a isInDoubt: that controller may have sent its start so recently that a later incarnation
-    /// of the target has carried it out.
-    void adopt(const TaskAddress &task, RunNumber run, bool isInDoubt = false);
+    /// \a keptUntil: by then a later incarnation of the target that has carried out its start keeps
+    /// it no longer. Not set if the run is not to be held in doubt.
+    void adopt(const TaskAddress &task, RunNumber run, Instant keptUntil = {});
     /// Starts a run whose placement is stored, and sends the order until it is answered.
     /// \a isTrial: the run may crash the target, so no other run should be started there for a
     /// short time.
--- a/src/workflows/sessions/targetsessionsettling.cpp
+++ b/src/workflows/sessions/targetsessionsettling.cpp
@@ -15,12 +15,12 @@
 
 } // namespace
 
-void TargetSession::adopt(const TaskAddress &task, RunNumber run, bool isInDoubt)
+void TargetSession::adopt(const TaskAddress &task, RunNumber run, Instant keptUntil)
 {
     Run adopted;
     adopted.run = run;
-    if (isInDoubt)
-        adopted.copiesExpireAt = this->clock() + settlingTime(this->limits);
+    if (keptUntil > this->clock())
+        adopted.copiesExpireAt = keptUntil;
     this->runs[task] = std::move(adopted);
 }
 
--- a/test/workflows/latestarttest.cpp
+++ b/test/workflows/latestarttest.cpp
@@ -228,3 +228,52 @@
     CHECK(simulation.fleet.violation.empty());
     CHECK(simulation.isAllOver());
 }
+
+// Guards against two runs of a task: the controller that elects itself after another short-lived
+// one counts the lease from the placement alone.
+TEST_CASE("a run that a later incarnation may keep is not started again after some seconds",
+          "[fence]")
+{
+    spdlog::set_level(std::getenv("GUAVAVALVE_LOG") ? spdlog::level::info : spdlog::level::off);
+    Simulation simulation(1, 2, 4000);
+    simulation.fleet.workOf = [](const TaskAddress &) { return Milliseconds(14000); };
+    simulation.session.lease = Milliseconds(3200); // shorter than the longest
+    simulation.session.longestLease = Milliseconds(10000);
+    simulation.fleet.longestLease = Milliseconds(10000);
+    simulation.changeController(Milliseconds(0));
+    simulation.runFor(Milliseconds(20000));
+    for (const std::string &name : simulation.fleet.names()) {
+        simulation.fleet.crash(name);
+        simulation.restartUnheard(name);
+        simulation.fleet.cut(name, true); // its answers are lost
+    }
+    simulation.submit(job, {StoreFixture::step(1)});
+    simulation.loop.runFor(Milliseconds(100));
+    REQUIRE(simulation.fleet.starts == 1);
+    const std::string reborn = simulation.machine.read([](const WorkflowStore &store) {
+        return store.find(store.find(job)->task({{job, 0, 0}, 0})->incarnation)->identity.name;
+    });
+    for (const std::string &name : simulation.fleet.names()) {
+        if (name != reborn) {
+            simulation.fleet.heal(name);
+            simulation.announce(name);
+        }
+    }
+    simulation.fleet.cut(reborn, false);
+    SECTION("by the next controller")
+    {
+        simulation.runFor(Milliseconds(3000));
+    }
+    SECTION("by the one after the next")
+    {
+        simulation.changeController(Milliseconds(0));
+        simulation.runFor(Milliseconds(3000));
+    }
+    simulation.changeController(Milliseconds(0));
+    simulation.runFor(Milliseconds(12000));
+    simulation.fleet.heal(reborn);
+    simulation.announce(reborn);
+    simulation.runFor(Milliseconds(40000));
+    CHECK_THAT(simulation.fleet.violation, Catch::Equals(""));
+    CHECK(simulation.stateOf(job) == WorkflowState::Completed);
+}
--- a/test/workflows/simulatedfleet.cpp
+++ b/test/workflows/simulatedfleet.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::int64_t maxLeaseMs = 6000;
 constexpr int minRunMs = 200;
 constexpr int maxRunMs = 3000;
 /// The targets' clocks run 2% slow, the maximum drift that the contract allows.
@@ -206,7 +205,7 @@
 
 void SimulatedFleet::renew(Target &target, std::int64_t leaseUntilMs)
 {
-    const std::int64_t longest = this->clockOf(target) + maxLeaseMs;
+    const std::int64_t longest = this->clockOf(target) + this->longestLease.count();
     target.leaseUntilMs = std::max(target.leaseUntilMs, std::min(leaseUntilMs, longest));
     const std::string name = target.identity.name;
     const std::int64_t left = target.leaseUntilMs - this->clockOf(target);
--- a/test/workflows/simulatedfleet.h
+++ b/test/workflows/simulatedfleet.h
@@ -69,6 +69,7 @@
               Done<HoldAnswer> done) override;
 
     FleetFaults faults;
+    Milliseconds longestLease{6000}; ///< that a target accepts
     bool holdsUpStarts = false; ///< starts get no answer until they are delivered
     std::vector<OrderReply> heldUpReplies; ///< to the starts that were held up
     std::string failing; ///< name of a target that fails all its tasks; empty: none
