--- a/test/workflows/latestarttest.cpp
+++ b/test/workflows/latestarttest.cpp
@@ -271,9 +271,36 @@
     }
     simulation.changeController(Milliseconds(0));
     simulation.runFor(Milliseconds(12000));
+    CHECK(simulation.fleet.starts == 2); // it does not wait for a target that does not return
     simulation.fleet.heal(reborn);
     simulation.announce(reborn);
     simulation.runFor(Milliseconds(40000));
     CHECK_THAT(simulation.fleet.violation, Catch::Equals(""));
     CHECK(simulation.stateOf(job) == WorkflowState::Completed);
 }
+
+// Guards against a task that waits for the longest lease whenever its target is lost, since a
+// controller had adopted its run long before.
+TEST_CASE("an adopted run that its target has listed is lost with its lease", "[fence]")
+{
+    spdlog::set_level(std::getenv("GUAVAVALVE_LOG") ? spdlog::level::info : spdlog::level::off);
+    Simulation simulation(1, 2, 4000);
+    simulation.fleet.workOf = [](const TaskAddress &) { return Milliseconds(60000); };
+    simulation.session.lease = Milliseconds(3200);
+    simulation.session.longestLease = Milliseconds(10000);
+    simulation.fleet.longestLease = Milliseconds(10000);
+    simulation.changeController(Milliseconds(0));
+    simulation.submit(job, {StoreFixture::step(1)});
+    simulation.runFor(Milliseconds(4000));
+    simulation.changeController(Milliseconds(0));
+    simulation.runFor(Milliseconds(20000));
+    REQUIRE(simulation.fleet.starts == 1);
+    const std::string target = simulation.machine.read([](const WorkflowStore &store) {
+        return store.find(store.find(job)->task({{job, 0, 0}, 0})->incarnation)->identity.name;
+    });
+    simulation.fleet.cut(target, false);
+    simulation.runFor(simulation.session.lease + simulation.session.maxHoldWait
+                      + simulation.session.orderTimeout + Milliseconds(1000));
+    CHECK(simulation.fleet.starts == 2);
+    CHECK_THAT(simulation.fleet.violation, Catch::Equals(""));
+}
