http: header lines that arrive one by one count together

Found by the review: the limit on headers is the parser's, which compares it with what it has not parsed yet. If a read ends one or two bytes into a line, the lines before are parsed, kept, and counted no more, so a header could grow for as long as it may take, 10 s on the server and the deadline of a call on the client, whatever the limit. HttpInput now counts the bytes of the header that were parsed.

Evidence: "header lines that arrive one by one count together", 2 KB of headers against a limit of 1,000 bytes, was answered 200 ("<>") and is answered 431.

--- a/src/runtime/httpinput.cpp
+++ b/src/runtime/httpinput.cpp
@@ -28,6 +28,7 @@
 
 void HttpInput::beginMessage()
 {
+    this->headerInput = 0;
     this->bodyInput = 0;
     if (this->isEmpty() && this->capacity() > keptBytes)
         this->buffer.shrink_to_fit();
--- a/src/runtime/httpinput.h
+++ b/src/runtime/httpinput.h
@@ -53,6 +53,7 @@
 
     const std::size_t maxFraming;
     boost::beast::flat_buffer buffer;
+    std::size_t headerInput = 0; ///< bytes of the header that were parsed
     std::size_t bodyInput = 0; ///< bytes of the message after its header
 };
 
@@ -69,9 +70,9 @@
         this->buffer.consume(used);
         if (error == http::error::need_more)
             error = {};
-        else if (error || parser.is_header_done() != isBody)
+        (isBody ? this->bodyInput : this->headerInput) += used;
+        if (error || parser.is_header_done() != isBody)
             return error;
-        this->bodyInput += isBody ? used : 0;
         if (used == 0)
             break;
     }
@@ -96,6 +97,9 @@
     constexpr std::size_t framingOfByte = 16; // of a chunk of one byte, its size padded with zeros
     if (parser.is_done())
         return false; // what is pending is of the next message
+    // The parser's own limit on headers is for the lines that it has not parsed yet.
+    if (!parser.is_header_done())
+        return this->headerInput + this->buffer.size() > this->maxFraming;
     const std::size_t body = parser.get().body().size();
     return this->buffer.size() > this->maxFraming
         || this->bodyInput > body + body * framingOfByte + this->maxFraming;
--- a/test/runtime/httpframingtest.cpp
+++ b/test/runtime/httpframingtest.cpp
@@ -201,3 +201,14 @@
 {
     CHECK(this->call({chunkedAnswer, "0\r\n", "X", ": y\r\n\r\n"}) == 200);
 }
+
+// Guards against header lines that are counted by the read in which they arrive: the parser keeps
+// them, and counts anew if less than three bytes of the next line have come.
+TEST_CASE_METHOD(ServerFixture, "header lines that arrive one by one count together",
+                 "[http][framing]")
+{
+    std::vector<std::string> pieces{"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nX"};
+    pieces.insert(pieces.end(), 20, ": " + std::string(100, 'a') + "\r\nX");
+    pieces.emplace_back(": y\r\n\r\n");
+    CHECK(this->ask(pieces) == tooLarge);
+}
