http: a response that is being written is not changed

Found by the review, by reading; no test shows it. After a request that cannot be read, the header of the refusal was changed once more while its write was under way, which frees memory that a pending write still names if the socket did not take it at once. The response closes the connection anyway, since its request was not read completely.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -356,9 +356,7 @@
         this->answer(httpRefusal(400, "invalid-argument", "not a valid HTTP request"));
     } else {
         this->close();
-        return;
     }
-    this->message.keep_alive(false);
 }
 
 void HttpConnection::answer(HttpResponse response)
