http: a connection that is being closed does not hold its request

Found by the review: after the response that closes a connection, input is discarded until the peer closes its side, for 30 s at most. The body and the read buffer stayed for that time, while their part of the budget had been given back, so clients that do not close could hold a body each.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -411,6 +411,8 @@
         this->readRequest();
     } else {
         this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
+        this->parser.reset(); // the peer may stay
+        this->input.discard();
         this->discardInput();
     }
 }
--- a/src/runtime/httpinput.cpp
+++ b/src/runtime/httpinput.cpp
@@ -26,6 +26,12 @@
     return this->buffer.prepare(std::clamp(unused, minReadBytes, maxReadBytes));
 }
 
+void HttpInput::discard()
+{
+    this->buffer.consume(this->buffer.size());
+    this->buffer.shrink_to_fit();
+}
+
 void HttpInput::beginMessage()
 {
     this->headerInput = 0;
--- a/src/runtime/httpinput.h
+++ b/src/runtime/httpinput.h
@@ -30,6 +30,8 @@
     /// Bytes of memory in use.
     std::size_t capacity() const { return this->buffer.capacity(); }
 
+    /// Releases all memory; nothing is read through it afterwards.
+    void discard();
     /// Begins a message. Releases the memory that only a large one needs.
     void beginMessage();
     /// Passes on to \a parser what it can use, up to the end of the header if that was not
--- a/test/untrusted/unreadanswertest.cpp
+++ b/test/untrusted/unreadanswertest.cpp
@@ -48,3 +48,23 @@
     CHECK_THAT(cell.violations(), Catch::Equals(""));
     CHECK(cell.acceptsJob());
 }
+
+// Guards against requests that are held for connections which were answered and closed, and whose
+// clients stay.
+TEST_CASE("closed connections hold no requests")
+{
+    constexpr int clients = 60; // below the connections of the control port
+    SmallCell cell;
+    const std::string ip = cell.replica().ip;
+    const std::string body(1000000, ' ');
+    std::vector<std::unique_ptr<RawClient>> open;
+    for (int i = 0; i < clients; ++i) {
+        open.push_back(std::make_unique<RawClient>(ip, Ports::control));
+        open.back()->send(
+            "PUT /nothing HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body);
+        CHECK(SmallCell::answers(ip, Ports::control, "/config"));
+    }
+    CHECK_THAT(cell.violations(), Catch::Equals(""));
+    CHECK(cell.acceptsJob());
+}
