http: requests that arrive a byte at a time give their memory back as well

Found by the review: a client that sends a byte now and then was not taken for stalled, so 64 such clients could hold the memory for requests for 30 s each. What counts is the rate now: a request that has arrived at less than 32 kB/s, an eighth of the slowest link, but for one pause of 1 s, is closed when another needs its part.

SmallCell also reports processes that were replaced, and a crowd that did not come together fails its test.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -75,6 +75,10 @@
 constexpr std::size_t copiesOfBody = 4;
 /// The headers of most requests fit.
 constexpr std::size_t uncountedInputBytes = std::size_t{4} << 10U;
+/// Within this time a lost packet has been sent again.
+constexpr Milliseconds pauseLimit{1000};
+/// An eighth of the slowest link of an instance, 2 Mbit/s.
+constexpr std::size_t soundBytesPerMs = 32;
 /// Large requests are over within a second.
 constexpr int bytesRetryAfterMs = 1000;
 
@@ -152,8 +156,10 @@
     this->parser->body_limit(options.maxBodyBytes);
     this->input.beginMessage();
     this->hasBegunRequest = !this->input.isEmpty();
+    this->requestBegan = monotonicNow();
+    this->requestInput = 0;
     this->deadline =
-        monotonicNow() + (this->hasBegunRequest ? options.headerTimeout : options.idleTimeout);
+        this->requestBegan + (this->hasBegunRequest ? options.headerTimeout : options.idleTimeout);
     this->parseInput();
 }
 
@@ -171,9 +177,10 @@
     if (!this->isOpen)
         return;
     this->input.received(bytes);
-    this->lastInput = monotonicNow();
+    this->requestInput += bytes;
     if (bytes > 0 && !std::exchange(this->hasBegunRequest, true)) {
-        this->deadline = this->lastInput + this->owner->options.headerTimeout;
+        this->requestBegan = monotonicNow();
+        this->deadline = this->requestBegan + this->owner->options.headerTimeout;
         this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
     }
     if (error == asio::error::eof)
@@ -435,6 +442,12 @@
         });
 }
 
+bool HttpConnection::isStalled(Instant now) const
+{
+    const Milliseconds soundTime(static_cast<std::int64_t>(this->requestInput / soundBytesPerMs));
+    return !this->bytes.empty() && now > this->requestBegan + pauseLimit + soundTime;
+}
+
 void HttpConnection::closeIfExpired(Instant now)
 {
     if (now > this->deadline)
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -64,11 +64,8 @@
     /// Closes the connection if its deadline has passed, so that a peer that is slow, idle or gone
     /// cannot hold it indefinitely.
     void closeIfExpired(Instant now);
-    /// True if its request takes memory, and nothing of it has arrived since \a then.
-    bool isStalledSince(Instant then) const
-    {
-        return this->lastInput < then && !this->bytes.empty();
-    }
+    /// True if its request takes memory, and arrives more slowly than any sound client sends.
+    bool isStalled(Instant now) const;
 
 private:
     class Reply;
@@ -106,7 +103,8 @@
     std::size_t takenBytes = 0; ///< of its body
     std::size_t takenInputBytes = 0;
     WaitingConnections::Place place;
-    Instant lastInput{};
+    Instant requestBegan{};
+    std::size_t requestInput = 0; ///< bytes of the request that have arrived
     std::array<char, 4096> discarded{}; ///< input of a refused request, never used
     Instant deadline = Instant::max();
     bool isAdmitted = false;
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -29,9 +29,6 @@
 constexpr Milliseconds sweepInterval{500};
 constexpr Milliseconds acceptRetryDelay{50}; ///< after a connection could not be accepted
 
-/// A sound client sends a request without pauses; a lost packet is sent again within this time.
-constexpr Milliseconds stalledAfter{1000};
-
 struct Route
 {
     std::string method;
@@ -180,9 +177,9 @@
 
 bool HttpServer::Private::reclaimBytes(const internal::HttpConnection &requester)
 {
-    const Instant then = monotonicNow() - stalledAfter;
+    const Instant now = monotonicNow();
     return this->reclaim(this->waiting.firstUnfinished([&](const auto &connection) {
-        return &connection != &requester && connection.isStalledSince(then);
+        return &connection != &requester && connection.isStalled(now);
     }));
 }
 
--- a/test/runtime/httpservertest.cpp
+++ b/test/runtime/httpservertest.cpp
@@ -9,9 +9,11 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 using namespace guavavalve;
@@ -196,3 +198,34 @@
         large.trySend("10000\r\n" + std::string(0x10000, 'x') + "\r\n");
     CHECK(large.readUntil("}").find(" 503 ") != std::string::npos);
 }
+
+// Guards against a few clients that hold the memory for requests by lengths that they announce.
+TEST_CASE("requests that do not arrive make room for others", "[http]")
+{
+    HttpServerOptions options;
+    options.budget = std::make_shared<ByteBudget>(1U << 20U, 0);
+    HttpServer server(options);
+    server.route("POST", "/", [](const HttpRequest &, const HttpReply &reply) { reply({}); });
+    REQUIRE(server.start());
+    const std::string half(100000, 'x');
+    RawCaller holder(server.port());
+    holder.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 250000\r\n\r\n");
+    const auto answerTo = [&server, &half] {
+        RawCaller caller(server.port());
+        caller.trySend(request("POST", "/", half));
+        return caller.readUntil("\r\n");
+    };
+    SECTION("they send nothing")
+    {
+        CHECK(answerTo().find(" 503 ") != std::string::npos);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    }
+    SECTION("they send a byte now and then")
+    {
+        for (int i = 0; i < 12; ++i) {
+            holder.send("x");
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    }
+    CHECK(answerTo().find(" 200 ") != std::string::npos);
+}
--- a/test/untrusted/rawclient.h
+++ b/test/untrusted/rawclient.h
@@ -18,6 +18,7 @@
     RawClient(const RawClient &) = delete;
     RawClient &operator=(const RawClient &) = delete;
 
+    bool isConnected() const { return this->socket >= 0; }
     /// False once the peer has closed the connection, or takes no more bytes for some seconds.
     bool send(std::string_view bytes);
     /// Sends \a head, and then \a repeated until \a bytes have been sent or the peer takes no more.
--- a/test/untrusted/slowcrowdtest.cpp
+++ b/test/untrusted/slowcrowdtest.cpp
@@ -20,14 +20,18 @@
 public:
     Crowd(const std::string &ip, int port, const std::string &unfinished)
     {
-        constexpr int connections = 400;
         for (int i = 0; i < connections; ++i) {
             this->clients.push_back(std::make_unique<RawClient>(ip, port));
+            this->connected += this->clients.back()->isConnected() ? 1 : 0;
             this->clients.back()->send(unfinished);
         }
+        CHECK(this->connected == connections);
     }
 
 private:
+    static constexpr int connections = 400;
+
+    int connected = 0;
     std::vector<std::unique_ptr<RawClient>> clients;
 };
 
--- a/test/untrusted/smallcell.cpp
+++ b/test/untrusted/smallcell.cpp
@@ -67,6 +67,8 @@
     if (!fakes::eventually([&] { return this->configure(configurationBytes); })
         || !fakes::eventually([this] { return this->acceptsJob(); }))
         throw std::runtime_error("the cell does not start");
+    for (const Machine &machine : this->machines())
+        this->started[machine.number] = this->cell->processId(machine.number);
 }
 
 SmallCell::~SmallCell() = default;
@@ -125,16 +127,23 @@
         == 200;
 }
 
-std::string SmallCell::violations()
+std::vector<Machine> SmallCell::machines() const
 {
     std::vector<Machine> machines = this->cell->replicas();
     const std::vector<Machine> entries = this->cell->entries();
     machines.insert(machines.end(), entries.begin(), entries.end());
+    return machines;
+}
+
+std::string SmallCell::violations()
+{
     std::string found;
-    for (const Machine &machine : machines) {
+    for (const Machine &machine : this->machines()) {
         const pid_t process = this->cell->processId(machine.number);
         const std::size_t peak = memoryOf(process, "VmHWM") / kilobytesPerMegabyte;
         const std::size_t files = openFilesOf(process);
+        if (process != this->started[machine.number])
+            found += machine.name + " is another process than at the start\n";
         if (peak > memoryMb)
             found += machine.name + " peak " + std::to_string(peak) + " MB of "
                 + std::to_string(memoryMb) + "\n";
--- a/test/untrusted/smallcell.h
+++ b/test/untrusted/smallcell.h
@@ -5,6 +5,7 @@
 #include "soak/changesource.h"
 
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -35,18 +36,20 @@
     /// Registers \a address as a target; true if that is acknowledged.
     bool announce(const std::string &address);
 
-    /// The processes that ended by themselves, and those whose peak memory or open descriptors are
-    /// above their limits; empty if there is none.
+    /// The processes that ended or were replaced, and those whose peak memory or open descriptors
+    /// are above their limits; empty if there is none.
     std::string violations();
 
 private:
     bool configure(std::size_t bytes);
+    std::vector<soak::Machine> machines() const;
 
     TemporaryFolder folder;
     std::mutex mutex;
     std::string ends;
     soak::ChangeSource changes{1};
     std::unique_ptr<soak::Cell> cell;
+    std::map<int, pid_t> started; ///< processes at the start, by machine
     std::uint64_t jobs = 0;
     std::uint64_t reports = 0;
 };
