tests: the linter on the framing test

Cause: the linter of the whole check stopped at two findings in endlessframingtest.cpp (a vector that grows in a loop, a concatenation). Change: the head is built once, the vector reserves. Result: the 8 files of test/untrusted are clean; the four framing cases pass as before.

--- a/test/untrusted/endlessframingtest.cpp
+++ b/test/untrusted/endlessframingtest.cpp
@@ -21,12 +21,14 @@
 void sendAll(SmallCell &cell, const std::string &ip, int port, const std::string &requestLine)
 {
     for (const EndlessMessage &message : endlessMessages) {
+        std::string head = requestLine;
+        head.append("\r\nHost: ").append(ip).append("\r\nTransfer-Encoding: chunked\r\n\r\n");
+        head += message.body;
         std::vector<std::thread> threads;
+        threads.reserve(connections);
         for (int i = 0; i < connections; ++i) {
             threads.emplace_back([&] {
                 RawClient client(ip, port);
-                const std::string head = requestLine + "\r\nHost: " + ip
-                    + "\r\nTransfer-Encoding: chunked\r\n\r\n" + message.body;
                 client.sendEndless(head, message.repeated, endlessBytes);
             });
         }
