--- a/src/runtime/httpinput.h
+++ b/src/runtime/httpinput.h
@@ -9,15 +9,16 @@
 
 namespace guavavalve::internal {
 
-/// The bytes of a connection on their way to an HTTP parser, which has limits for headers and
-/// bodies but none for the framing of a chunked body: sizes and extensions of chunks, and trailers.
+/// The bytes of a connection on their way to an HTTP parser. Bounds what the parser does not: a
+/// header as a whole, and the framing of a chunked body (sizes and extensions of chunks, trailers).
 ///
-/// Guards against peers that send framing without an end: the parser keeps nothing of it, but waits
-/// for the end of a line or of the trailers while the buffer grows.
+/// Guards against peers that send either without an end: the parser's limit on headers is for the
+/// lines that it has not parsed yet, and it has none for framing, which it does not keep but waits
+/// to be complete while the buffer grows.
 class HttpInput
 {
 public:
-    /// \a maxFraming: bytes of a line or of the trailers, and in all of a message without a body.
+    /// \a maxFraming: bytes of a header, and separately of the framing of a body without content.
     explicit HttpInput(std::size_t maxFraming);
 
     /// Where the next bytes are to be received.
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -66,8 +66,8 @@
     /// When a further one arrives, the one that has waited longest for its request is closed, or
     /// the new one if a request is being served on each.
     std::size_t maxConnections = 8192;
-    Milliseconds headerTimeout{
-        10000}; ///< from the first byte of a request to the end of its header
+    /// From the first byte of a request to the end of its header, which fits into a few packets.
+    Milliseconds headerTimeout{10000};
     /// Limits reading the body of a request, and separately writing a response, so that a slow peer
     /// cannot hold a connection indefinitely.
     Milliseconds transferTimeout{30000};
--- a/test/workflows/latestarttest.cpp
+++ b/test/workflows/latestarttest.cpp
@@ -229,8 +229,8 @@
     CHECK(simulation.isAllOver());
 }
 
-// Guards against two runs of a task: the controller that elects itself after another short-lived
-// one counts the lease from the placement alone.
+// Guards against two runs of a task: a controller that leads some seconds after the placement holds
+// the run for the shorter lease alone.
 TEST_CASE("a run that a later incarnation may keep is not started again after some seconds",
           "[fence]")
 {
