sessions: a start that waits for a lease is not sent once it is overdue

A start that waited for its leader to be allowed to grant leases was sent at any age after that, also a second copy of one that the target had listed as running. The next leader holds a run by the time of its placement, so such a start could be carried out by a later incarnation unnoticed.

Change: once overdue, a start of which nothing was sent is given up and placed anew at once, one that the target has listed counts as confirmed, and any other is settled by a stop, as after a failed attempt.

--- a/src/workflows/sessions/targetsessionorders.cpp
+++ b/src/workflows/sessions/targetsessionorders.cpp
@@ -45,8 +45,13 @@
     Run &run = found->second;
     run.order.leaseUntilMs = this->leaseForStart();
     if (run.order.leaseUntilMs == 0) { // without answers, the end of a lease might never be known
-        if (!run.maybeSent && this->failures >= maxUnansweredPolls)
+        const bool isOverdue = this->clock() > run.placedAt + this->limits.startTimeout;
+        if (!run.maybeSent && (isOverdue || this->failures >= maxUnansweredPolls))
             this->giveUpUnsent(task, run);
+        else if (isOverdue && run.wasListed)
+            this->startAnswered(task, run, OrderReply::Done);
+        else if (isOverdue)
+            this->resolveByStop(task, run);
         else
             this->runLater(this->limits.resendDelay, [this, task] { this->sendStart(task); });
         return;
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -258,6 +258,23 @@
 }
 
 // Guards against a task that waits for a lease to expire although its start was never sent.
+// Guards against a start that is sent long after its placement: the next controller takes it for
+// settled by then.
+TEST_CASE_METHOD(SessionFixture, "a start that waits for a lease is not sent once it is overdue",
+                 "[session]")
+{
+    this->isCurrent = false;
+    this->startTask();
+    this->port.running.clear();
+    this->tickFor(this->limits.startTimeout + Milliseconds(500));
+    CHECK(this->overCount == 1);
+    this->isCurrent = true;
+    this->tickFor(Milliseconds(1000));
+    CHECK(this->port.starts == 0);
+    REQUIRE_FALSE(this->over.empty());
+    CHECK(this->over.front().outcome == RunOutcome::NeverStarted);
+}
+
 TEST_CASE_METHOD(SessionFixture, "a run whose start was never sent is over at once", "[session]")
 {
     this->port.unsentStart = failure(ErrorCode::LimitExceeded, "no connection came free");
