messenger: connections that are not authenticated make room for instances

Cause, found by the review: the port between instances took up to 1,024 connections from anybody and refused whoever came next, for 0.5 s and again; strangers who reconnect kept the replicas apart.

Change: at the limit, the oldest connection whose peer has not proved that it knows the shared secret is closed for the new one. A peer does so within a round trip. Authenticated connections are never closed for another.

Result: "connections that are not authenticated make room for instances", 20 strangers against a limit of 8, failed for each of 4 callers and passes; the 14 cases of [messenger] pass.

--- a/src/replicas/tcphub.cpp
+++ b/src/replicas/tcphub.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/strand.hpp>
 #include <sodium.h>
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <optional>
@@ -44,6 +45,7 @@
 {
     std::shared_ptr<TcpConnection> connection;
     std::size_t pendingCalls = 0; ///< received and not yet answered
+    std::atomic<bool> isAuthenticated{false};
 };
 
 /// The reply to a received call. If a handler throws or drops it, the caller must not wait for its
@@ -194,13 +196,34 @@
                                 });
 }
 
+/// True if another connection may be accepted. At the limit, closes the oldest one whose peer has
+/// not authenticated itself. The mutex is locked.
+///
+/// Guards against strangers that keep the instances out: a peer authenticates itself within a round
+/// trip, before its turn comes.
+bool TcpHub::ensureRoom()
+{
+    if (this->inbound.size() < this->options->maxInbound)
+        return true;
+    const auto found =
+        std::find_if(this->inbound.begin(), this->inbound.end(),
+                     [](const auto &entry) { return !entry.second->isAuthenticated; });
+    if (found == this->inbound.end())
+        return false;
+    ++this->atomicCounters->connectionsRefused;
+    const std::shared_ptr<Inbound> stranger = found->second;
+    this->inbound.erase(found);
+    asio::post(stranger->connection->executor(), [stranger] { stranger->connection->close(); });
+    return true;
+}
+
 void TcpHub::onAccepted(Tcp::socket socket)
 {
     auto item = std::make_shared<Inbound>();
     std::uint64_t id = 0;
     {
         const std::lock_guard lock(this->mutex);
-        if (!this->isRunning || this->inbound.size() >= this->options->maxInbound) {
+        if (!this->isRunning || !this->ensureRoom()) {
             ++this->atomicCounters->connectionsRefused;
             return;
         }
@@ -213,6 +236,10 @@
         if (served && frame.kind == WireFrame::Kind::Call)
             this->serve(served, std::move(frame));
     };
+    hooks.onReady = [weakItem] {
+        if (const auto authenticated = weakItem.lock())
+            authenticated->isAuthenticated = true;
+    };
     hooks.onClosed = [this, id](const std::vector<std::uint64_t> &) {
         const std::lock_guard lock(this->mutex);
         this->inbound.erase(id);
--- a/src/replicas/tcphub.h
+++ b/src/replicas/tcphub.h
@@ -44,6 +44,7 @@
 
     void run();
     void accept();
+    bool ensureRoom();
     void onAccepted(Tcp::socket socket);
     void serve(const std::shared_ptr<Inbound> &inbound, WireFrame frame);
     std::shared_ptr<TcpPeer> peerAt(const std::string &address);
--- a/test/replicas/tcpmessengertest.cpp
+++ b/test/replicas/tcpmessengertest.cpp
@@ -15,9 +15,11 @@
 #include <boost/asio/write.hpp>
 
 #include <atomic>
+#include <memory>
 #include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace guavavalve;
 using guavavalve::internal::Hello;
@@ -216,6 +218,30 @@
     CHECK(pair.caller.counters().connectionsOpened == 1);
 }
 
+// Guards against strangers whose connections keep the other instances out.
+TEST_CASE("connections that are not authenticated make room for instances", "[messenger]")
+{
+    auto options = optionsOf("server");
+    options.maxInbound = 8;
+    options.connectTimeout = Milliseconds(60000); // strangers stay
+    TcpMessenger server(options);
+    serveEcho(server);
+    REQUIRE(server.start());
+    std::vector<std::unique_ptr<RawClient>> strangers;
+    for (int i = 0; i < 20; ++i)
+        strangers.push_back(std::make_unique<RawClient>(server));
+    std::vector<std::unique_ptr<TcpMessenger>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<TcpMessenger>(optionsOf("caller")));
+        REQUIRE(callers.back()->start());
+        CHECK(ping(*callers.back(), addressOf(server), "x", Milliseconds(5000)));
+    }
+    for (int i = 0; i < 20; ++i)
+        strangers.push_back(std::make_unique<RawClient>(server));
+    for (const auto &caller : callers)
+        CHECK(ping(*caller, addressOf(server), "y", Milliseconds(5000)));
+}
+
 // An attacker who records traffic on the network replays a connection, so that a start or a vote
 // would count twice. Nonces are fresh on each connection and frames are numbered, so the replay
 // must be dropped.
