messenger: a connection that cannot be accepted is tried again after a pause

Cause, found by the review: after an error the next accept began at once. Without descriptors the connection stays in the backlog, so the only thread of the messenger did nothing else, and the calls and heartbeats between replicas waited for it.

Change: 50 ms after an error, and a counter of such failures.

--- a/src/replicas/atomiccounters.h
+++ b/src/replicas/atomiccounters.h
@@ -23,6 +23,7 @@
     Counter connectionsOpened{0};
     Counter connectionsReplaced{0};
     Counter connectionsRefused{0};
+    Counter acceptFailures{0};
     Counter callsTimedOut{0};
     Counter callsRefused{0};
     Counter exceptions{0};
@@ -41,6 +42,7 @@
         counters.connectionsOpened = this->connectionsOpened;
         counters.connectionsReplaced = this->connectionsReplaced;
         counters.connectionsRefused = this->connectionsRefused;
+        counters.acceptFailures = this->acceptFailures;
         counters.callsTimedOut = this->callsTimedOut;
         counters.callsRefused = this->callsRefused;
         counters.exceptions = this->exceptions;
--- a/src/replicas/messengercounters.h
+++ b/src/replicas/messengercounters.h
@@ -18,6 +18,7 @@
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsReplaced = 0; ///< nothing received within the idle timeout
     std::uint64_t connectionsRefused = 0; ///< over the limit of inbound connections
+    std::uint64_t acceptFailures = 0; ///< mostly for want of descriptors
     std::uint64_t callsTimedOut = 0;
     std::uint64_t callsRefused = 0; ///< a bounded queue was full
     std::uint64_t exceptions = 0; ///< thrown by handlers of calls and of replies
--- a/src/replicas/tcphub.cpp
+++ b/src/replicas/tcphub.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr std::size_t minSecretBytes = 16;
+constexpr Milliseconds acceptRetryDelay{50}; ///< after a connection could not be accepted
 
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &address)
 {
@@ -107,6 +108,7 @@
     , atomicCounters(std::make_shared<AtomicCounters>())
     , work(asio::make_work_guard(this->context))
     , acceptor(this->context)
+    , acceptTimer(this->context)
 {}
 
 TcpHub::~TcpHub() = default;
@@ -190,12 +192,30 @@
                                 [this](boost::system::error_code error, Tcp::socket socket) {
                                     if (error == asio::error::operation_aborted)
                                         return;
-                                    const ScopeExit next([this] { this->accept(); });
-                                    if (!error)
+                                    const ScopeExit next([this, error] {
+                                        if (error)
+                                            this->acceptLater();
+                                        else
+                                            this->accept();
+                                    });
+                                    if (error)
+                                        ++this->atomicCounters->acceptFailures;
+                                    else
                                         this->onAccepted(std::move(socket));
                                 });
 }
 
+/// Guards against a loop that uses the whole processor: without descriptors, the connection stays
+/// in the backlog and accepting it fails again at once.
+void TcpHub::acceptLater()
+{
+    this->acceptTimer.expires_after(acceptRetryDelay);
+    this->acceptTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            this->accept();
+    });
+}
+
 /// True if another connection may be accepted. At the limit, closes the oldest one whose peer has
 /// not authenticated itself. The mutex is locked.
 ///
--- a/src/replicas/tcphub.h
+++ b/src/replicas/tcphub.h
@@ -7,6 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -44,6 +45,7 @@
 
     void run();
     void accept();
+    void acceptLater();
     bool ensureRoom();
     void onAccepted(Tcp::socket socket);
     void serve(const std::shared_ptr<Inbound> &inbound, WireFrame frame);
@@ -54,6 +56,7 @@
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     Tcp::acceptor acceptor;
+    boost::asio::steady_timer acceptTimer;
     std::uint16_t boundPort = 0;
     std::map<Method, Messenger::Handler> handlers; ///< not changed after start()
     std::vector<std::thread> threads;
--- a/test/replicas/tcpmessengertest.cpp
+++ b/test/replicas/tcpmessengertest.cpp
@@ -15,10 +15,15 @@
 #include <boost/asio/write.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
+#include <netinet/in.h>
 #include <random>
 #include <string>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace guavavalve;
@@ -242,6 +247,38 @@
         CHECK(ping(*caller, addressOf(server), "y", Milliseconds(5000)));
 }
 
+// Guards against a thread that tries without a pause to accept a connection for which the process
+// has no descriptor.
+TEST_CASE("a connection that cannot be accepted is tried again after a pause", "[messenger]")
+{
+    constexpr std::uint64_t withoutPause = 100; // in a second; with pauses there are 20
+    TcpMessenger server(optionsOf("server"));
+    serveEcho(server);
+    REQUIRE(server.start());
+    TcpMessenger caller(optionsOf("caller"));
+    REQUIRE(caller.start());
+    RawClient stranger(server);
+    stranger.send("x"); // it has been accepted once the next one waits
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const int lowestFree = dup(STDIN_FILENO);
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    const rlimit none{static_cast<rlim_t>(lowestFree) + 1, before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CHECK(connect(client, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+    CHECK(waitFor([&] { return server.counters().acceptFailures > 0; }));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    CHECK(server.counters().acceptFailures < withoutPause);
+    setrlimit(RLIMIT_NOFILE, &before);
+    close(client);
+    close(lowestFree);
+    CHECK(ping(caller, addressOf(server), "x"));
+}
+
 // An attacker who records traffic on the network replays a connection, so that a start or a vote
 // would count twice. Nonces are fresh on each connection and frames are numbered, so the replay
 // must be dropped.
