http: a read buffer is charged when it grows, not after the next read

Cause, found by the review: the budget was asked before the buffer was enlarged for the next read, so a connection that then stalled held up to twice what it was charged, and up to 8 KB without a charge. Change: the charge follows the growth, before the read begins.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -165,8 +165,13 @@
 
 void HttpConnection::readMore()
 {
+    const asio::mutable_buffer space = this->input.space();
+    if (!this->takeInputBytes()) {
+        this->refuseForBytes();
+        return;
+    }
     this->socket.async_read_some(
-        this->input.space(),
+        space,
         [self = this->shared_from_this()](boost::system::error_code error, std::size_t bytes) {
             self->onInput(error, bytes);
         });
@@ -203,7 +208,7 @@
         this->onRequest();
     else if (wasHeader && this->parser->is_header_done())
         this->onHeader();
-    else if (this->takeBytes(this->parser->get().body().size()) && this->takeInputBytes())
+    else if (this->takeBytes(this->parser->get().body().size()))
         this->readMore();
     else
         this->refuseForBytes();
