http: stalled requests make room for all that share the budget; why connections are closed is told

Cause, found by the review: a listener closed stalled requests of its own only. Clients of the metrics or readiness port that announce bodies could hold the memory that callers, and calls which another instance relays, are refused for. And the log line and the metric of closed connections did not say whether connections or memory were short.

Change: each listener looks every 0.5 s whether the budget has refused anybody what would have fitted beside less, and then closes its own stalled requests; who was refused comes back after 1 s, as Retry-After says. The metric and the log line give the reason (ReclaimReason).

--- a/src/runtime/bytebudget.cpp
+++ b/src/runtime/bytebudget.cpp
@@ -42,6 +42,7 @@
     do {
         if (bytes > allowed || used > allowed - bytes) {
             ++this->refusals;
+            this->shortageCount += bytes <= allowed ? 1 : 0;
             return std::nullopt;
         }
     } while (!this->inUse.compare_exchange_weak(used, used + bytes));
--- a/src/runtime/bytebudget.h
+++ b/src/runtime/bytebudget.h
@@ -41,6 +41,8 @@
 
     std::size_t used() const { return this->inUse; }
     std::uint64_t refused() const { return this->refusals; }
+    /// Refusals of what would have fitted beside less.
+    std::uint64_t shortages() const { return this->shortageCount; }
 
     static constexpr std::size_t smallRequest = std::size_t{256} << 10U; ///< bytes
 
@@ -54,6 +56,7 @@
     const std::size_t reserve;
     std::atomic<std::size_t> inUse{0};
     std::atomic<std::uint64_t> refusals{0};
+    std::atomic<std::uint64_t> shortageCount{0};
 };
 
 } // namespace guavavalve
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <condition_variable>
 #include <future>
@@ -73,7 +74,8 @@
     std::unique_ptr<asio::steady_timer> sweepTimer;
     std::set<std::shared_ptr<internal::HttpConnection>> connections;
     std::uint64_t rejectedConnections = 0;
-    std::uint64_t reclaimedConnections = 0;
+    std::array<std::uint64_t, reclaimReasonNames.size()> reclaimed{}; ///< by reason
+    std::uint64_t lastShortages = 0; ///< of the budget, at the last sweep
     std::uint16_t port = 0;
 
     std::mutex mutex;
@@ -82,7 +84,8 @@
     std::map<std::string, std::size_t> inFlightOfPeer;
 
     const Route *find(const std::string &method, const std::string &path, bool &pathKnown) const;
-    bool reclaim(const std::shared_ptr<internal::HttpConnection> &connection);
+    bool reclaim(const std::shared_ptr<internal::HttpConnection> &connection, ReclaimReason reason);
+    bool isMemoryShort();
     void accept();
     void acceptLater();
     void sweep();
@@ -164,14 +167,15 @@
 }
 
 /// Closes \a connection to make room; false if it is null.
-bool HttpServer::Private::reclaim(const std::shared_ptr<internal::HttpConnection> &connection)
+bool HttpServer::Private::reclaim(const std::shared_ptr<internal::HttpConnection> &connection,
+                                  ReclaimReason reason)
 {
     if (!connection)
         return false;
     connection->close();
-    ++this->reclaimedConnections;
+    ++this->reclaimed[static_cast<std::size_t>(reason)];
     if (this->options.onReclaimed)
-        this->options.onReclaimed();
+        this->options.onReclaimed(reason);
     return true;
 }
 
@@ -180,7 +184,17 @@
     const Instant now = monotonicNow();
     return this->reclaim(this->waiting.firstUnfinished([&](const auto &connection) {
         return &connection != &requester && connection.isStalled(now);
-    }));
+    }),
+                         ReclaimReason::Memory);
+}
+
+/// True if the budget has not sufficed since the last call, for this listener or anybody else.
+bool HttpServer::Private::isMemoryShort()
+{
+    if (!this->options.budget)
+        return false;
+    const std::uint64_t shortages = this->options.budget->shortages();
+    return std::exchange(this->lastShortages, shortages) != shortages;
 }
 
 void HttpServer::Private::accept()
@@ -198,7 +212,7 @@
         });
         const auto hasRoom = [&self] {
             return self->connections.size() < self->options.maxConnections
-                || self->reclaim(self->waiting.first());
+                || self->reclaim(self->waiting.first(), ReclaimReason::Connections);
         };
         if (!error && hasRoom()) {
             auto connection =
@@ -233,9 +247,13 @@
             return;
         const ScopeExit next([&self] { self->sweep(); });
         const Instant now = monotonicNow();
+        const bool isMemoryShort = self->isMemoryShort();
         const auto all = self->connections;
-        for (const auto &connection : all)
+        for (const auto &connection : all) {
             connection->closeIfExpired(now);
+            if (isMemoryShort && connection->isStalled(now))
+                self->reclaim(connection, ReclaimReason::Memory);
+        }
     });
 }
 
@@ -356,9 +374,9 @@
     return this->d->rejectedConnections;
 }
 
-std::uint64_t HttpServer::reclaimedConnections() const
+std::uint64_t HttpServer::reclaimedConnections(ReclaimReason reason) const
 {
-    return this->d->reclaimedConnections;
+    return this->d->reclaimed[static_cast<std::size_t>(reason)];
 }
 
 bool HttpServer::waitUntilIdle(Instant deadline)
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/enumnames.h"
 #include "core/error.h"
 
 #include <cstddef>
@@ -55,6 +56,17 @@
 /// Serves a request. It must not block; it may call the reply later and on any thread.
 using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
 
+/// What a connection without a complete request was closed for.
+enum class ReclaimReason : std::uint8_t {
+    Connections, ///< another one had arrived, and all were in use
+    Memory, ///< another request had not found memory
+};
+
+inline constexpr EnumNames<ReclaimReason, 2> reclaimReasonNames{{
+    {ReclaimReason::Connections, "connections"},
+    {ReclaimReason::Memory, "memory"},
+}};
+
 struct HttpServerOptions
 {
     std::string address = "127.0.0.1"; ///< IP to listen on
@@ -76,7 +88,8 @@
     /// Shared by all that the process reads; null: none. A request that does not fit is refused
     /// with 503 before its body is read, unless others that have stopped to arrive make room.
     std::shared_ptr<ByteBudget> budget;
-    std::function<void()> onReclaimed; ///< a connection was closed to make room; may be empty
+    /// A connection was closed to make room; may be empty.
+    std::function<void(ReclaimReason reason)> onReclaimed;
 };
 
 /// An HTTP server (Boost.Beast) with one listener and a route table.
@@ -122,7 +135,7 @@
     std::uint64_t rejectedConnections() const;
     /// Connections closed to make room for others. Must be called on the loop, or while the loop is
     /// stopped.
-    std::uint64_t reclaimedConnections() const;
+    std::uint64_t reclaimedConnections(ReclaimReason reason) const;
 
     /// Waits until inFlight() is zero; false if \a deadline passes first. Must not be called on the
     /// loop.
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -112,8 +112,9 @@
     {Metric::CallsRefusedTotal, "guavavalve_calls_refused_total", MetricType::Counter, "calls",
      "use", "Calls and connections refused because the budget of their use was exhausted."},
     {Metric::ConnectionsReclaimedTotal, "guavavalve_connections_reclaimed_total",
-     MetricType::Counter, "connections", "use",
-     "Connections without a complete request that were closed to make room for others."},
+     MetricType::Counter, "connections", "reason",
+     "Connections without a complete request that were closed to make room for others, by what was "
+     "short: connections, memory."},
     {Metric::LoopLagSeconds, "guavavalve_loop_lag_seconds", MetricType::Gauge, "seconds", "",
      "Delay with which the controller's loop ran its most recent periodic action."},
     {Metric::IntakeRefusedTotal, "guavavalve_intake_refused_total", MetricType::Counter, "requests",
--- a/test/runtime/httpservertest.cpp
+++ b/test/runtime/httpservertest.cpp
@@ -229,3 +229,30 @@
     }
     CHECK(answerTo().find(" 200 ") != std::string::npos);
 }
+
+// As above, by a client of another listener of the same process.
+TEST_CASE("requests that do not arrive make room for those of another listener", "[http]")
+{
+    HttpServerOptions options;
+    options.budget = std::make_shared<ByteBudget>(1U << 20U, 0);
+    HttpServer heldUp(options);
+    HttpServer server(options);
+    server.route("POST", "/", [](const HttpRequest &, const HttpReply &reply) { reply({}); });
+    REQUIRE(heldUp.start());
+    REQUIRE(server.start());
+    RawCaller holder(heldUp.port());
+    holder.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 250000\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    const auto isServed = [&server] {
+        RawCaller caller(server.port());
+        caller.trySend(request("POST", "/", std::string(100000, 'x')));
+        return caller.readUntil("\r\n").find(" 200 ") != std::string::npos;
+    };
+    bool wasServed = isServed();
+    for (int retries = 0; retries < 5 && !wasServed; ++retries) {
+        std::this_thread::sleep_for(std::chrono::seconds(1)); // as Retry-After says
+        wasServed = isServed();
+    }
+    CHECK(wasServed);
+    CHECK(holder.readUntil("\r\n").empty());
+}
