--- a/test/replicas/tcpmessengertest.cpp
+++ b/test/replicas/tcpmessengertest.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <memory>
@@ -232,17 +233,16 @@
     TcpMessenger server(options);
     serveEcho(server);
     REQUIRE(server.start());
-    std::vector<std::unique_ptr<RawClient>> strangers;
-    for (int i = 0; i < 20; ++i)
-        strangers.push_back(std::make_unique<RawClient>(server));
+    std::vector<std::unique_ptr<RawClient>> strangers(40);
+    std::generate_n(strangers.begin(), 20, [&] { return std::make_unique<RawClient>(server); });
     std::vector<std::unique_ptr<TcpMessenger>> callers;
     for (int i = 0; i < 4; ++i) {
         callers.push_back(std::make_unique<TcpMessenger>(optionsOf("caller")));
         REQUIRE(callers.back()->start());
         CHECK(ping(*callers.back(), addressOf(server), "x", Milliseconds(5000)));
     }
-    for (int i = 0; i < 20; ++i)
-        strangers.push_back(std::make_unique<RawClient>(server));
+    std::generate_n(strangers.begin() + 20, 20,
+                    [&] { return std::make_unique<RawClient>(server); });
     for (const auto &caller : callers)
         CHECK(ping(*caller, addressOf(server), "y", Milliseconds(5000)));
 }
