http: a request that is being served is not closed while memory is short

Any caller whose answer took longer than a second lost it whenever memory was short.

Change: only a request that is still arriving can be stalled. One that is refused for want of memory gives its part back first, so that it is not closed while its answer is written.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -287,6 +287,7 @@
 
 void HttpConnection::refuseForBytes()
 {
+    this->releaseBytes(); // so that it is not closed before the answer is written
     this->answer(httpRefusal(503, "limit-exceeded", "the requests in progress take too much memory",
                              bytesRetryAfterMs));
 }
@@ -450,7 +451,8 @@
 bool HttpConnection::isStalled(Instant now) const
 {
     const Milliseconds soundTime(static_cast<std::int64_t>(this->requestInput / soundBytesPerMs));
-    return !this->bytes.empty() && now > this->requestBegan + pauseLimit + soundTime;
+    const bool isArriving = this->place.list != nullptr;
+    return isArriving && !this->bytes.empty() && now > this->requestBegan + pauseLimit + soundTime;
 }
 
 void HttpConnection::closeIfExpired(Instant now)
--- a/test/runtime/httpservertest.cpp
+++ b/test/runtime/httpservertest.cpp
@@ -256,3 +256,31 @@
     CHECK(wasServed);
     CHECK(holder.readUntil("\r\n").empty());
 }
+
+// Guards against a rule for requests that do not arrive which ends those that are being served.
+TEST_CASE("a request that is being served is not closed while memory is short", "[http]")
+{
+    HttpServerOptions options;
+    options.budget = std::make_shared<ByteBudget>(1U << 20U, 0);
+    HttpServer server(options);
+    std::mutex mutex;
+    HttpReply held;
+    server.route("POST", "/", [&](const HttpRequest &, const HttpReply &reply) {
+        const std::lock_guard lock(mutex);
+        held = reply;
+    });
+    REQUIRE(server.start());
+    RawCaller served(server.port());
+    served.send(request("POST", "/", std::string(20000, 'x')));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    RawCaller refused(server.port());
+    refused.trySend(request("POST", "/", std::string(250000, 'x')));
+    CHECK(refused.readUntil("\r\n").find(" 503 ") != std::string::npos);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    {
+        const std::lock_guard lock(mutex);
+        REQUIRE(held);
+        held({});
+    }
+    CHECK(served.readUntil("\r\n").find(" 200 ") != std::string::npos);
+}
