http: the fields of a header are charged to the memory budget

Cause, found by the review: the read buffer and the body were charged, the parsed fields were not. A line of 4 bytes takes 70 bytes in the parser, and again as much with the handler, so that 232 connections that had each sent 7,000 of them took an entry of 64 MB to 120 MB.

Change: a field counts as 200 bytes and twice its text, from 8 KB on, as it arrives; trailers once they have arrived. The same at answers of targets, in their budget.

Result: "callers are served beside headers of many lines" failed (120 MB of 64) and passes; "the memory of header lines is counted", and the same of a response, failed (200 instead of 503, 200 instead of no answer) and pass. The same crowd at the control port, of 99 connections, passes before (34 MB) and after.

--- a/src/runtime/httpclientconnection.cpp
+++ b/src/runtime/httpclientconnection.cpp
@@ -184,7 +184,8 @@
     }
     if (error)
         this->fail(ErrorCode::Unavailable, "the connection broke: " + error.message());
-    else if (!this->takeBytes(this->parser->get().body().size()))
+    else if (!this->takeBytes(this->parser->get().body().size()
+                              + this->input.fieldBytes(*this->parser) / copiesOfBody))
         this->fail(ErrorCode::LimitExceeded, "the responses in progress take too much memory");
     else if (this->parser->is_done())
         this->succeed();
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -75,6 +75,8 @@
 constexpr std::size_t copiesOfBody = 4;
 /// The headers of most requests fit.
 constexpr std::size_t uncountedInputBytes = std::size_t{4} << 10U;
+/// The fields of most requests fit.
+constexpr std::size_t uncountedFieldBytes = std::size_t{8} << 10U;
 /// Within this time a lost packet has been sent again.
 constexpr Milliseconds pauseLimit{1000};
 /// An eighth of the slowest link of an instance, 2 Mbit/s.
@@ -204,6 +206,8 @@
         this->readRequest();
     else if (error)
         this->handleReadError(error);
+    else if (!this->takeFieldBytes())
+        this->refuseForBytes();
     else if (this->parser->is_done())
         this->onRequest();
     else if (wasHeader && this->parser->is_header_done())
@@ -273,6 +277,20 @@
     return true;
 }
 
+/// Takes the memory of the fields, in steps that are few for a header that arrives slowly.
+bool HttpConnection::takeFieldBytes()
+{
+    const std::size_t needed = this->input.fieldBytes(*this->parser);
+    if (!this->owner->options.budget
+        || needed <= std::max(this->takenFieldBytes, uncountedFieldBytes))
+        return true;
+    const std::size_t step = std::max(needed, 2 * this->takenFieldBytes) - this->takenFieldBytes;
+    if (!this->takeShare(step))
+        return false;
+    this->takenFieldBytes += step;
+    return true;
+}
+
 bool HttpConnection::takeShare(std::size_t shareBytes)
 {
     ByteBudget &budget = *this->owner->options.budget;
@@ -404,6 +422,7 @@
     this->bytes.clear();
     this->takenBytes = 0;
     this->takenInputBytes = 0;
+    this->takenFieldBytes = 0;
 }
 
 void HttpConnection::onAnswered(boost::system::error_code error)
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -80,6 +80,7 @@
     void readBody();
     bool takeBytes(std::size_t bodyBytes);
     bool takeInputBytes();
+    bool takeFieldBytes();
     bool takeShare(std::size_t shareBytes);
     void refuseForBytes();
     void releaseBytes();
@@ -102,6 +103,7 @@
     std::vector<ByteBudget::Share> bytes; ///< of the request that is read or in progress
     std::size_t takenBytes = 0; ///< of its body
     std::size_t takenInputBytes = 0;
+    std::size_t takenFieldBytes = 0;
     WaitingConnections::Place place;
     Instant requestBegan{};
     std::size_t requestInput = 0; ///< bytes of the request that have arrived
--- a/src/runtime/httpinput.cpp
+++ b/src/runtime/httpinput.cpp
@@ -35,6 +35,7 @@
 void HttpInput::beginMessage()
 {
     this->headerInput = 0;
+    this->headerLines = 0;
     this->bodyInput = 0;
     if (this->isEmpty() && this->capacity() > keptBytes)
         this->buffer.shrink_to_fit();
--- a/src/runtime/httpinput.h
+++ b/src/runtime/httpinput.h
@@ -5,7 +5,9 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/system/error_code.hpp>
 
+#include <algorithm>
 #include <cstddef>
+#include <iterator>
 
 namespace guavavalve::internal {
 
@@ -30,6 +32,10 @@
     void skip(std::size_t bytes) { this->buffer.consume(bytes); }
     /// Bytes of memory in use.
     std::size_t capacity() const { return this->buffer.capacity(); }
+    /// Bytes of memory that the fields of the message take, in \a parser and with whoever handles
+    /// them.
+    template<typename Parser>
+    std::size_t fieldBytes(const Parser &parser) const;
 
     /// Releases all memory; nothing is read through it afterwards.
     void discard();
@@ -57,6 +63,7 @@
     const std::size_t maxFraming;
     boost::beast::flat_buffer buffer;
     std::size_t headerInput = 0; ///< bytes of the header that were parsed
+    std::size_t headerLines = 0; ///< of these bytes
     std::size_t bodyInput = 0; ///< bytes of the message after its header
 };
 
@@ -69,7 +76,10 @@
         const bool isBody = parser.is_header_done();
         if (isBody && parser.chunked() && this->buffer.size() < shortestChunkedRest)
             break;
+        const auto *bytes = static_cast<const char *>(this->buffer.cdata().data());
         const std::size_t used = parser.put(this->buffer.data(), error);
+        if (!isBody)
+            this->headerLines += static_cast<std::size_t>(std::count(bytes, bytes + used, '\n'));
         this->buffer.consume(used);
         if (error == http::error::need_more)
             error = {};
@@ -93,6 +103,18 @@
     return error;
 }
 
+/// Guards against lines of a few bytes: what is kept of each takes far more.
+template<typename Parser>
+std::size_t HttpInput::fieldBytes(const Parser &parser) const
+{
+    constexpr std::size_t bytesOfField = 200; // without its text
+    constexpr std::size_t copiesOfText = 2;
+    std::size_t fields = this->headerLines;
+    if (parser.is_done()) // trailers are fields as well
+        fields = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
+    return fields * bytesOfField + this->headerInput * copiesOfText;
+}
+
 /// The framing of a body may take several times the body, since chunks may be of one byte.
 template<typename Parser>
 bool HttpInput::exceedsFraming(const Parser &parser) const
--- a/test/runtime/httpframingtest.cpp
+++ b/test/runtime/httpframingtest.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "fakes/eventually.h"
+#include "runtime/bytebudget.h"
 #include "runtime/httpclient.h"
 #include "runtime/httpserver.h"
 #include "runtime/ioloop.h"
@@ -12,8 +13,10 @@
 #include <atomic>
 #include <chrono>
 #include <list>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace guavavalve;
@@ -41,10 +44,8 @@
 /// A server that echoes bodies.
 struct ServerFixture
 {
-    ServerFixture()
+    explicit ServerFixture(HttpServerOptions options = ServerFixture::smallHeaders())
     {
-        HttpServerOptions options;
-        options.maxHeaderBytes = limitBytes;
         this->server = std::make_unique<HttpServer>(options);
         this->server->route("*", "/", [](const HttpRequest &request, const HttpReply &reply) {
             reply({200, {}, "<" + request.body + ">", "text/plain"});
@@ -52,6 +53,13 @@
         REQUIRE(this->server->start());
     }
 
+    static HttpServerOptions smallHeaders()
+    {
+        HttpServerOptions options;
+        options.maxHeaderBytes = limitBytes;
+        return options;
+    }
+
     /// The status line of the answer to what is sent, and its body if it is 200.
     std::string ask(const std::vector<std::string> &pieces)
     {
@@ -115,7 +123,8 @@
 /// A server that sends the given bytes to whoever calls, and then keeps the connection open.
 struct RawAnswerFixture
 {
-    RawAnswerFixture()
+    explicit RawAnswerFixture(HttpClientOptions options = HttpClientOptions())
+        : client(this->loop, std::move(options))
     {
         this->acceptor.open(tcp::v4());
         this->acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
@@ -156,7 +165,7 @@
     }
 
     std::shared_ptr<IoLoop> loop = std::make_shared<IoLoop>();
-    HttpClient client{this->loop, HttpClientOptions()};
+    HttpClient client;
     boost::asio::io_context context;
     tcp::acceptor acceptor{this->context};
     std::list<tcp::socket> sockets;
@@ -212,3 +221,54 @@
     pieces.emplace_back(": y\r\n\r\n");
     CHECK(this->ask(pieces) == tooLarge);
 }
+
+namespace {
+
+constexpr std::size_t budgetBytes = std::size_t{100} << 10U;
+
+struct BudgetServerFixture : ServerFixture
+{
+    BudgetServerFixture()
+        : ServerFixture([] {
+            HttpServerOptions options;
+            options.budget = std::make_shared<ByteBudget>(budgetBytes, 0);
+            return options;
+        }())
+    {}
+};
+
+struct BudgetClientFixture : RawAnswerFixture
+{
+    BudgetClientFixture()
+        : RawAnswerFixture([] {
+            HttpClientOptions options;
+            options.budget = std::make_shared<ByteBudget>(budgetBytes, 0);
+            return options;
+        }())
+    {}
+};
+
+} // namespace
+
+// Guards against header lines of a few bytes, each of which takes some hundred bytes of memory.
+TEST_CASE_METHOD(BudgetServerFixture, "the memory of header lines is counted", "[http][framing]")
+{
+    const std::string lines = repeated("a:\r\n", 2000);
+    const std::string rest = "Content-Length: 0\r\n\r\n";
+    const std::string tooMuch = "HTTP/1.1 503 Service Unavailable";
+    CHECK(this->ask({"POST /p HTTP/1.1\r\nHost: a\r\n" + lines + rest}) == tooMuch);
+    CHECK(this->ask({"POST /p HTTP/1.1\r\nHost: a\r\n" + lines}) == tooMuch);
+    CHECK(this->ask({chunkedHead + "2\r\nhi\r\n0\r\n" + lines + "\r\n"}) == tooMuch);
+    CHECK(this->ask({"POST /p HTTP/1.1\r\nHost: a\r\n" + repeated("a: b\r\n", 100) + rest})
+          == "<>");
+}
+
+// As above, for responses.
+TEST_CASE_METHOD(BudgetClientFixture, "the memory of header lines of a response is counted",
+                 "[http][framing]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string rest = "Content-Length: 0\r\n\r\n";
+    CHECK(this->call({head + repeated("a:\r\n", 1500) + rest}) == 0);
+    CHECK(this->call({head + repeated("a: b\r\n", 30) + rest}) == 200);
+}
--- a/test/untrusted/slowcrowdtest.cpp
+++ b/test/untrusted/slowcrowdtest.cpp
@@ -41,6 +41,16 @@
     return requestLine + "\r\nHost: jobs.example\r\nX-Slow: " + std::string(bytes, 'a');
 }
 
+/// Each line takes far more memory than it has bytes.
+std::string unfinishedLines(const std::string &requestLine)
+{
+    constexpr int lines = 7000; // below the limit on headers
+    std::string header = requestLine + "\r\nHost: jobs.example\r\n";
+    for (int i = 0; i < lines; ++i)
+        header += "a:\r\n";
+    return header;
+}
+
 std::string unfinishedBody(const std::string &requestLine)
 {
     return requestLine + "\r\nHost: jobs.example\r\nContent-Length: 60000\r\n\r\n{\"TaskSpec\":\"";
@@ -78,6 +88,23 @@
     CHECK_THAT(cell.violations(), Catch::Equals(""));
 }
 
+TEST_CASE("callers are served beside headers of many lines")
+{
+    SmallCell cell;
+    const Crowd crowd(cell.entry().ip, Ports::frontend, unfinishedLines(submission));
+    CHECK(cell.acceptsJob());
+    CHECK_THAT(cell.violations(), Catch::Equals(""));
+}
+
+TEST_CASE("the control port answers beside headers of many lines")
+{
+    SmallCell cell;
+    const std::string ip = cell.replica().ip;
+    const Crowd crowd(ip, Ports::control, unfinishedLines(report));
+    CHECK(SmallCell::answers(ip, Ports::control, "/config"));
+    CHECK_THAT(cell.violations(), Catch::Equals(""));
+}
+
 TEST_CASE("the readiness port answers beside connections that finish no header")
 {
     SmallCell cell;
