http: the read buffer of a request that came with the one before is charged

Cause, found by the review: a read buffer is charged before each read. A request that had arrived together with the one before it needs no read, so its buffer, of up to 48 KB, was not charged while its handler worked.

Change: it is charged before the request is handled as well.

Result: by reading, no test; the 23 cases of [http] pass.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -206,7 +206,7 @@
         this->readRequest();
     else if (error)
         this->handleReadError(error);
-    else if (!this->takeFieldBytes())
+    else if (!this->takeFieldBytes() || !this->takeInputBytes())
         this->refuseForBytes();
     else if (this->parser->is_done())
         this->onRequest();
