sessions: an adopted run that was listed is held while a later incarnation may keep it

Cause, found by the review: since a run that an earlier controller had placed was released at the time that was known at its adoption, if its target had listed it at any time before. The list may be older than a restart: a later incarnation that nobody has heard of may have carried the start out since and have got a lease with a poll. Then the task ran twice, with an order that was late by 3 s.

Change: the doubt ends with a list that comes after that time, when no start can arrive any more, and not with an earlier one.

--- a/src/workflows/sessions/targetsession.cpp
+++ b/src/workflows/sessions/targetsession.cpp
@@ -438,6 +438,10 @@
             continue;
         }
         found->second.wasListed = true;
+        const bool isAdoptedHere = found->second.phase == Phase::Adopted
+            && found->second.unsettledFrom == IncarnationId::None;
+        if (isAdoptedHere && this->clock() > found->second.copiesExpireAt)
+            found->second.copiesExpireAt = {}; // no later incarnation carries out its start
         if (!running.checkpoint.empty())
             found->second.checkpoint = running.checkpoint;
         // A session that settles reads no answers to stops: it sends them until the run has ended.
--- a/src/workflows/sessions/targetsessionsettling.cpp
+++ b/src/workflows/sessions/targetsessionsettling.cpp
@@ -45,9 +45,6 @@
     const bool mayStart = run.unansweredCopies > 0 || run.phase == Phase::Adopted;
     if (!mayStart || run.copiesExpireAt == Instant{} || !run.isHeldInDoubt)
         return {};
-    const bool isBoundHere = run.phase == Phase::Adopted && run.wasListed;
-    if (isBoundHere && this->clock() > run.copiesExpireAt)
-        return {};
     return std::max(run.copiesExpireAt, this->laterLeasesExpireAt);
 }
 
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -29,11 +29,13 @@
                 [done = std::move(done), error = *this->unsentStart] { done(error); });
             return;
         }
-        this->answer(deadline, std::move(done), OrderAnswer{this->startReply, this->clock()});
+        this->answer(deadline, std::move(done), OrderAnswer{this->startReply, this->clock()},
+                     this->losesStartAnswers);
     }
     void stop(const TargetIdentity &, const StopOrder &, Instant deadline,
               Done<OrderAnswer> done) override
     {
+        ++this->stops;
         this->answer(deadline, std::move(done), OrderAnswer{OrderReply::Done, this->clock()});
     }
     void hold(const TargetIdentity &, const HoldOrder &order, Instant deadline,
@@ -60,9 +62,9 @@
     std::int64_t clock() const { return this->startClockMs + this->loop.nowMs(); }
 
     template<typename Answer>
-    void answer(Instant deadline, Done<Answer> done, Answer with)
+    void answer(Instant deadline, Done<Answer> done, Answer with, bool isLost = false)
     {
-        if (this->isSilent) {
+        if (this->isSilent || isLost) {
             this->loop.runAfter(deadline - this->loop.now(), [done = std::move(done)] {
                 Error error = failure(ErrorCode::DeadlineExceeded, "no answer");
                 error.ran = Ran::Unknown;
@@ -81,6 +83,8 @@
     std::uint64_t fence = 0; ///< polls with lower tokens are rejected
     std::uint64_t lastHoldFence = 0;
     int starts = 0;
+    int stops = 0;
+    bool losesStartAnswers = false;
     OrderReply startReply = OrderReply::Done;
     OrderReply holdReply = OrderReply::Done;
     std::optional<Error> holdError; ///< if set, polls fail with it
@@ -92,7 +96,8 @@
 
 struct SessionFixture
 {
-    SessionFixture()
+    explicit SessionFixture(const SessionLimits &sessionLimits = SessionLimits())
+        : limits(sessionLimits)
     {
         TargetSession::Hooks hooks;
         hooks.runsOver = [this](const std::vector<RunEnd> &ends) {
@@ -257,7 +262,6 @@
     CHECK_FALSE(this->session->isUsable());
 }
 
-// Guards against a task that waits for a lease to expire although its start was never sent.
 // Guards against a start that is sent long after its placement: the next controller takes it for
 // settled by then.
 TEST_CASE_METHOD(SessionFixture, "a start that waits for a lease is not sent once it is overdue",
@@ -275,6 +279,41 @@
     CHECK(this->over.front().outcome == RunOutcome::NeverStarted);
 }
 
+namespace {
+
+struct ShortLeaseFixture : SessionFixture
+{
+    ShortLeaseFixture()
+        : SessionFixture([] {
+            SessionLimits limits;
+            limits.lease = limits.longestLease / 2;
+            return limits;
+        }())
+    {}
+};
+
+} // namespace
+
+// Guards against two runs of a task at once: a later incarnation may have started it since.
+TEST_CASE_METHOD(ShortLeaseFixture,
+                 "an adopted run that was listed is held while a later incarnation may keep it",
+                 "[session]")
+{
+    this->port.isSilent = true; // no poll that does not list it is answered after its adoption
+    this->tickFor(Milliseconds(200));
+    const Instant keptUntil = this->loop.now() + this->limits.longestLease + Milliseconds(1000);
+    this->port.running = {{this->task, 1, ""}};
+    this->session->adopt(this->task, 1, keptUntil);
+    this->port.isSilent = false;
+    this->tickFor(Milliseconds(4000));
+    REQUIRE(this->overCount == 0);
+    this->port.isSilent = true; // a later incarnation gets the polls
+    this->tickFor(3 * this->limits.longestLease);
+    REQUIRE(this->overCount == 1);
+    CHECK(this->overAt >= this->port.lastGrantAt + this->limits.longestLease);
+}
+
+// Guards against a task that waits for a lease to expire although its start was never sent.
 TEST_CASE_METHOD(SessionFixture, "a run whose start was never sent is over at once", "[session]")
 {
     this->port.unsentStart = failure(ErrorCode::LimitExceeded, "no connection came free");
