sessions: a start is not sent once it is overdue, with a lease or without

Cause, found by the review: checked the age of a start only while there was no lease. One whose lease came between two attempts, up to 0.15 s later, was sent beyond the 2 s that the next controller counts with.

Change: the age is checked first.

--- a/src/workflows/sessions/targetsessionorders.cpp
+++ b/src/workflows/sessions/targetsessionorders.cpp
@@ -43,9 +43,9 @@
         || found->second.isStopRequested || this->isOver())
         return;
     Run &run = found->second;
-    run.order.leaseUntilMs = this->leaseForStart();
+    const bool isOverdue = this->clock() > run.placedAt + this->limits.startTimeout;
+    run.order.leaseUntilMs = isOverdue ? 0 : this->leaseForStart();
     if (run.order.leaseUntilMs == 0) { // without answers, the end of a lease might never be known
-        const bool isOverdue = this->clock() > run.placedAt + this->limits.startTimeout;
         if (!run.maybeSent && (isOverdue || this->failures >= maxUnansweredPolls))
             this->giveUpUnsent(task, run);
         else if (isOverdue && run.wasListed)
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -279,6 +279,33 @@
     CHECK(this->over.front().outcome == RunOutcome::NeverStarted);
 }
 
+// As above, for one whose lease comes with the time being over.
+TEST_CASE_METHOD(SessionFixture, "a start is not sent once it is overdue, with a lease or without",
+                 "[session]")
+{
+    this->isCurrent = false;
+    this->startTask();
+    this->port.running.clear();
+    this->tickFor(this->limits.startTimeout + Milliseconds(20));
+    CHECK(this->overCount == 0); // the next attempt is to come
+    this->isCurrent = true;
+    this->tickFor(Milliseconds(1000));
+    CHECK(this->port.starts == 0);
+    CHECK(this->overCount == 1);
+}
+
+TEST_CASE_METHOD(SessionFixture, "an overdue start that may have been sent is settled by a stop",
+                 "[session]")
+{
+    this->port.losesStartAnswers = true;
+    this->startTask();
+    this->port.running.clear();
+    this->tickFor(Milliseconds(500));
+    this->isCurrent = false;
+    this->tickFor(this->limits.startTimeout);
+    CHECK(this->port.stops == 1);
+}
+
 namespace {
 
 struct ShortLeaseFixture : SessionFixture
