sessions: a listed run whose start is overdue does not count as just started

If its target was lost within half a second, which is likely since it is silent, the task was blamed for it, although it had been running.

Change: it counts as a run that the target knows, without a time of its start.

Result: "an overdue start of a listed run is not taken for a new one" failed (lost-early instead of lost) and passes.

--- a/src/workflows/sessions/targetsessionorders.cpp
+++ b/src/workflows/sessions/targetsessionorders.cpp
@@ -49,7 +49,7 @@
         if (!run.maybeSent && (isOverdue || this->failures >= maxUnansweredPolls))
             this->giveUpUnsent(task, run);
         else if (isOverdue && run.wasListed)
-            this->startAnswered(task, run, OrderReply::Done);
+            this->startAnswered(task, run, OrderReply::Settled);
         else if (isOverdue)
             this->resolveByStop(task, run);
         else
--- a/test/workflows/targetsessiontest.cpp
+++ b/test/workflows/targetsessiontest.cpp
@@ -306,6 +306,22 @@
     CHECK(this->port.stops == 1);
 }
 
+// Guards against a task that is taken for the cause of its target's end, although it had been
+// running for long.
+TEST_CASE_METHOD(SessionFixture, "an overdue start of a listed run is not taken for a new one",
+                 "[session]")
+{
+    this->port.losesStartAnswers = true;
+    this->startTask();
+    this->tickFor(Milliseconds(500));
+    this->isCurrent = false;
+    this->tickFor(this->limits.startTimeout - Milliseconds(500) + this->limits.resendDelay);
+    CHECK(this->port.stops == 0);
+    this->session->declareLost();
+    REQUIRE(this->over.size() == 1);
+    CHECK(this->over.front().outcome == RunOutcome::Lost);
+}
+
 namespace {
 
 struct ShortLeaseFixture : SessionFixture
