messenger: connections that are refused or not accepted are counted for operators

Cause, found by the review: connections that the port between instances turned away, closed for others or could not accept were in no metric.

Change: guavavalve_calls_refused_total has them under the use "peers". A comment claimed more than holds: with as many strangers in a round trip as there are places, an instance may be closed too. The test of strangers also asks that the instances keep their connections; the one with real processes is named after what it asks.

--- a/src/controller/instancemetrics.cpp
+++ b/src/controller/instancemetrics.cpp
@@ -3,6 +3,7 @@
 #include "replicas/membershipmonitor.h"
 #include "replicas/messengercounters.h"
 #include "replicas/replicatedlog.h"
+#include "runtime/descriptorbudget.h"
 #include "runtime/logging.h"
 #include "runtime/metrics.h"
 
@@ -37,6 +38,9 @@
     into.raiseCounterTo(Metric::FramesRejectedTotal,
                         static_cast<double>(counters.badHandshakes + counters.unauthenticatedFrames
                                             + counters.oversizedFrames + counters.malformedFrames));
+    into.raiseCounterTo(Metric::CallsRefusedTotal,
+                        static_cast<double>(counters.connectionsRefused + counters.acceptFailures),
+                        {std::string(enumName(descriptorUseNames, DescriptorUse::Peers))});
 }
 
 void exportLogMetrics(Metrics &into)
--- a/src/replicas/tcphub.cpp
+++ b/src/replicas/tcphub.cpp
@@ -220,7 +220,7 @@
 /// not authenticated itself. The mutex is locked.
 ///
 /// Guards against strangers that keep the instances out: a peer authenticates itself within a round
-/// trip, before its turn comes.
+/// trip, before its turn comes unless as many strangers arrive meanwhile as there are places.
 bool TcpHub::ensureRoom()
 {
     if (this->inbound.size() < this->options->maxInbound)
--- a/test/replicas/tcpmessengertest.cpp
+++ b/test/replicas/tcpmessengertest.cpp
@@ -243,8 +243,10 @@
     }
     std::generate_n(strangers.begin() + 20, 20,
                     [&] { return std::make_unique<RawClient>(server); });
-    for (const auto &caller : callers)
+    for (const auto &caller : callers) {
         CHECK(ping(*caller, addressOf(server), "y", Milliseconds(5000)));
+        CHECK(caller->counters().connectionsOpened == 1);
+    }
 }
 
 // Guards against a thread that tries without a pause to accept a connection for which the process
--- a/test/untrusted/internalporttest.cpp
+++ b/test/untrusted/internalporttest.cpp
@@ -14,7 +14,7 @@
 using namespace guavavalve::untrusted;
 
 // Guards against strangers on the port between instances who use up the descriptors of a process.
-TEST_CASE("strangers on the internal port take no more descriptors than its share")
+TEST_CASE("strangers on the internal port leave a process within its descriptors")
 {
     constexpr std::size_t strangers = 900; // more than all descriptors of a process
     SmallCell cell;
