--- a/test/runtime/httpframingtest.cpp
+++ b/test/runtime/httpframingtest.cpp
@@ -44,7 +44,7 @@
 /// A server that echoes bodies.
 struct ServerFixture
 {
-    explicit ServerFixture(HttpServerOptions options = ServerFixture::smallHeaders())
+    explicit ServerFixture(const HttpServerOptions &options = ServerFixture::smallHeaders())
     {
         this->server = std::make_unique<HttpServer>(options);
         this->server->route("*", "/", [](const HttpRequest &request, const HttpReply &reply) {
