--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,5 +1,5 @@
-"""A request to start a job reaches a frozen entry; the client gives up and cancels the job elsewhere, which is
-acknowledged. See claim.txt."""
+"""An operator's withdrawal of an evacuation is held up at a frozen core, and is carried out after a later
+evacuation has been acknowledged. See claim.txt."""
 
 import asyncio
 import os
@@ -9,63 +9,62 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-3"))
 import rig
 
-FREEZE_S = 4.0  # the length of node_freeze in the site's file
-GIVE_UP_S = 0.5  # half of the objective of 1 s that the longest class of the site has
-JOBS = 3
+FREEZE_S = 4.0
+EVACUATE_S = 5.0  # EvacuateMs of the deployment that has evacuations
+CONTACT_S = 4.0  # its ContactMs
+ZONE = rig.ZONES[0]
+BUSY_TASKS = 34  # of 40 that there is room for
 
 
-class FreezeCell(rig.Cell):
+class EvacuationCell(rig.Cell):
     def __init__(self, folder):
-        super().__init__(folder, cores=5, edges=4, workers=8)
+        super().__init__(folder, cores=5, edges=1, workers=20, capacity={"Cpu": 2000, "MemMb": 8192, "Gpus": 0})
 
-
-async def hand_in_and_cancel(cell, frozen, sound, job):
-    """A client that hands a job in, leaves before its deadline and cancels until that is acknowledged."""
-    body = {"TaskSpec": "1.0", "Steps": [{"TaskCount": 1, "Cpu": 1000, "MemMb": 256, "EstRuntimeMs": 1000}]}
-    status, _ = await cell.client(frozen, "POST", job, body, timeout=GIVE_UP_S)
-    until = cell.record.now() + 10.0
-    while cell.record.now() < until:
-        answer, _ = await cell.client(sound, "DELETE", job)
-        if answer is not None and (200 <= answer < 300 or answer == 410):
-            return status, cell.record.now()
-        await asyncio.sleep(0.2)
-    raise rig.CannotRun("the cancelling was not acknowledged")
+    async def load(self):
+        while True:
+            body = {"TaskSpec": "0.5",
+                    "Steps": [{"TaskCount": 4, "Cpu": 1000, "MemMb": 256, "EstRuntimeMs": 500}]}
+            self.keep(self.client(self.edges[0], "POST", self.job_id(), body))
+            await asyncio.sleep(4 * 0.5 / BUSY_TASKS)
 
 
 async def play(cell):
     await cell.begin()
-    frozen, sound = cell.edges[0], cell.edges[1]
-    warm, _ = await cell.client(frozen, "POST", cell.job_id(),
-                                {"TaskSpec": "0.2", "Steps": [{"TaskCount": 1, "Cpu": 1000, "MemMb": 256,
-                                                               "EstRuntimeMs": 200}]})
-    if warm != 200:
-        raise rig.CannotRun(f"the first job was answered with {warm}")
+    cell.keep(cell.load())
+    await asyncio.sleep(2.0)
+    path = "/evacuation/" + ZONE
+    await cell.operate("POST", path)
     await asyncio.sleep(1.0)
 
-    async def freeze():
+    # The zone is taken back: the first core that the operator calls is frozen, the next one acknowledges.
+    leader = await cell.leader()
+    followers = [core for core in cell.cores if core is not leader]
+    frozen = followers[0]
+    frozen_at = cell.record.now()
+    if rig.has_trouble():
         frozen.signal(signal.SIGSTOP)
-        await asyncio.sleep(FREEZE_S)
+    await cell.operate("DELETE", path, first=frozen)
+    await asyncio.sleep(0.3)
+    # It is evacuated again; the operator goes on with the core that has acknowledged last.
+    await cell.operate("POST", path, first=followers[1])
+    evacuated_at = cell.record.now()
+    cell.record.write("evacuation-acknowledged", zone=ZONE)
+    await asyncio.sleep(max(0.0, frozen_at + FREEZE_S - cell.record.now()))
+    if rig.has_trouble():
         frozen.signal(signal.SIGCONT)
+    thawed_at = cell.record.now()
+    # From then on the bound counts, and the core has been stable for ContactMs.
+    counted_from = max(evacuated_at + EVACUATE_S, thawed_at + CONTACT_S)
+    await asyncio.sleep(counted_from + 5.0 - cell.record.now())
 
-    freezing = cell.keep(freeze()) if rig.has_trouble() else None
-    jobs = [cell.job_id() for _ in range(JOBS)]
-    cancelled = dict(zip(jobs, await asyncio.gather(
-        *(hand_in_and_cancel(cell, frozen, sound, job) for job in jobs))))
-    if freezing:
-        await freezing
-    await asyncio.sleep(6.0)
-    breaks = []
-    for job, (status, at) in cancelled.items():
-        after = at + rig.BOUNDS["cancel_ms"] / 1000
-        begun = [one for worker in cell.workers for one in worker.began_run if one[1].startswith(job)]
-        late = [one for one in begun if one[0] > after]
-        _, state = await cell.client(sound, "GET", job)
-        cell.record.write("verdict", job=job, handed_in=status, cancelled=f"{at:.3f}",
-                          begun=",".join(f"{one[0]:.3f}" for one in begun) or "-", state=state)
-        if late:
-            breaks.append(f"UNASKED: a task of job {job} was started {late[0][0] - at:.2f} s after its cancelling "
-                          f"was acknowledged; the job is shown as {state}")
-    return breaks
+    late = [(one[0], worker.name) for worker in cell.workers if worker.zone == ZONE
+            for one in worker.began_run if one[0] > counted_from]
+    cell.record.write("verdict", zone=ZONE, evacuated=f"{evacuated_at:.3f}", counted_from=f"{counted_from:.3f}",
+                      late=len(late))
+    if late:
+        return [f"EVAC: {len(late)} tasks were started in {ZONE}, the first of those that count "
+                f"{min(late)[0] - evacuated_at:.2f} s after its evacuation was acknowledged"]
+    return []
 
 
-rig.main(FreezeCell, play)
+rig.main(EvacuationCell, play)
