--- a/review/standin-3/rig.py
+++ b/review/standin-3/rig.py
@@ -26,7 +26,7 @@
 INTERNAL_PORTS = [7420, 7435]
 
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX = "/queue/"
 SERVICE = "service-a"
 KEY = "key-of-tenant-a"
 
