platform: a request that is older than its job's cancel is not accepted

Cause: what a process reads counted as sent at that moment, however long it had waited in the socket; and the cancel of a job that is not known had no effect. A cancel could also overtake its job within the controller: 410 while the job was being stored.

Change: the loop knows after which time what it reads has arrived (IoLoop::inputNotBefore, pulses each 50 ms), and a connection after which time its request was sent. A call that may have waited for longer than its caller waits is answered 503 and not forwarded. Both times go to the controller on its own clock (Method::RelayDated; earlier builds are sent the undated form). The cancel of an unknown job is stored for a minute by account and identity (CancelUnknown, 4,000 an account), and a request for that job that is not known to have been sent later is answered 503; a client that is still there sends it again, and that attempt is known to be later. A cancel waits for a job that is being stored. A cancel that took 3.5 s or more to arrive is not carried out.

Ruled out: only the age of the call (a freeze shorter than a caller's patience, a call that an entry holds while there is no controller, or that a network holds back, would pass); an identity that can never be used again (a client that hands its job in anew had been told that there is none).

--- a/src/controller/controllerclock.cpp
+++ b/src/controller/controllerclock.cpp
@@ -34,11 +34,17 @@
 }
 
 CallStamp ControllerClock::stamp(Instant receivedAt) const
+{
+    return this->stamp(receivedAt, receivedAt);
+}
+
+CallStamp ControllerClock::stamp(Instant receivedAt, Instant sentNotBefore) const
 {
     const std::lock_guard lock(this->mutex);
     if (this->term == 0)
         return {};
-    return {this->term, receivedAt.time_since_epoch().count() + this->offsetAt(receivedAt)};
+    return {this->term, receivedAt.time_since_epoch().count() + this->offsetAt(receivedAt),
+            sentNotBefore.time_since_epoch().count() + this->offsetAt(sentNotBefore)};
 }
 
 /// The measured offset less the drift that the clocks may have had between then and \a now.
--- a/src/controller/controllerclock.h
+++ b/src/controller/controllerclock.h
@@ -29,6 +29,8 @@
     /// The stamp of a request received at \a receivedAt, which may be before the clock was learned;
     /// unknown if no controller has reported its clock.
     CallStamp stamp(Instant receivedAt) const;
+    /// The same with the time after which it was sent.
+    CallStamp stamp(Instant receivedAt, Instant sentNotBefore) const;
 
 private:
     std::int64_t offsetAt(Instant now) const;
--- a/src/replicas/messenger.h
+++ b/src/replicas/messenger.h
@@ -31,6 +31,7 @@
     ReportSummary = 28, ///< targets that reported to another replica without new information
     TargetReport = 29, ///< a target's report, to a replica that may know its content already
     RelayStamped = 30, ///< a caller's call, with the time at which it was received
+    RelayDated = 31, ///< any call, with the time after which it was sent as well
     // From the controller to an entry instance.
     Dispatch = 40,
     RequestAdmission = 41,
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -146,10 +146,18 @@
 
 void HttpConnection::start()
 {
+    this->sentNotBefore = this->inputNotBefore();
+    this->receivedNotBefore = this->sentNotBefore;
     this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
     this->readRequest();
 }
 
+Instant HttpConnection::inputNotBefore() const
+{
+    const auto running = this->loop.lock();
+    return running ? running->inputNotBefore() : Instant{};
+}
+
 void HttpConnection::readRequest()
 {
     const HttpServerOptions &options = this->owner->options;
@@ -187,6 +195,7 @@
     this->requestInput += bytes;
     if (bytes > 0 && !std::exchange(this->hasBegunRequest, true)) {
         this->requestBegan = monotonicNow();
+        this->receivedNotBefore = std::max(this->sentNotBefore, this->inputNotBefore());
         this->deadline = this->requestBegan + this->owner->options.headerTimeout;
         this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
     }
@@ -366,6 +375,8 @@
         request.headers["Host"] = std::string(*authority);
     request.body = parsed.body();
     request.remoteAddress = this->peer;
+    request.receivedNotBefore = this->receivedNotBefore;
+    request.sentNotBefore = this->sentNotBefore;
     return request;
 }
 
@@ -411,7 +422,9 @@
     if (this->parser->get().method() == http::verb::head)
         this->message.body().clear(); // the header still says how long it would be
     this->hasSkippedLine = false;
-    this->deadline = monotonicNow() + this->owner->options.transferTimeout;
+    // Before the response is written: the client may have it long before this process runs again.
+    this->answeredAt = monotonicNow();
+    this->deadline = this->answeredAt + this->owner->options.transferTimeout;
     http::async_write(this->socket, this->message,
                       [self = this->shared_from_this()](boost::system::error_code error,
                                                         std::size_t) { self->onAnswered(error); });
@@ -436,10 +449,12 @@
     if (error) {
         this->close();
     } else if (this->message.keep_alive()) {
-        if (this->input.isEmpty())
+        if (this->input.isEmpty()) {
             this->owner->waiting.addIdle(this->shared_from_this(), this->place);
-        else
+            this->sentNotBefore = this->answeredAt; // clients wait for a response before they go on
+        } else {
             this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
+        }
         this->readRequest();
     } else {
         this->owner->waiting.addUnfinished(this->shared_from_this(), this->place);
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -72,6 +72,7 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using Message = boost::beast::http::response<boost::beast::http::string_body>;
 
+    Instant inputNotBefore() const;
     void readRequest();
     void readMore();
     void onInput(boost::system::error_code error, std::size_t bytes);
@@ -106,6 +107,10 @@
     std::size_t takenFieldBytes = 0;
     WaitingConnections::Place place;
     Instant requestBegan{};
+    /// The request that is read was sent after this time, see HttpRequest::sentNotBefore.
+    Instant sentNotBefore{};
+    Instant receivedNotBefore{}; ///< as HttpRequest's
+    Instant answeredAt{}; ///< when the last response was begun to be written
     std::size_t requestInput = 0; ///< bytes of the request that have arrived
     std::array<char, 4096> discarded{}; ///< input of a refused request, never used
     Instant deadline = Instant::max();
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -32,6 +32,12 @@
     HttpHeaders headers;
     std::string body;
     std::string remoteAddress; ///< IP of the peer
+    /// The request has reached this machine after this time. It may have waited unread, if the
+    /// process stood still. Instant::max(): it was not read from a socket.
+    Instant receivedNotBefore = Instant::max();
+    /// Its sender has sent it after this time, however long it was under way: its connection was
+    /// opened, or the response before it was sent on it.
+    Instant sentNotBefore = Instant::max();
 
     /// The value of header \a name, or an empty string.
     std::string header(std::string_view name) const;
--- a/src/runtime/ioloop.cpp
+++ b/src/runtime/ioloop.cpp
@@ -20,6 +20,8 @@
 
 /// One line in this time for all exceptions: a caller may cause one with each request.
 constexpr Milliseconds exceptionLogInterval{250};
+/// Short compared to the time for which callers wait.
+constexpr Milliseconds pulseInterval{50};
 
 } // namespace
 
@@ -32,11 +34,27 @@
     std::thread thread;
     std::atomic<std::uint64_t> exceptions{0};
     LogLimiter exceptionLines{exceptionLogInterval};
+    boost::asio::steady_timer pulseTimer{this->context};
+    Instant pulseAt = monotonicNow(); ///< the last pulse; used on the loop only, as the next one
+    Instant pulseBefore = this->pulseAt; ///< the one before it
 
+    void pulse();
     void run();
     void noteException(const std::exception &problem);
 };
 
+/// All that had arrived before a pulse has been read by the next one, since what is ready runs in
+/// turn. So the loop need not know whether, and when, it stood still.
+void IoLoop::Private::pulse()
+{
+    this->pulseBefore = std::exchange(this->pulseAt, monotonicNow());
+    this->pulseTimer.expires_after(pulseInterval);
+    this->pulseTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            this->pulse();
+    });
+}
+
 void IoLoop::Private::run()
 {
     for (;;) {
@@ -63,6 +81,7 @@
 IoLoop::IoLoop()
     : d(std::make_shared<Private>())
 {
+    this->d->pulse();
     this->d->thread = std::thread([own = this->d] { own->run(); });
 }
 
@@ -106,6 +125,11 @@
     });
 }
 
+Instant IoLoop::inputNotBefore() const
+{
+    return this->d->pulseBefore;
+}
+
 std::uint64_t IoLoop::exceptions() const
 {
     return this->d->exceptions;
--- a/src/runtime/ioloop.h
+++ b/src/runtime/ioloop.h
@@ -41,6 +41,10 @@
     /// Runs \a action on the loop after \a delay. May be called on any thread.
     void runAfter(Microseconds delay, Action action);
 
+    /// What is read from a socket now has arrived after this time, also if the process has stood
+    /// still or the loop has been late. A tenth of a second ago as a rule. Call on the loop.
+    Instant inputNotBefore() const;
+
     /// Exceptions that have left what runs on the loop.
     std::uint64_t exceptions() const;
 
--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -172,6 +172,11 @@
      "cause",
      "Callers' requests that the configuration in force does not allow, by cause: "
      "no-configuration, no-route, no-key. Reported by the controller."},
+    {Metric::CallsOutdatedTotal, "guavavalve_calls_outdated_total", MetricType::Counter, "calls",
+     "cause",
+     "Calls that were not acted on since they may be older than what has been acknowledged, by "
+     "cause: waited (unread, for longer than callers wait), cancelled (its job), superseded (an "
+     "order). The last two are reported by the controller."},
     {Metric::TargetReportsRefusedTotal, "guavavalve_target_reports_refused_total",
      MetricType::Counter, "reports", "",
      "Reports of targets that were refused since they cannot be read or cannot be true. Reported "
--- a/src/runtime/metrictable.h
+++ b/src/runtime/metrictable.h
@@ -65,6 +65,7 @@
     ReplicaMembershipInfo,
     ReplicaVoters,
     CallsUnroutedTotal,
+    CallsOutdatedTotal,
     TargetReportsRefusedTotal,
     TargetClaimsRefusedTotal,
     RequestBytes,
@@ -72,7 +73,7 @@
     ExceptionsTotal,
 };
 
-inline constexpr std::size_t metricCount = 59;
+inline constexpr std::size_t metricCount = 60;
 
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
 
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -18,6 +18,8 @@
 /// that a slow peer receives an entry within a fraction of an election timeout.
 constexpr std::size_t maxBatchBytes = 1U << 20U;
 constexpr std::size_t maxAccountsInLog = 5;
+/// In one batch of their own; about 200 B each.
+constexpr std::size_t maxSeparateCommands = 1000;
 /// One in this many targets may be suspended at a time: if more of them fail, the cause lies
 /// elsewhere.
 constexpr std::size_t targetsPerSuspension = 4;
@@ -98,6 +100,8 @@
         if (waiting.done)
             waiting.done(this->notLeading());
     }
+    for (Pending &waiting : std::exchange(this->separate, {}))
+        waiting.done(this->notLeading());
     for (const Done<Nothing> &barrier : std::exchange(this->waitingBarriers, {}))
         barrier(this->notLeading());
     this->leads = nowLeads;
@@ -170,6 +174,7 @@
     const bool isCounted = this->leads && !isStored;
     if (isCounted)
         this->intake.accepted(spec, this->options.clock());
+    ++this->accepting[id].submissions;
     this->enqueue(AcceptWorkflow{std::move(spec)},
                   [this, id, isCounted, ofTerm = this->term,
                    done = std::move(done)](const Result<CommandOutcome> &outcome) {
@@ -177,6 +182,7 @@
                           this->intake.settled(id, ofTerm, storeOutcomeOf(outcome),
                                                this->options.clock());
                       done(outcome);
+                      this->submissionEnded(id);
                   });
 }
 
@@ -224,6 +230,16 @@
     this->flush();
 }
 
+void Controller::enqueueSeparately(Command command, Done<CommandOutcome> done)
+{
+    if (!this->leads) {
+        done(this->notLeading());
+        return;
+    }
+    this->separate.push_back({std::move(command), std::move(done)});
+    this->flush();
+}
+
 /// Runs after the actions that are queued on the loop already, so that commands that arrived
 /// together share a batch.
 void Controller::flush()
@@ -237,7 +253,7 @@
     });
 }
 
-/// Proposes a command that has to be in a batch of its own, if there is one.
+/// Proposes commands that have to be in a batch of their own, if there are any.
 bool Controller::proposeAlone()
 {
     std::vector<Pending> alone;
@@ -245,6 +261,12 @@
         alone.push_back({*std::exchange(this->queuesToStore, std::nullopt), nullptr});
     else if (this->speedsToStore)
         alone.push_back({*std::exchange(this->speedsToStore, std::nullopt), nullptr});
+    const bool isTurn = !this->wasSeparate || (this->pending.empty() && !this->needsPlan);
+    this->wasSeparate = alone.empty() && !this->separate.empty() && isTurn;
+    while (this->wasSeparate && !this->separate.empty() && alone.size() < maxSeparateCommands) {
+        alone.push_back(std::move(this->separate.front()));
+        this->separate.pop_front();
+    }
     if (alone.empty())
         return false;
     this->propose(std::move(alone));
@@ -401,7 +423,8 @@
         this->needsPlan |=
             outcomes.value()[i] == CommandOutcome::Applied && !proposed.makesNoRoom[i];
     }
-    if (!this->pending.empty() || !this->waitingBarriers.empty() || this->needsPlan)
+    if (!this->pending.empty() || !this->separate.empty() || !this->waitingBarriers.empty()
+        || this->needsPlan)
         this->flush();
 }
 
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -94,9 +94,21 @@
     /// False if the intake is disabled: every request is accepted.
     bool hasIntake() const { return this->options.mechanisms.has(Mechanism::Intake); }
 
-    /// \errors those of ReplicatedLog::propose(), also for the next three functions.
+    /// Whether the stamp is on this controller's clock, in its present term.
+    bool isOwnStamp(const CallStamp &stamp) const { return stamp.term == this->term; }
+    /// True if the call was received so long ago that its caller has given it up.
+    bool isTooOld(const CallStamp &stamp) const;
+    /// True if a cancel of the workflow was acknowledged, or is about to be, before it was stored,
+    /// and the request to accept it is not known to have been sent after that.
+    bool precedesCancel(const WorkflowSpec &spec, const CallStamp &stamp) const;
+
+    /// \errors those of ReplicatedLog::propose(), also for the next four functions.
     void submit(WorkflowSpec spec, Done<CommandOutcome> done);
     void cancel(WorkflowId id, Done<CommandOutcome> done);
+    /// Cancels a workflow that is not stored, so that no request under way has it accepted. The
+    /// outcome is Rejected unless it has been stored by then.
+    /// \errors LimitExceeded if its account has too many such cancels.
+    void cancelUnknown(const CancelUnknown &command, const Done<CommandOutcome> &done);
     void storeDocument(std::int64_t version, std::string text, Done<CommandOutcome> done);
     /// Evacuates \a failureDomain, so that nothing new is started on its targets, or reopens it.
     /// Runs on its targets continue. Repeating a call has no effect; of contradictory calls the one
@@ -157,7 +169,18 @@
         ProgressMonitor progress;
     };
 
+    /// What waits until a workflow has been accepted, or has not been.
+    struct Accepting
+    {
+        std::size_t submissions = 0;
+        std::vector<std::function<void()>> waiters;
+    };
+
     void enqueue(Command command, Done<CommandOutcome> done);
+    void enqueueSeparately(Command command, Done<CommandOutcome> done);
+    void submissionEnded(WorkflowId id);
+    bool isSentAfter(const CallStamp &stamp, Instant time) const;
+    void storeUnknownCancel(const CancelUnknown &command, const Done<CommandOutcome> &done);
     void flush();
     void flushNow();
     void planLater();
@@ -264,6 +287,12 @@
     std::int64_t countedAtMs = 0;
     std::vector<Pending> pending;
     bool hasRemainder = false; ///< the first of them did not fit into the last batch
+    /// Commands that replicas of the previous version do not know: they skip batches with them.
+    std::deque<Pending> separate;
+    bool wasSeparate = false; ///< the last batch was of these
+    std::map<WorkflowId, Accepting> accepting; ///< workflows that are being stored
+    /// When the cancels that are being stored were received.
+    std::multimap<UnknownCancels::Key, Instant> unknownCancels;
     std::vector<Done<Nothing>> waitingBarriers;
     std::map<IncarnationId, TargetState> incarnations;
     /// Incarnations whose sessions are to poll their targets next.
--- a/src/workflows/store/command.h
+++ b/src/workflows/store/command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "workflows/store/commands/acceptworkflow.h"
+#include "workflows/store/commands/cancelunknown.h"
 #include "workflows/store/commands/cancelworkflow.h"
 #include "workflows/store/commands/endruns.h"
 #include "workflows/store/commands/evacuatedomain.h"
@@ -26,10 +27,11 @@
 
 /// One change of the workflow store. The order of the alternatives is part of the log format:
 /// append new ones at the end.
-using Command = std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns,
-                             RegisterIncarnation, ForgetIncarnation, StoreDocument, ForgetWorkflows,
-                             SetIncarnationDraining, EvacuateDomain, MarkIncarnationCrashed,
-                             MarkIncarnationAlive, ResizeIncarnation, RecordSpeeds, RecordQueues>;
+using Command =
+    std::variant<AcceptWorkflow, CancelWorkflow, PlaceRuns, EndRuns, RegisterIncarnation,
+                 ForgetIncarnation, StoreDocument, ForgetWorkflows, SetIncarnationDraining,
+                 EvacuateDomain, MarkIncarnationCrashed, MarkIncarnationAlive, ResizeIncarnation,
+                 RecordSpeeds, RecordQueues, CancelUnknown>;
 
 /// Commands that form one log entry. An empty batch is a read barrier.
 using CommandBatch = std::vector<Command>;
--- a/src/workflows/store/commandoutcome.h
+++ b/src/workflows/store/commandoutcome.h
@@ -14,7 +14,7 @@
     Applied,
     Joined, ///< the workflow exists already; nothing has changed
     Unchanged, ///< the command is already in effect or out of date
-    Rejected, ///< the command conflicts with the stored state; nothing has changed
+    Rejected, ///< the command conflicts with the stored state, of which no workflow has changed
 };
 
 inline constexpr EnumNames<CommandOutcome, 4> commandOutcomeNames{{
--- a/src/workflows/store/workflowstore.cpp
+++ b/src/workflows/store/workflowstore.cpp
@@ -21,7 +21,8 @@
 constexpr unsigned formatWithLosses = 3; ///< and changes of capacity
 constexpr unsigned formatWithSpeeds = 4;
 constexpr unsigned formatWithQueues = 5;
-constexpr unsigned newestFormat = formatWithQueues;
+constexpr unsigned formatWithUnknownCancels = 6;
+constexpr unsigned newestFormat = formatWithUnknownCancels;
 
 unsigned formatOf(std::string_view snapshot)
 {
@@ -64,6 +65,8 @@
         archive(this->learnedSpeeds);
     if (format >= formatWithQueues)
         archive(this->knownQueues, this->recordedVersion);
+    if (format >= formatWithUnknownCancels)
+        archive(this->cancelsOfUnknown);
 }
 
 void WorkflowStore::findSuperseded()
@@ -125,6 +128,7 @@
     Workflow workflow;
     workflow.spec = command.spec;
     workflow.occurrences.assign(command.spec.occurrences(), emptyOccurrence(command.spec));
+    this->cancelsOfUnknown.remove({command.spec.account, command.spec.id});
     workflow.unfinishedSteps =
         command.spec.occurrences() * static_cast<std::uint32_t>(command.spec.steps.size());
     this->liveIds.insert(command.spec.id);
@@ -144,6 +148,19 @@
     return CommandOutcome::Applied;
 }
 
+CommandOutcome WorkflowStore::applyCommand(const CancelUnknown &command)
+{
+    const Workflow *stored = this->find(command.id);
+    if (stored == nullptr) {
+        this->cancelsOfUnknown.add({command.account, command.id}, command.queue, command.atMs);
+        return CommandOutcome::Rejected;
+    }
+    const bool isMeant =
+        stored->spec.queue == command.queue && stored->spec.account == command.account;
+    return isMeant ? this->applyCommand(CancelWorkflow{command.id, command.atMs})
+                   : CommandOutcome::Rejected;
+}
+
 /// Checks a placement again when it is applied. A placement that an earlier controller decided on
 /// before a target began to drain, its failure domain was evacuated, its capacity shrank or the
 /// task crashed too many targets is rejected.
@@ -503,7 +520,10 @@
     // Replicas of earlier versions can read what has no newer parts.
     const unsigned formatWithoutQueues =
         this->learnedSpeeds.empty() ? formatWithLosses : formatWithSpeeds;
-    const unsigned format = this->recordedVersion == 0 ? formatWithoutQueues : newestFormat;
+    const unsigned formatWithoutCancels =
+        this->recordedVersion == 0 ? formatWithoutQueues : formatWithQueues;
+    const unsigned format =
+        this->cancelsOfUnknown.size() == 0 ? formatWithoutCancels : newestFormat;
     bytes.push_back(static_cast<char>(format));
     MemoryOutputArchive archive(bytes);
     // Serialising for output does not modify the store.
--- a/src/workflows/store/workflowstore.h
+++ b/src/workflows/store/workflowstore.h
@@ -7,6 +7,7 @@
 #include "workflows/store/incarnationtable.h"
 #include "workflows/store/knownqueue.h"
 #include "workflows/store/targetlosstracker.h"
+#include "workflows/store/unknowncancels.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -48,6 +49,8 @@
     const std::map<std::string, KnownQueue> &queues() const { return this->knownQueues; }
     /// The version of the document whose queues were recorded last.
     std::int64_t queuesVersion() const { return this->recordedVersion; }
+    /// Cancels of workflows that were not stored.
+    const UnknownCancels &unknownCancels() const { return this->cancelsOfUnknown; }
     std::int64_t documentVersion() const { return this->version; }
     const std::string &document() const { return this->text; }
 
@@ -89,6 +92,7 @@
     CommandOutcome applyCommand(const ResizeIncarnation &command);
     CommandOutcome applyCommand(const RecordSpeeds &command);
     CommandOutcome applyCommand(const RecordQueues &command);
+    CommandOutcome applyCommand(const CancelUnknown &command);
 
     bool fits(const Workflow &workflow, const PlaceRuns &command) const;
     bool hasRoom(const Workflow &workflow, const PlaceRuns &command) const;
@@ -117,6 +121,7 @@
     /// Sequence number of the report that last changed the capacity.
     std::map<IncarnationId, std::uint64_t> resizedBy;
     std::map<std::string, TargetSpeed> learnedSpeeds; ///< by target name
+    UnknownCancels cancelsOfUnknown;
     std::map<std::string, KnownQueue> knownQueues;
     std::int64_t recordedVersion =
         0; ///< of the document with the known queues that are not removed
--- a/src/workflows/store/workflowstoremachine.cpp
+++ b/src/workflows/store/workflowstoremachine.cpp
@@ -10,6 +10,7 @@
     : clock(std::move(clock))
     , placements(this->clock())
     , registrations(this->clock())
+    , cancels(this->clock())
 {}
 
 std::string WorkflowStoreMachine::apply(LogIndex, const std::string &command)
@@ -25,6 +26,8 @@
                 this->placements.record({placed->step, placed->run}, now);
             else if (const auto *registered = std::get_if<RegisterIncarnation>(&one))
                 this->registrations.record(registered->identity.name, now);
+            else if (const auto *cancelled = std::get_if<CancelUnknown>(&one))
+                this->cancels.record({cancelled->account, cancelled->id}, now);
         }
     }
     const std::lock_guard lock(this->mutex);
@@ -43,6 +46,7 @@
         const std::lock_guard lock(this->recentMutex);
         this->placements.forgetAll(this->clock());
         this->registrations.forgetAll(this->clock());
+        this->cancels.forgetAll(this->clock());
     }
     const std::lock_guard lock(this->mutex);
     return this->store.restore(snapshot);
@@ -54,6 +58,12 @@
     return this->placements.latest({step, run});
 }
 
+Instant WorkflowStoreMachine::cancelledAt(const UnknownCancels::Key &key) const
+{
+    const std::lock_guard lock(this->recentMutex);
+    return this->cancels.latest(key);
+}
+
 Instant WorkflowStoreMachine::registeredAt(const std::string &target) const
 {
     const std::lock_guard lock(this->recentMutex);
--- a/src/workflows/store/workflowstoremachine.h
+++ b/src/workflows/store/workflowstoremachine.h
@@ -31,6 +31,9 @@
 
     /// The latest time at which this replica may have applied the placement of the run.
     Instant placedAt(const StepAddress &step, RunNumber run) const;
+    /// The latest time at which this replica may have applied a cancel of the workflow, which was
+    /// not stored.
+    Instant cancelledAt(const UnknownCancels::Key &key) const;
     /// The latest time at which this replica may have applied a registration of the target.
     Instant registeredAt(const std::string &target) const;
 
@@ -41,6 +44,7 @@
     mutable std::mutex recentMutex; ///< may be locked while the store is read
     RecentTimes<std::pair<StepAddress, RunNumber>> placements;
     RecentTimes<std::string> registrations;
+    RecentTimes<UnknownCancels::Key> cancels;
 };
 
 } // namespace guavavalve::workflows
--- a/test/platform/hostmatchtest.cpp
+++ b/test/platform/hostmatchtest.cpp
@@ -97,7 +97,7 @@
     hooks.localService = [this] { return &this->service; };
     hooks.hasController = [] { return true; };
     hooks.answered = [](int, Microseconds) {};
-    hooks.stamp = [](Instant) { return CallStamp{}; };
+    hooks.stamp = [](Instant, Instant) { return CallStamp{}; };
     Relay relay(std::move(link), messenger, std::move(hooks), "leader");
     const auto send = [&](const std::string &method, const std::string &path,
                           const std::string &body) {
--- a/test/platform/leaderservicetest.cpp
+++ b/test/platform/leaderservicetest.cpp
@@ -52,7 +52,7 @@
     hooks.localService = [this] { return &this->service; };
     hooks.hasController = [] { return true; };
     hooks.answered = [](int, Microseconds) {};
-    hooks.stamp = [](Instant) { return CallStamp{}; };
+    hooks.stamp = [](Instant, Instant) { return CallStamp{}; };
     Relay relay(std::move(link), messenger, std::move(hooks), "leader");
     HttpRequest request;
     request.method = "POST";
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -33,9 +33,11 @@
 }
 
 /// On a controller's clock that is the same as this machine's.
-CallStamp stampAt(std::uint64_t term, Instant receivedAt)
+CallStamp stampAt(std::uint64_t term, Instant receivedAt, Instant sentNotBefore)
 {
-    return {term, term == 0 ? 0 : receivedAt.time_since_epoch().count()};
+    if (term == 0)
+        return {};
+    return {term, receivedAt.time_since_epoch().count(), sentNotBefore.time_since_epoch().count()};
 }
 
 TargetIdentity identityOf(unsigned target, std::int64_t startedAtMs)
@@ -79,10 +81,10 @@
         if (address != leaderAddress)
             return;
         ++this->leaderCalls;
-        if (method == Method::RelayStamped)
-            this->lastStamp = decode<StampedCall>(payload).value().stamp;
-        if (method == Method::RelayStamped
-            && decode<StampedCall>(payload).value().stamp.term != this->leaderTerm) {
+        if (method == Method::RelayDated)
+            this->lastStamp = decode<DatedCall>(payload).value().stamp;
+        if (method == Method::RelayDated
+            && decode<DatedCall>(payload).value().stamp.term != this->leaderTerm) {
             Error error = failure(otherTermError, "stamped for another controller");
             error.ran = Ran::Unknown;
             done(error);
@@ -155,7 +157,9 @@
         };
         hooks.post = [](const std::function<void()> &action) { action(); };
         hooks.answered = [](int, Microseconds) {};
-        hooks.stamp = [this](Instant receivedAt) { return stampAt(this->stamp.term, receivedAt); };
+        hooks.stamp = [this](Instant receivedAt, Instant sentNotBefore) {
+            return stampAt(this->stamp.term, receivedAt, sentNotBefore);
+        };
         hooks.refreshClock = [this](const std::function<void()> &done) {
             this->stamp.term = this->answeredTerm;
             this->clockLearnedAt = monotonicNow();
@@ -187,7 +191,9 @@
             this->timer = std::move(action);
         };
         hooks.answered = [](int, Microseconds) {};
-        hooks.stamp = [this](Instant receivedAt) { return stampAt(this->term, receivedAt); };
+        hooks.stamp = [this](Instant receivedAt, Instant sentNotBefore) {
+            return stampAt(this->term, receivedAt, sentNotBefore);
+        };
         this->relay = std::make_unique<Relay>(std::move(link), *this, std::move(hooks), "entry");
     }
 
@@ -195,13 +201,13 @@
     void call(const std::string &, Method method, std::string payload, Instant,
               Done<std::string> done) override
     {
-        if (method == Method::RelayStamped && this->isLeaderOlder) {
+        if (method == Method::RelayDated && this->isLeaderOlder) {
             done(failure(ErrorCode::NotFound, "this instance does not serve the requested method"));
             return;
         }
         this->calls.push_back(method);
-        if (method == Method::RelayStamped)
-            this->stamps.push_back(decode<StampedCall>(payload).value().stamp);
+        if (method == Method::RelayDated)
+            this->stamps.push_back(decode<DatedCall>(payload).value().stamp);
         if (this->isLeaderSilent) {
             this->unanswered.push_back(std::move(done));
             return;
@@ -550,3 +556,33 @@
     entry.post("a");
     CHECK(entry.calls == std::vector<Method>{Method::Relay});
 }
+
+// Guards against a request that an entry acts on after it stood still, when its caller has given it
+// up, and may have withdrawn it elsewhere.
+TEST_CASE("a request that may have waited unread for too long is not forwarded",
+          "[relay][outdated]")
+{
+    FakeEntry entry;
+    HttpRequest request;
+    request.headers["Host"] = "jobs.example";
+    request.headers["X-Deadline-Ms"] = "3000";
+    request.method = "POST";
+    request.path = "/q/0123456789abcdef";
+    int status = 0;
+    const HttpReply reply = [&](const HttpResponse &response) { status = response.status; };
+    request.receivedNotBefore = monotonicNow() - Milliseconds(4000);
+    request.sentNotBefore = request.receivedNotBefore;
+    entry.relay->serveCaller(request, reply);
+    CHECK(status == 503);
+    entry.hasController = false;
+    entry.relay->serveCaller(request, reply);
+    CHECK(status == 503);
+    CHECK(entry.calls.empty());
+    entry.hasController = true;
+    request.receivedNotBefore = monotonicNow() - Milliseconds(1000);
+    entry.relay->serveCaller(request, reply);
+    CHECK(status == 200);
+    REQUIRE(entry.stamps.size() == 1);
+    CHECK(entry.stamps[0].controllerUs == request.receivedNotBefore.time_since_epoch().count());
+    CHECK(entry.stamps[0].sentUs == request.sentNotBefore.time_since_epoch().count());
+}
--- a/test/runtime/iolooptest.cpp
+++ b/test/runtime/iolooptest.cpp
@@ -6,6 +6,8 @@
 #include <future>
 #include <memory>
 #include <stdexcept>
+#include <thread>
+#include <utility>
 
 using namespace guavavalve;
 
@@ -63,3 +65,28 @@
     later.get_future().get();
     CHECK(loop.exceptions() == 2);
 }
+
+// Guards against a request that waited in a socket while the process stood still, and counts as
+// sent when it is read.
+TEST_CASE("what arrives while the loop stands still is dated before it is read", "[ioloop]")
+{
+    constexpr Milliseconds stall{700};
+    IoLoop loop;
+    std::this_thread::sleep_for(Milliseconds(300));
+    std::promise<std::pair<Instant, Instant>> during;
+    loop.post([&] {
+        const Instant began = monotonicNow();
+        std::this_thread::sleep_for(stall); // as a process that is stopped
+        loop.post([&loop, &during, began] { during.set_value({began, loop.inputNotBefore()}); });
+    });
+    const auto [began, notBefore] = during.get_future().get();
+    CHECK(notBefore <= began);
+    Instant later{};
+    for (int i = 0; i < 1000 && later < began + stall; ++i) {
+        std::this_thread::sleep_for(Milliseconds(10));
+        std::promise<Instant> asked;
+        loop.post([&] { asked.set_value(loop.inputNotBefore()); });
+        later = asked.get_future().get();
+    }
+    CHECK(later >= began + stall);
+}
