replicas: the place of a lost voter is taken in a time that no change of the leader extends

What callers saw: core machines are removed for good, one each 4 s, and an empty one comes 1 s after each, which the tolerance of two losses and CatchupS 4 allow.

Cause: the time until a successor counts was a sum of waits without a bound. A voter counted as gone after 3 s in which the present leader had not heard it, however long it had been silent before; gone voters were looked for each 2 s; only then was the successor identified, added and sent the log. With the leader removed each time that is 5 s and more, and the next loss after 4 s began the count anew.

Change: leaders tell the other voters whom they do not hear (SilentMembers, only while there is anybody), and a new one goes on counting, the lost leader itself from when it was last heard. A successor is admitted as a learner after half of the time, and takes the place of the voter that has been silent longest when the time is over; a learner that ends leaves its place after the same time instead of 60 s. A voter must stay silent under the new leader too, for the longest election timeout. Kin: a spare admitted for a voter that returned was of use for that one alone; of two silent voters the first listed one was replaced. replica-membership now shows who votes and who learns, on each change.

Weighed: a shorter silence without the count across leaders (pauses that the tolerance allows would cost places); to admit every spare at once as a learner (each costs its copy of the log for good).

The random faults are played with replacements as well.

--- a/src/replicas/membershipmonitor.cpp
+++ b/src/replicas/membershipmonitor.cpp
@@ -37,16 +37,19 @@
     const auto voters =
         static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
                                                [](const auto &member) { return member.voter; }));
+    std::vector<std::pair<InstanceId, bool>> members;
+    for (const ReplicaMember &member : status.members)
+        members.emplace_back(member.instance, member.voter);
     const bool hasChanged = membership != this->last || knowsLeader != this->knewLeader;
     const bool isWorking = membership != ReplicaMembership::Unformed && knowsLeader;
     if (hasChanged)
         this->since = now;
     const bool isRepeated = !isWorking && now >= this->nextRepetition;
-    if (!hasChanged && voters == this->lastVoters && !isRepeated)
+    if (!hasChanged && members == this->lastMembers && !isRepeated)
         return;
     this->last = membership;
     this->knewLeader = knowsLeader;
-    this->lastVoters = voters;
+    this->lastMembers = std::move(members);
     this->nextRepetition = now + repetitionInterval;
     this->reporter(
         {membership, status, voters, std::chrono::duration_cast<Milliseconds>(now - this->since)});
--- a/src/replicas/membershipmonitor.h
+++ b/src/replicas/membershipmonitor.h
@@ -6,6 +6,8 @@
 
 #include <functional>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace guavavalve {
 
@@ -27,8 +29,9 @@
 /// The membership of \a self according to \a status.
 ReplicaMembership membershipOf(const ReplicaStatus &status, const InstanceId &self);
 
-/// Reports changes of a replica's membership, and repeats the report while the replica cannot take
-/// part in a working group: so long as it is in none, or knows no leader.
+/// Reports changes of a replica's membership and of the list of members, and repeats the report
+/// while the replica cannot take part in a working group: so long as it is in none, or knows no
+/// leader.
 class MembershipMonitor
 {
 public:
@@ -53,7 +56,7 @@
     Clock clock;
     std::optional<ReplicaMembership> last;
     bool knewLeader = false;
-    std::size_t lastVoters = 0;
+    std::vector<std::pair<InstanceId, bool>> lastMembers; ///< and whether they vote
     Instant since{};
     Instant nextRepetition{};
 };
--- a/src/replicas/progress.h
+++ b/src/replicas/progress.h
@@ -36,6 +36,9 @@
     Instant pausedUntil{}; ///< after a failed send: no retry before this instant
     Instant trackedSince{}; ///< when the leader began to track it
     Instant lastReplyAt{}; ///< when its last reply was received
+    /// When its last reply was received by this leader or, if it has not replied to this one, by
+    /// the one before; when that is unknown, when this one began to track it.
+    Instant silentSince{};
     Instant lastAckedSendTime{}; ///< when the newest message that it has replied to was sent
     bool everReplied = false; ///< in this term
     SnapshotMeta snapshot;
--- a/src/replicas/raftcore.cpp
+++ b/src/replicas/raftcore.cpp
@@ -21,13 +21,13 @@
     return holds<VoteRequest>(message) || holds<AppendRequest>(message)
         || holds<HeartbeatRequest>(message) || holds<SnapshotRequest>(message)
         || holds<TimeoutNow>(message) || holds<FormRequest>(message)
-        || holds<IdentifyRequest>(message);
+        || holds<IdentifyRequest>(message) || holds<SilentMembers>(message);
 }
 
 bool isFromLeader(const RaftMessage &message)
 {
     return holds<AppendRequest>(message) || holds<HeartbeatRequest>(message)
-        || holds<SnapshotRequest>(message);
+        || holds<SnapshotRequest>(message) || holds<SilentMembers>(message);
 }
 
 } // namespace
@@ -158,6 +158,7 @@
     if (this->currentRole != ReplicaRole::Follower || this->currentLeader != message.from)
         this->becomeFollower(message.term, message.from);
     this->lastLeaderContact = this->now;
+    this->lastLeader = message.from;
     this->startupId = 0;
     this->electionAt = this->randomElectionDeadline();
     if (const auto *append = std::get_if<AppendRequest>(&message.body))
@@ -166,6 +167,8 @@
         this->onHeartbeatRequest(message, *heartbeat, token);
     if (const auto *chunk = std::get_if<SnapshotRequest>(&message.body))
         this->onSnapshotRequest(message, *chunk, token);
+    if (const auto *silent = std::get_if<SilentMembers>(&message.body))
+        this->onSilentMembers(message, *silent, token);
 }
 
 void RaftCore::persisted()
@@ -328,6 +331,11 @@
 
 void RaftCore::becomeFollower(std::uint64_t term, ReplicaId newLeader)
 {
+    if (this->currentRole == ReplicaRole::Leader) {
+        this->silentUnderLeader = this->silentVoters();
+        this->silentReportedAt = this->now;
+        this->lastLeader = ReplicaId::None;
+    }
     this->setTerm(term);
     this->currentRole = ReplicaRole::Follower;
     this->isPreCandidate = false;
--- a/src/replicas/raftcore.h
+++ b/src/replicas/raftcore.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -94,8 +95,9 @@
     /// The list that applies at \a index, which must not be before the log's base.
     const MemberList &membersAt(LogIndex index) const;
     const std::map<ReplicaId, Progress> &followers() const { return this->progress; }
-    /// Returns a voter that has not replied within \a timeout and that no learner is to replace
-    /// yet. Empty unless this replica is a leader that may change the membership now.
+    /// Returns the voter that has been silent longest, if that is \a timeout or more and no learner
+    /// that replies is to replace it yet. Empty unless this replica is a leader that may change the
+    /// membership now.
     std::optional<MemberRecord> findUnresponsiveVoter(Milliseconds timeout) const;
     bool isTransferring() const { return this->transferTarget != ReplicaId::None; }
     bool isSendingSnapshot() const;
@@ -134,6 +136,7 @@
     bool awaitsFirstLeader() const;
     void startElection(bool transfer);
     void becomeLeader();
+    void inheritSilence();
     void requestVotes(bool preVote, bool transfer);
     void countVotes(bool preVote);
     void onVoteRequest(const RaftMessage &message, const VoteRequest &request, std::uint64_t token);
@@ -149,6 +152,8 @@
                          std::uint64_t token);
     void onHeartbeatRequest(const RaftMessage &message, const HeartbeatRequest &request,
                             std::uint64_t token);
+    void onSilentMembers(const RaftMessage &message, const SilentMembers &silent,
+                         std::uint64_t token);
     void onSnapshotRequest(const RaftMessage &message, const SnapshotRequest &request,
                            std::uint64_t token);
     bool receiveChunk(const SnapshotRequest &request);
@@ -159,6 +164,8 @@
     // raftleader.cpp
     void leaderTick();
     void sendHeartbeats();
+    void reportSilentMembers();
+    std::map<ReplicaId, Instant> silentVoters() const;
     void sendEntries();
     void sendEntriesTo(const MemberRecord &member, Progress &peer);
     bool sendBatch(const MemberRecord &member, Progress &peer);
@@ -185,6 +192,12 @@
     bool promoteLearner();
     bool isCaughtUp(const MemberRecord &member) const;
     bool hasReplied(ReplicaId replica, Milliseconds within) const;
+    bool isSilent(ReplicaId replica, Milliseconds timeout) const;
+    const MemberRecord *
+    longestSilentVoter(Milliseconds timeout,
+                       const std::function<bool(const MemberRecord &)> &isExcluded) const;
+    static bool isNewDiskOf(const MemberRecord &learner, const MemberRecord &voter);
+    const MemberRecord *voterToReplace(const MemberRecord &learner) const;
 
     RaftCoreOptions options;
     ReplicaId selfId;
@@ -214,6 +227,10 @@
     std::map<ReplicaId, Progress> progress;
     LogIndex noOpIndex = 0; ///< a leader's first entry in its term; zero for a follower
     Instant leadsSince{};
+    /// Voters that did not answer the last leader, and since when; as of silentReportedAt.
+    std::map<ReplicaId, Instant> silentUnderLeader;
+    Instant silentReportedAt{};
+    ReplicaId lastLeader = ReplicaId::None; ///< heard at lastLeaderContact; None: this replica
     Instant heartbeatAt{}; ///< when to send the next heartbeats
     ReplicaId transferTarget = ReplicaId::None;
     Instant transferUntil{};
--- a/src/replicas/raftcoreoptions.h
+++ b/src/replicas/raftcoreoptions.h
@@ -25,6 +25,7 @@
     std::size_t retainedEntries = 2000;
     std::size_t retainedBytes = 8U << 20U;
     std::size_t minCopies = 1;
+    Milliseconds goneAfter{0};
     /// A learner that has not replied for this long is removed; longer than a machine's restart.
     Milliseconds learnerTimeout{60000};
     std::function<std::uint64_t()> random;
--- a/src/replicas/raftdriver.cpp
+++ b/src/replicas/raftdriver.cpp
@@ -38,6 +38,9 @@
     core.retainedEntries = options.retainedEntries;
     core.retainedBytes = options.retainedBytes;
     core.minCopies = options.minCopies;
+    core.goneAfter = options.goneAfter;
+    if (options.goneAfter > Milliseconds(0))
+        core.learnerTimeout = options.goneAfter; // another spare waits for its place
     core.random = options.random;
     return core;
 }
--- a/src/replicas/raftdriver.h
+++ b/src/replicas/raftdriver.h
@@ -113,7 +113,7 @@
     void join(const ReplicaMember &member, const IdentityReply &identity, ReplicaId replaces,
               Done<Nothing> done);
     void completeMembershipChanges();
-    void replaceUnresponsiveVoter();
+    void admitSpare();
 
     RaftOptions options;
     std::function<void(const Error &)> onDiskFailure; ///< empty: onStorageFailure
@@ -150,7 +150,7 @@
     std::uint64_t ledTerm = 0; ///< term in which this replica leads; zero: it does not lead
     std::uint64_t announcedTerm = 0; ///< term reported to onLeadership as led; zero: none
     std::size_t sparesTried = 0; ///< selects the next spare in turn
-    Instant nextReplacement{}; ///< earliest next attempt to replace a voter
+    Instant nextReplacement{}; ///< earliest next attempt to admit a spare
     bool isTakingSnapshot = false;
     bool hasFailed = false;
     std::size_t bytesSinceSnapshot = 0;
--- a/src/replicas/raftdrivermembers.cpp
+++ b/src/replicas/raftdrivermembers.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr Milliseconds identifyTimeout{1000};
+/// Between two attempts to admit a spare: it may have ended, or another change of the members may
+/// be in progress.
+constexpr Milliseconds admissionInterval{200};
 
 } // namespace
 
@@ -179,19 +182,20 @@
         done(failure(ErrorCode::Unavailable, "no other replica took over leadership in time"));
 }
 
-/// Replaces a voter that is gone for good, which would otherwise count against every quorum, and
-/// could leave the group one loss away from unavailability, until an operator intervened. A spare
-/// joins as a learner; once it has synced the whole log, the lost voter is removed and the spare
-/// becomes a voter.
-void RaftDriver::replaceUnresponsiveVoter()
+/// Admits a spare for a voter that may be gone for good, which would otherwise count against every
+/// quorum, and could leave the group one loss away from unavailability, until an operator
+/// intervened. The spare joins as a learner while it is still open whether the voter returns, so
+/// that it has synced the whole log by the time at which it takes that voter's place
+/// (RaftCore::promoteLearner()).
+void RaftDriver::admitSpare()
 {
     const Instant now = this->options.clock();
     const bool isConfigured =
         this->options.goneAfter > Milliseconds(0) && this->options.spares != nullptr;
     if (!isConfigured || this->ledTerm == 0 || now < this->nextReplacement)
         return;
-    this->nextReplacement = now + 2 * identifyTimeout;
-    const auto gone = this->core->findUnresponsiveVoter(this->options.goneAfter);
+    this->nextReplacement = now + admissionInterval;
+    const auto gone = this->core->findUnresponsiveVoter(this->options.goneAfter / 2);
     if (!gone)
         return;
     std::vector<ReplicaMember> candidates;
--- a/src/replicas/raftdriversend.cpp
+++ b/src/replicas/raftdriversend.cpp
@@ -46,7 +46,7 @@
     if (this->unsaved.isEmpty())
         this->takeSnapshotIfDue();
     this->completeMembershipChanges();
-    this->replaceUnresponsiveVoter();
+    this->admitSpare();
     this->publishStatus();
 }
 
--- a/src/replicas/raftelection.cpp
+++ b/src/replicas/raftelection.cpp
@@ -108,6 +108,27 @@
     this->startElection(false);
 }
 
+/// Continues the previous leader's count of how long members have been silent, and counts that
+/// leader itself from when it was last heard.
+///
+/// Guards against a lost voter that is never replaced because each leader counts from its own
+/// election, and is lost before it has counted to the end.
+void RaftCore::inheritSilence()
+{
+    // A leader repeats the report for as long as it has one to make.
+    const bool isCurrent = this->silentReportedAt != Instant{}
+        && this->silentReportedAt + this->options.electionMin >= this->lastLeaderContact;
+    if (!isCurrent)
+        this->silentUnderLeader.clear();
+    if (this->lastLeader != ReplicaId::None)
+        this->silentUnderLeader[this->lastLeader] = this->lastLeaderContact;
+    for (const auto &[replica, since] : this->silentUnderLeader) {
+        const auto peer = this->progress.find(replica);
+        if (peer != this->progress.end())
+            peer->second.silentSince = std::min(peer->second.silentSince, since);
+    }
+}
+
 void RaftCore::startElection(bool transfer)
 {
     this->setTerm(this->hardState.term + 1);
@@ -164,6 +185,7 @@
     this->progress.clear();
     this->quorumIndex = this->commitIndex;
     this->trackMembers();
+    this->inheritSilence();
     this->sendHeartbeats();
     // Entries of earlier terms are committed only through an entry of the current term (2014 paper,
     // 5.4.2).
--- a/src/replicas/raftfollower.cpp
+++ b/src/replicas/raftfollower.cpp
@@ -72,6 +72,16 @@
     this->reply(message, token, HeartbeatReply{request.sentAt});
 }
 
+void RaftCore::onSilentMembers(const RaftMessage &message, const SilentMembers &silent,
+                               std::uint64_t token)
+{
+    this->silentUnderLeader.clear();
+    for (const auto &[replica, silentForUs] : silent.silentForUs)
+        this->silentUnderLeader[replica] = this->now - Microseconds(silentForUs);
+    this->silentReportedAt = this->now;
+    this->reply(message, token, HeartbeatReply{});
+}
+
 void RaftCore::onSnapshotRequest(const RaftMessage &message, const SnapshotRequest &request,
                                  std::uint64_t token)
 {
--- a/src/replicas/raftleader.cpp
+++ b/src/replicas/raftleader.cpp
@@ -28,6 +28,7 @@
     if (this->now >= this->heartbeatAt) {
         this->heartbeatAt = this->now + this->options.heartbeat;
         this->sendHeartbeats();
+        this->reportSilentMembers();
     }
     this->changeMembersOnTick();
     this->finishTransfer();
@@ -46,6 +47,30 @@
     }
 }
 
+std::map<ReplicaId, Instant> RaftCore::silentVoters() const
+{
+    std::map<ReplicaId, Instant> silent;
+    for (const auto &[replica, peer] : this->progress) {
+        const bool isSilent = this->now >= peer.silentSince + this->options.electionMin;
+        if (isSilent && this->members().isVoter(replica))
+            silent[replica] = peer.silentSince;
+    }
+    return silent;
+}
+
+void RaftCore::reportSilentMembers()
+{
+    SilentMembers silent;
+    for (const auto &[replica, since] : this->silentVoters())
+        silent.silentForUs.emplace_back(replica, (this->now - since).count());
+    if (silent.silentForUs.empty())
+        return;
+    for (const MemberRecord &member : this->members().members) {
+        if (member.voter && member.replica != this->selfId)
+            this->sendTo(member, silent, true);
+    }
+}
+
 void RaftCore::sendEntries()
 {
     for (const MemberRecord &member : this->members().members) {
@@ -155,6 +180,7 @@
     Progress &peer = found->second;
     const Instant sent{Microseconds(sentAt)};
     peer.lastReplyAt = this->now;
+    peer.silentSince = this->now;
     peer.replacement = ReplicaId::None;
     if (sent <= this->now)
         peer.lastAckedSendTime = std::max(peer.lastAckedSendTime, sent);
--- a/src/replicas/raftmembership.cpp
+++ b/src/replicas/raftmembership.cpp
@@ -21,6 +21,7 @@
         Progress peer;
         peer.next = this->log.lastIndex() + 1;
         peer.trackedSince = this->now;
+        peer.silentSince = this->now;
         this->progress.emplace(member.replica, std::move(peer));
     }
 }
@@ -162,20 +163,43 @@
     return peer != this->progress.end() && this->now <= peer->second.lastReplyAt + within;
 }
 
+/// True if the member has replied to nobody who led for \a timeout. Only after this leader has
+/// given it the time to reply: it may have been unreachable for the previous leader alone.
+bool RaftCore::isSilent(ReplicaId replica, Milliseconds timeout) const
+{
+    const auto peer = this->progress.find(replica);
+    return peer != this->progress.end() && this->now >= peer->second.silentSince + timeout
+        && this->now >= this->leadsSince + this->options.electionMax;
+}
+
+const MemberRecord *
+RaftCore::longestSilentVoter(Milliseconds timeout,
+                             const std::function<bool(const MemberRecord &)> &isExcluded) const
+{
+    const MemberRecord *longest = nullptr;
+    for (const MemberRecord &member : this->members().members) {
+        if (!member.voter || !this->isSilent(member.replica, timeout) || isExcluded(member))
+            continue;
+        const bool isLonger = longest == nullptr
+            || this->progress.at(member.replica).silentSince
+                < this->progress.at(longest->replica).silentSince;
+        longest = isLonger ? &member : longest;
+    }
+    return longest;
+}
+
 std::optional<MemberRecord> RaftCore::findUnresponsiveVoter(Milliseconds timeout) const
 {
-    if (!this->mayChangeMembers() || this->now < this->leadsSince + timeout)
+    if (!this->mayChangeMembers())
         return std::nullopt;
     const auto &all = this->members().members;
-    for (const MemberRecord &member : all) {
-        const bool isReplaced = std::any_of(
-            all.begin(), all.end(), [&](const auto &m) { return m.replaces == member.replica; });
-        const bool isUnresponsive = member.voter && member.replica != this->selfId
-            && !this->hasReplied(member.replica, timeout);
-        if (isUnresponsive && !isReplaced)
-            return member;
-    }
-    return std::nullopt;
+    const MemberRecord *found = this->longestSilentVoter(timeout, [&](const MemberRecord &voter) {
+        return std::any_of(all.begin(), all.end(), [&](const MemberRecord &learner) {
+            return !learner.voter && learner.replaces == voter.replica
+                && !this->isSilent(learner.replica, this->options.electionMax);
+        });
+    });
+    return found == nullptr ? std::nullopt : std::optional(*found);
 }
 
 /// Removes a learner that has not replied for so long that it counts as gone: its successor at
@@ -207,6 +231,30 @@
         && this->hasReplied(member.replica, this->options.electionMin);
 }
 
+/// The learner is the same instance with a new disk: the replica that it replaces cannot return.
+bool RaftCore::isNewDiskOf(const MemberRecord &learner, const MemberRecord &voter)
+{
+    return learner.replaces == voter.replica && learner.instance == voter.instance;
+}
+
+/// The voter whose place the learner is to take now, or null. A spare takes the place of whatever
+/// voter is gone, so that one that was admitted for a voter which has returned is not kept in vain.
+const MemberRecord *RaftCore::voterToReplace(const MemberRecord &learner) const
+{
+    const auto &all = this->members().members;
+    const MemberRecord *intended = this->members().find(learner.replaces);
+    if (intended != nullptr && isNewDiskOf(learner, *intended))
+        return this->hasReplied(intended->replica, this->options.electionMin) ? nullptr : intended;
+    if (this->options.goneAfter == Milliseconds(0))
+        return nullptr;
+    return this->longestSilentVoter(this->options.goneAfter, [&](const MemberRecord &voter) {
+        return std::any_of(all.begin(), all.end(), [&](const MemberRecord &other) {
+            return !other.voter && isNewDiskOf(other, voter)
+                && !this->isSilent(other.replica, this->options.electionMax);
+        });
+    });
+}
+
 /// Promotes a learner only after it has synced all committed entries. If it counted as a voter
 /// earlier, a second loss straight after a repair would leave a committed entry on too few disks.
 /// The replica that it replaces is removed first, so that the lost and the new replica never
@@ -214,20 +262,27 @@
 bool RaftCore::promoteLearner()
 {
     for (const MemberRecord &member : this->members().members) {
-        // While the replica to be replaced still replies, the learner remains a learner.
-        if (member.voter || !this->isCaughtUp(member)
-            || this->hasReplied(member.replaces, this->options.electionMin))
+        if (member.voter || !this->isCaughtUp(member))
             continue;
         MemberList list = this->members();
-        const auto old = std::find_if(list.members.begin(), list.members.end(),
-                                      [&](const auto &m) { return m.replica == member.replaces; });
-        const auto learner =
-            std::find_if(list.members.begin(), list.members.end(),
-                         [&](const auto &m) { return m.replica == member.replica; });
-        if (old != list.members.end())
-            list.members.erase(old);
-        else
-            learner->voter = true;
+        if (list.find(member.replaces) == nullptr) {
+            for (MemberRecord &one : list.members)
+                one.voter |= one.replica == member.replica;
+            this->proposeMembers(list);
+            return true;
+        }
+        const MemberRecord *gone = this->voterToReplace(member);
+        if (gone == nullptr)
+            continue;
+        list.members.erase(std::find_if(list.members.begin(), list.members.end(),
+                                        [&](const auto &m) { return m.replica == gone->replica; }));
+        for (MemberRecord &one : list.members) {
+            if (one.replica == member.replica)
+                one.replaces = gone->replica;
+            else if (!one.voter && one.replaces == gone->replica
+                     && one.instance != member.instance) // otherwise it is superseded
+                one.replaces = member.replica; // its place is taken: two would be promoted for one
+        }
         this->proposeMembers(list);
         return true;
     }
--- a/src/replicas/raftmessage.h
+++ b/src/replicas/raftmessage.h
@@ -8,6 +8,7 @@
 #include "replicas/heartbeatrequest.h"
 #include "replicas/identifyrequest.h"
 #include "replicas/identityreply.h"
+#include "replicas/silentmembers.h"
 #include "replicas/snapshotreply.h"
 #include "replicas/snapshotrequest.h"
 #include "replicas/timeoutnow.h"
@@ -24,7 +25,7 @@
 /// The order of the alternatives is part of the wire format.
 using RaftBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, HeartbeatRequest,
                               HeartbeatReply, SnapshotRequest, SnapshotReply, TimeoutNow,
-                              FormRequest, IdentifyRequest, IdentityReply>;
+                              FormRequest, IdentifyRequest, IdentityReply, SilentMembers>;
 
 /// A message between two replicas of a group.
 struct RaftMessage
--- a/src/replicas/raftoptions.h
+++ b/src/replicas/raftoptions.h
@@ -55,8 +55,8 @@
     std::size_t retainedEntries = 2000;
     std::size_t retainedBytes = 8U << 20U; ///< the same, in bytes
 
-    /// A voter that has not answered for this long is considered gone for good and is replaced by a
-    /// spare. Zero: never.
+    /// A voter that has not answered for this long, whoever led, is considered gone for good and is
+    /// replaced by a spare, which is admitted as a learner after half of it. Zero: never.
     Milliseconds goneAfter{0};
     /// Instances with an empty data folder that may replace such a voter, in order of preference.
     std::function<std::vector<ReplicaMember>()> spares;
--- a/test/replicas/raftrandomtest.cpp
+++ b/test/replicas/raftrandomtest.cpp
@@ -20,11 +20,11 @@
 };
 
 void runSeed(std::uint64_t seed, std::size_t steps, RaftSimulation::FaultRates faultRates,
-             Tally &tally, std::size_t minCopies)
+             Tally &tally, std::size_t minCopies, Milliseconds goneAfter)
 {
     INFO("seed " << seed);
     const std::size_t voters = seed % 2 == 0 ? 3 : 5;
-    RaftSimulation simulation(seed, 6, voters, minCopies);
+    RaftSimulation simulation(seed, 6, voters, minCopies, goneAfter);
     simulation.setFaultRates(faultRates);
     for (std::size_t i = 0; i < steps && !simulation.hasFailed(); ++i)
         simulation.step();
@@ -43,13 +43,14 @@
 }
 
 Tally runSeeds(std::uint64_t first, std::size_t seeds, std::size_t steps,
-               RaftSimulation::FaultRates faultRates = {}, std::size_t minCopies = 1)
+               RaftSimulation::FaultRates faultRates = {}, std::size_t minCopies = 1,
+               Milliseconds goneAfter = Milliseconds(0))
 {
     std::cout << "seeds " << first << " to " << first + seeds - 1 << ", " << steps << " steps each"
               << std::endl;
     Tally tally;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed)
-        runSeed(seed, steps, faultRates, tally, minCopies);
+        runSeed(seed, steps, faultRates, tally, minCopies, goneAfter);
     std::cout << tally.commits << " commits, " << tally.leaders << " leaders, " << tally.crashes
               << " crashes, " << tally.lostDisks << " lost disks, " << tally.snapshots
               << " snapshots installed, " << tally.memberChanges << " member changes, "
@@ -89,9 +90,18 @@
     runSeeds(9000, 30, 20000, {}, 3);
 }
 
+// Guards against two voters for one place, or none, when silent voters return, and are replaced, in
+// any order.
+TEST_CASE("a group that replaces silent voters keeps its guarantees under random faults",
+          "[raft][random]")
+{
+    runSeeds(13000, 30, 20000, {}, 3, Milliseconds(1500));
+}
+
 // Not part of a default run: `replicastest "[soak]"`, with millions of steps.
 TEST_CASE("the replicated log keeps its guarantees in a long random run", "[.][soak]")
 {
     runSeeds(100000, 1000, 20000);
     runSeeds(200000, 1000, 20000, {}, 3);
+    runSeeds(300000, 1000, 20000, {}, 3, Milliseconds(1500));
 }
--- a/test/replicas/raftsimulation.cpp
+++ b/test/replicas/raftsimulation.cpp
@@ -30,10 +30,11 @@
 } // namespace
 
 RaftSimulation::RaftSimulation(std::uint64_t seed, std::size_t instances, std::size_t voters,
-                               std::size_t copies)
+                               std::size_t copies, Milliseconds goneTime)
     : random(seed)
     , diskRandom(seed)
     , minCopies(copies)
+    , goneAfter(goneTime)
 {
     for (std::size_t i = 0; i < instances; ++i) {
         Node node;
@@ -130,6 +131,9 @@
     options.maxInFlightBytes = 2000;
     options.snapshotChunkBytes = 3; // splits the eight bytes of state into several chunks
     options.minCopies = this->minCopies;
+    options.goneAfter = this->goneAfter;
+    if (this->goneAfter > Milliseconds(0))
+        options.learnerTimeout = this->goneAfter;
     options.retainedEntries = 5;
     options.random = [this] { return this->random(); };
     node.core =
@@ -694,6 +698,35 @@
             this->processOutput(i);
         this->manage(i);
     }
+    this->admitSpare();
+}
+
+/// As RaftDriver::admitSpare().
+void RaftSimulation::admitSpare()
+{
+    const auto leads = this->leader();
+    if (this->goneAfter == Milliseconds(0) || !leads || this->now < this->nodes[*leads].frozenUntil)
+        return;
+    RaftCore &leader = this->core(*leads);
+    const auto gone = leader.findUnresponsiveVoter(this->goneAfter / 2);
+    for (std::size_t i = 0; gone && i < this->nodes.size(); ++i) {
+        const auto &all = leader.members().members;
+        const bool isMember = std::any_of(all.begin(), all.end(), [i](const MemberRecord &member) {
+            return member.instance == addressOf(i);
+        });
+        const bool isFree = this->isAlive(i) && !this->isCut(*leads, i) && !isMember
+            && (!this->core(i).isFormed() || this->core(i).formation() == leader.formation());
+        if (!isFree)
+            continue;
+        this->memberChanges += leader
+                                   .addLearner({addressOf(i), this->nodes[i].identity, addressOf(i),
+                                                false, gone->replica})
+                                   .has_value()
+            ? 1
+            : 0;
+        this->processOutput(*leads);
+        return;
+    }
 }
 
 void RaftSimulation::stepOfFounding()
--- a/test/replicas/raftsimulation.h
+++ b/test/replicas/raftsimulation.h
@@ -35,8 +35,9 @@
         int fullDisk = 0; ///< steps per thousand in which a disk becomes full or has space again
     };
 
+    /// \a goneAfter: see RaftOptions. Instances that are no members are the spares.
     RaftSimulation(std::uint64_t seed, std::size_t instances, std::size_t voters,
-                   std::size_t minCopies = 1);
+                   std::size_t minCopies = 1, Milliseconds goneAfter = Milliseconds(0));
     /// Instances that start for the first time and found a group by themselves: the first
     /// 2 * \a tolerated - 1 of them are its founders, and it grows to 2 * \a tolerated + 1 voters.
     static std::unique_ptr<RaftSimulation> ofFirstStart(std::uint64_t seed, std::size_t instances,
@@ -158,6 +159,7 @@
     bool isCut(std::size_t a, std::size_t b) const;
     void endFaults();
     void tick(Node &node);
+    void admitSpare();
     void deliver();
     void processOutput(std::size_t index);
     bool store(std::size_t index);
@@ -181,6 +183,7 @@
     std::mt19937_64 diskRandom;
     FaultRates faultRates;
     std::size_t minCopies = 1;
+    Milliseconds goneAfter{0};
     std::size_t tolerated = 0; ///< lost disks, of a group that founds itself; zero: it is given
     std::vector<ReplicaMember> founders;
     std::map<std::uint64_t, Identification> identifications; ///< by the token of the request
