platform: an operator's order that was held up does not undo a later one

What the operator saw: a withdrawal of an evacuation goes to a replica that stands still, then to another one, which acknowledges it; the domain is evacuated again, acknowledged too. The other way round it stays closed.

Cause: that of the job which runs after its cancel: the order counted as sent when it was read, and the state of a failure domain has no version by which an old order could be told.

An order that would undo the last one of its domain, in effect or on its way into the store, must be known to have been sent after that, on the clock of the replica that leads: each replica remembers when it applied the last one (RecentTimes), so it holds across leaders. Otherwise it is answered 307 back to where it was sent: an operator who is still there follows, and that attempt is known to be later.

Looked at for the same cause: configurations, reports, orders to targets and through agents, and the log's messages have a version, sequence, token or term.

Price: an order that follows its predecessor within 0.1 s, or comes on a connection that has been idle since before it, takes one more round trip. The test of evacuations through whole processes follows the redirection now, as the platform's callers do, and checks where it leads; before, its stand-in took 307 for an answer.

--- a/src/runtime/uritext.cpp
+++ b/src/runtime/uritext.cpp
@@ -44,6 +44,26 @@
     return decoded;
 }
 
+std::string percentEncoded(std::string_view path)
+{
+    constexpr std::string_view plain = "-._~/:@!$&'()*+,;="; // RFC 3986, section 3.3
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char letter : path) {
+        const bool isAlphanumeric = (letter >= '0' && letter <= '9')
+            || (lowerCase(letter) >= 'a' && lowerCase(letter) <= 'z');
+        if (isAlphanumeric || plain.find(letter) != std::string_view::npos) {
+            encoded.push_back(letter);
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(letter);
+        encoded.push_back('%');
+        encoded.push_back(digits[byte >> 4U]);
+        encoded.push_back(digits[byte & 15U]);
+    }
+    return encoded;
+}
+
 std::string hostName(std::string_view authority)
 {
     const bool isLiteral = !authority.empty() && authority.front() == '[';
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -84,6 +84,7 @@
     this->queuesToStore.reset();
     this->settling.clear();
     this->leasesLeft.clear();
+    this->domainRequests.clear();
     this->leadsSince = this->options.clock();
     this->unsettledCounts.clear();
     this->moveCounts.clear();
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -113,7 +113,10 @@
     /// Evacuates \a failureDomain, so that nothing new is started on its targets, or reopens it.
     /// Runs on its targets continue. Repeating a call has no effect; of contradictory calls the one
     /// stored last is in effect.
-    void evacuate(const std::string &failureDomain, bool isEvacuated, Done<CommandOutcome> done);
+    /// \errors Conflict, with Ran::No, if the call would undo one that was stored, or is being
+    /// stored, and is not known to have been sent after that.
+    void evacuate(const std::string &failureDomain, bool isEvacuated, const CallStamp &stamp,
+                  const Done<CommandOutcome> &done);
     /// True if all known targets for \a queue are in evacuated failure domains.
     bool isFullyEvacuated(const std::string &queue) const;
     /// Waits until a quorum has confirmed that this controller was still the leader at the time of
@@ -215,6 +218,8 @@
     void applyReport(IncarnationId incarnation, const TargetReport &report,
                      const Done<Nothing> &done);
     void setDraining(IncarnationId incarnation, bool isDraining, const Done<Nothing> &done);
+    bool undoesLaterChange(const std::string &failureDomain, bool isEvacuated,
+                           const CallStamp &stamp) const;
     void domainChanged(const std::string &failureDomain, bool isEvacuated, CommandOutcome outcome);
     void sendQuery(const AdmissionQuery &query);
     void queryAnswered(const AdmissionQuery &query, Instant askedAt,
@@ -291,6 +296,9 @@
     std::deque<Pending> separate;
     bool wasSeparate = false; ///< the last batch was of these
     std::map<WorkflowId, Accepting> accepting; ///< workflows that are being stored
+    /// The last change of each failure domain that was requested in this term: whether it is to be
+    /// evacuated, and when the request arrived.
+    std::map<std::string, std::pair<bool, Instant>> domainRequests;
     /// When the cancels that are being stored were received.
     std::multimap<UnknownCancels::Key, Instant> unknownCancels;
     std::vector<Done<Nothing>> waitingBarriers;
--- a/src/workflows/controller/controllerdomains.cpp
+++ b/src/workflows/controller/controllerdomains.cpp
@@ -11,17 +11,42 @@
 /// Acknowledged once it is stored, as the draining of a single target is. From then on no placement
 /// there is accepted, whichever controller has decided it.
 void Controller::evacuate(const std::string &failureDomain, bool isEvacuated,
-                          Done<CommandOutcome> done)
+                          const CallStamp &stamp, const Done<CommandOutcome> &done)
 {
+    if (this->leads && this->undoesLaterChange(failureDomain, isEvacuated, stamp)) {
+        Error error = failure(ErrorCode::Conflict, "the order may be older than the one in effect");
+        error.ran = Ran::No;
+        done(error);
+        return;
+    }
+    this->domainRequests[failureDomain] = {isEvacuated, this->options.clock()};
     this->enqueue(EvacuateDomain{failureDomain, isEvacuated},
-                  [this, failureDomain, isEvacuated,
-                   done = std::move(done)](const Result<CommandOutcome> &outcome) {
+                  [this, failureDomain, isEvacuated, done](const Result<CommandOutcome> &outcome) {
                       if (outcome && this->leads)
                           this->domainChanged(failureDomain, isEvacuated, outcome.value());
                       done(outcome);
                   });
 }
 
+/// Guards against an order that was held up on its way, and would be carried out after the one that
+/// has followed it. A domain's state has no version that would tell.
+bool Controller::undoesLaterChange(const std::string &failureDomain, bool isEvacuated,
+                                   const CallStamp &stamp) const
+{
+    const bool isStored = this->machine.read([&](const WorkflowStore &store) {
+        return store.evacuatedDomains().count(failureDomain) != 0;
+    });
+    const auto requested = this->domainRequests.find(failureDomain);
+    const bool isRequested = requested != this->domainRequests.end();
+    const bool state = isRequested ? requested->second.first : isStored;
+    if (state == isEvacuated && isStored == isEvacuated)
+        return false;
+    Instant changedAt = this->machine.domainChangedAt(failureDomain);
+    if (isRequested)
+        changedAt = std::max(changedAt, requested->second.second);
+    return !this->isSentAfter(stamp, changedAt);
+}
+
 void Controller::domainChanged(const std::string &failureDomain, bool isEvacuated,
                                CommandOutcome outcome)
 {
--- a/src/workflows/store/workflowstoremachine.cpp
+++ b/src/workflows/store/workflowstoremachine.cpp
@@ -11,6 +11,7 @@
     , placements(this->clock())
     , registrations(this->clock())
     , cancels(this->clock())
+    , domainChanges(this->clock())
 {}
 
 std::string WorkflowStoreMachine::apply(LogIndex, const std::string &command)
@@ -28,6 +29,8 @@
                 this->registrations.record(registered->identity.name, now);
             else if (const auto *cancelled = std::get_if<CancelUnknown>(&one))
                 this->cancels.record({cancelled->account, cancelled->id}, now);
+            else if (const auto *changed = std::get_if<EvacuateDomain>(&one))
+                this->domainChanges.record(changed->failureDomain, now);
         }
     }
     const std::lock_guard lock(this->mutex);
@@ -47,6 +50,7 @@
         this->placements.forgetAll(this->clock());
         this->registrations.forgetAll(this->clock());
         this->cancels.forgetAll(this->clock());
+        this->domainChanges.forgetAll(this->clock());
     }
     const std::lock_guard lock(this->mutex);
     return this->store.restore(snapshot);
@@ -64,6 +68,12 @@
     return this->cancels.latest(key);
 }
 
+Instant WorkflowStoreMachine::domainChangedAt(const std::string &failureDomain) const
+{
+    const std::lock_guard lock(this->recentMutex);
+    return this->domainChanges.latest(failureDomain);
+}
+
 Instant WorkflowStoreMachine::registeredAt(const std::string &target) const
 {
     const std::lock_guard lock(this->recentMutex);
--- a/src/workflows/store/workflowstoremachine.h
+++ b/src/workflows/store/workflowstoremachine.h
@@ -34,6 +34,9 @@
     /// The latest time at which this replica may have applied a cancel of the workflow, which was
     /// not stored.
     Instant cancelledAt(const UnknownCancels::Key &key) const;
+    /// The latest time at which this replica may have applied an evacuation of the failure domain,
+    /// or the end of one.
+    Instant domainChangedAt(const std::string &failureDomain) const;
     /// The latest time at which this replica may have applied a registration of the target.
     Instant registeredAt(const std::string &target) const;
 
@@ -45,6 +48,7 @@
     RecentTimes<std::pair<StepAddress, RunNumber>> placements;
     RecentTimes<std::string> registrations;
     RecentTimes<UnknownCancels::Key> cancels;
+    RecentTimes<std::string> domainChanges;
 };
 
 } // namespace guavavalve::workflows
--- a/test/platform/outdatedcalltest.cpp
+++ b/test/platform/outdatedcalltest.cpp
@@ -16,6 +16,7 @@
 
 const std::string host = "jobs.example";
 const std::string jobPath = "/q/5c0e7a21d94b36f8";
+const std::string domainPath = "/evacuation/d";
 
 struct OutdatedFixture : LeaderFixture
 {
@@ -35,10 +36,19 @@
     {
         return this->call("DELETE", jobPath, host, "", key);
     }
+    int order(const std::string &method, Instant sentNotBefore)
+    {
+        return this->call(method, domainPath, "", "", "", this->sentAfter(sentNotBefore));
+    }
     std::size_t stored()
     {
         return this->machine.read([](const WorkflowStore &s) { return s.workflows().size(); });
     }
+    bool isEvacuated()
+    {
+        return this->machine.read(
+            [](const WorkflowStore &s) { return s.evacuatedDomains().count("d") != 0; });
+    }
     void changeLeader()
     {
         this->controller.leadershipChanged(false, this->term);
@@ -157,3 +167,58 @@
     CHECK_FALSE(restored.unknownCancels().has({"a", id}, "q"));
     CHECK(restored.unknownCancels().countOf("a") == 1);
 }
+
+// Guards against a withdrawal, held up by a replica that stood still, that undoes the evacuation
+// which has followed it.
+TEST_CASE_METHOD(OutdatedFixture, "a late withdrawal does not undo a later evacuation",
+                 "[leaderservice][outdated]")
+{
+    const bool isLeaderChanged = GENERATE(false, true);
+    REQUIRE(this->order("POST", this->later()) == 200);
+    const Instant heldUp = this->later();
+    REQUIRE(this->order("DELETE", this->later()) == 200);
+    REQUIRE(this->order("POST", this->later()) == 200);
+    if (isLeaderChanged)
+        this->changeLeader();
+    CHECK(this->order("DELETE", heldUp) == 307);
+    CHECK(this->call("DELETE", domainPath, "", "") == 307);
+    CHECK(this->isEvacuated());
+    CHECK(this->order("POST", heldUp) == 200); // a repetition is acknowledged again
+    CHECK(this->order("DELETE", this->later()) == 200);
+    CHECK_FALSE(this->isEvacuated());
+}
+
+// Guards against a failure domain that stays empty for good, by an evacuation that was withdrawn.
+TEST_CASE_METHOD(OutdatedFixture, "a late evacuation does not undo a later withdrawal",
+                 "[leaderservice][outdated]")
+{
+    const Instant heldUp = this->later();
+    REQUIRE(this->order("POST", this->later()) == 200);
+    REQUIRE(this->order("DELETE", this->later()) == 200);
+    CHECK(this->order("POST", heldUp) == 307);
+    CHECK_FALSE(this->isEvacuated());
+    CHECK(this->order("POST", this->later()) == 200);
+    CHECK(this->isEvacuated());
+}
+
+// Guards against an order that is taken between the arrival of a later one and its storing.
+TEST_CASE_METHOD(OutdatedFixture, "an order does not follow a later one that is being stored",
+                 "[leaderservice][outdated]")
+{
+    const Instant heldUp = this->later();
+    std::vector<int> statuses;
+    const auto send = [&](const std::string &method, Instant sentNotBefore) {
+        RelayedCall call;
+        call.method = method;
+        call.path = domainPath;
+        this->service.serve(call, this->sentAfter(sentNotBefore),
+                            [&statuses](const Result<RelayedAnswer> &answer) {
+                                statuses.push_back(answer ? answer.value().status : -1);
+                            });
+    };
+    send("POST", this->later());
+    send("DELETE", heldUp);
+    this->runPosted();
+    CHECK(statuses == std::vector<int>{307, 200});
+    CHECK(this->isEvacuated());
+}
--- a/test/platform/relaytest.cpp
+++ b/test/platform/relaytest.cpp
@@ -586,3 +586,27 @@
     CHECK(entry.stamps[0].controllerUs == request.receivedNotBefore.time_since_epoch().count());
     CHECK(entry.stamps[0].sentUs == request.sentNotBefore.time_since_epoch().count());
 }
+
+// Guards against an order that a replica carries out after it stood still, when the operator has
+// sent it elsewhere, and others after it.
+TEST_CASE("an operator's order that may have waited unread for too long is not forwarded",
+          "[relay][outdated]")
+{
+    FakeGroup group;
+    group.stamp = {7, 1000};
+    HttpRequest request;
+    request.method = "DELETE";
+    request.path = "/evacuation/zone-a";
+    int status = 0;
+    const HttpReply reply = [&](const HttpResponse &response) { status = response.status; };
+    request.receivedNotBefore = monotonicNow() - Milliseconds(1000);
+    group.member->serveControl(request, reply);
+    CHECK(status == 503);
+    CHECK(group.leaderCalls == 0);
+    request.receivedNotBefore = monotonicNow();
+    request.sentNotBefore = request.receivedNotBefore - Milliseconds(50);
+    group.member->serveControl(request, reply);
+    CHECK(status == 200);
+    CHECK(group.leaderCalls == 1);
+    CHECK(group.lastStamp.sentUs == request.sentNotBefore.time_since_epoch().count());
+}
--- a/test/platform/wholepathtest.cpp
+++ b/test/platform/wholepathtest.cpp
@@ -133,6 +133,11 @@
     HttpResponse callControl(const std::string &method, const std::string &path,
                              const std::string &body = {})
     {
+        HttpResponse answer = this->call(this->seeds[1], method, path, body);
+        if (answer.status != 307)
+            return answer;
+        // Callers of the control interface follow a redirection.
+        REQUIRE(answer.headers["Location"] == "http://" + this->seeds[1] + path);
         return this->call(this->seeds[1], method, path, body);
     }
 
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -150,7 +150,7 @@
 void Simulation::evacuate(const std::string &failureDomain, bool isEvacuated)
 {
     this->controller().evacuate(
-        failureDomain, isEvacuated,
+        failureDomain, isEvacuated, this->stamp(),
         [this, failureDomain, isEvacuated](const Result<CommandOutcome> &outcome) {
             if (!outcome)
                 this->loop.runAfter(retryDelay, [this, failureDomain, isEvacuated] {
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -112,7 +112,11 @@
     /// Submits the workflow if the controller's intake accepts it. \a stamp: of the call.
     IntakeDecision request(const WorkflowSpec &spec, const CallStamp &stamp);
     /// Of a call that is received now.
-    CallStamp stamp() const { return {this->term, this->loop.now().time_since_epoch().count()}; }
+    CallStamp stamp() const
+    {
+        const std::int64_t nowUs = this->loop.now().time_since_epoch().count();
+        return {this->term, nowUs, nowUs};
+    }
     void runFor(Milliseconds span);
     /// False if the workflow was submitted to a controller that had lost its leadership.
     bool isAccepted(WorkflowId id) const;
