link: a call that was answered releases what it sent and what waits for it

Cause: a call to the controller sets a timer that looks whether it is still unanswered. The timer kept the whole call until it expired, also when the answer had come at once: its payload, and the callback with the request that it was made for. Large requests one after another added up, at a rate that grows with the speed of the machine. Since calls of operators are dated, the callback held a second copy of the request.

Change: a settled call drops its payload and its callback under the link's lock; timers keep the rest.

The new test failed before (the callback was still held: 2 == 1).

--- a/src/controller/controllerlink.cpp
+++ b/src/controller/controllerlink.cpp
@@ -36,7 +36,7 @@
 struct ControllerLink::Call
 {
     Method method;
-    std::string payload;
+    std::shared_ptr<const std::string> payload; ///< null once settled, as done
     Instant deadline;
     Done<std::string> done;
     bool mayHaveRun = false;
@@ -86,7 +86,7 @@
 {
     auto call = std::make_shared<Call>();
     call->method = method;
-    call->payload = std::move(payload);
+    call->payload = std::make_shared<const std::string>(std::move(payload));
     call->deadline = deadline;
     call->done = std::move(done);
     this->attempt(call);
@@ -96,22 +96,22 @@
 {
     const Instant now = this->clock();
     if (now >= call->deadline) {
-        if (!this->settle(call))
-            return;
         Error error = failure(ErrorCode::Unavailable, "no controller answered by the deadline");
         error.ran = this->ranOf(call);
         error.retryAfter = Milliseconds(1000);
-        call->done(error);
+        this->settle(call, error);
         return;
     }
     const std::string address = this->nextAddress();
     if (this->isKeptAt(call, address, now))
         return;
     unsigned attempt = 0;
+    std::shared_ptr<const std::string> payload;
     {
         const std::lock_guard lock(this->mutex);
         if (call->isSettled)
             return;
+        payload = call->payload;
         if (call->mayHaveRun)
             ++this->repeats;
         attempt = ++call->attempts;
@@ -127,7 +127,7 @@
     const Instant limit =
         isMonitored ? call->deadline : std::min(call->deadline, now + this->limits.attemptTimeout);
     this->messenger.call(
-        address, call->method, call->payload, limit,
+        address, call->method, *payload, limit,
         [self = this->shared_from_this(), call, address, attempt](Result<std::string> reply) {
             self->replyReceived(call, address, attempt, std::move(reply));
         });
@@ -175,12 +175,20 @@
     return call->mayHaveRun ? Ran::Unknown : Ran::No;
 }
 
-/// Marks the call as settled. Returns false if it was settled before.
-bool ControllerLink::settle(const std::shared_ptr<Call> &call)
+/// Passes on the result, unless the call was settled before. Timers keep a settled call for a
+/// while, but not what it has sent, nor what its callback holds.
+void ControllerLink::settle(const std::shared_ptr<Call> &call, Result<std::string> result)
 {
-    const std::lock_guard lock(this->mutex);
-    this->inFlight.erase(call);
-    return !std::exchange(call->isSettled, true);
+    Done<std::string> done;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->inFlight.erase(call);
+        call->isSettled = true;
+        call->payload.reset();
+        done = std::exchange(call->done, nullptr);
+    }
+    if (done)
+        done(std::move(result));
 }
 
 void ControllerLink::replyReceived(const std::shared_ptr<Call> &call, const std::string &address,
@@ -218,8 +226,7 @@
             this->updateLeader(address, redirected ? reply.error().message : std::string());
         }
         if (hasLostReaders) {
-            if (this->settle(call))
-                call->done(std::move(reply));
+            this->settle(call, std::move(reply));
             return;
         }
         this->delay(this->limits.retryDelay,
@@ -228,8 +235,7 @@
             this->probeIfRefused(call);
         return;
     }
-    if (this->settle(call))
-        call->done(std::move(reply));
+    this->settle(call, std::move(reply));
 }
 
 /// Whether the connection to \a address was lost after a call had been sent there. One that failed
--- a/src/controller/controllerlink.h
+++ b/src/controller/controllerlink.h
@@ -79,7 +79,7 @@
                             Instant now);
     void replyReceived(const std::shared_ptr<Call> &call, const std::string &address,
                        unsigned attempt, Result<std::string> reply);
-    bool settle(const std::shared_ptr<Call> &call);
+    void settle(const std::shared_ptr<Call> &call, Result<std::string> result);
     Ran ranOf(const std::shared_ptr<Call> &call) const;
     void monitor(const std::shared_ptr<Call> &call, const std::string &address, unsigned attempt);
     void probe();
--- a/test/controller/controllerlinktest.cpp
+++ b/test/controller/controllerlinktest.cpp
@@ -187,6 +187,17 @@
     CHECK(this->leaderQueries == 0);
 }
 
+// Guards against answered calls that keep their requests in memory until their timers expire: many
+// large ones in a row add up.
+TEST_CASE_METHOD(LinkFixture, "an answered call keeps nothing that its callback holds", "[link]")
+{
+    const auto request = std::make_shared<int>();
+    this->link->call(Method::Relay, {}, this->now + Milliseconds(2000),
+                     [request](const Result<std::string> &reply) { CHECK(reply); });
+    this->runFor(Milliseconds(20)); // shorter than any timer of the call
+    CHECK(request.use_count() == 1);
+}
+
 // No replica leads until the deadline. The call must fail once, and not as one that never ran,
 // because the unresponsive controller may have received it.
 TEST_CASE_METHOD(LinkFixture, "a call that no replica answers ends once, by its deadline", "[link]")
