platform: a cancel that was held up does not end a job that was requested again since

An instance stands still for less than a caller's patience; a DELETE waits in its socket. The client gives it up and hands the job in again elsewhere, which is acknowledged. The instance wakes and forwards the DELETE: the job ends as cancelled. Cancels that had waited for longer were dropped already.

A cancel that was received before is answered 503, so that a client that is still there sends it again. A new leader knows of no request, so cancels that were received before its election are sent again too. The time of receipt is compared, not the earliest time of sending: a cancel on a connection that has been idle since before the job is common.

The new test failed before: 200 instead of 503, and the job cancelled, for a new job and a repeated request, with and without a change of the leader.

--- a/src/runtime/metrictable.cpp
+++ b/src/runtime/metrictable.cpp
@@ -176,7 +176,8 @@
      "cause",
      "Calls that were not acted on since they may be older than what has been acknowledged, by "
      "cause: waited (unread, for longer than callers wait), cancelled (its job), superseded (an "
-     "order). The last two are reported by the controller."},
+     "order, or a cancel by a later request for its job). The last two are reported by the "
+     "controller."},
     {Metric::TargetReportsRefusedTotal, "guavavalve_target_reports_refused_total",
      MetricType::Counter, "reports", "",
      "Reports of targets that were refused since they cannot be read or cannot be true. Reported "
--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -49,6 +49,7 @@
     , admissionPort(admissions)
     , metrics(this->options.metrics,
               [this](const std::string &queue) { return this->currentPolicy.labelOf(queue); })
+    , requests(this->options.clock())
 {}
 
 Controller::~Controller()
@@ -86,6 +87,7 @@
     this->leasesLeft.clear();
     this->domainRequests.clear();
     this->leadsSince = this->options.clock();
+    this->requests.forgetAll(this->leadsSince);
     this->unsettledCounts.clear();
     this->moveCounts.clear();
     this->admissions.clear();
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -101,6 +101,11 @@
     /// True if a cancel of the workflow was acknowledged, or is about to be, before it was stored,
     /// and the request to accept it is not known to have been sent after that.
     bool precedesCancel(const WorkflowSpec &spec, const CallStamp &stamp) const;
+    /// Notes that a request to accept the workflow is acknowledged, also if it was accepted before.
+    void noteRequest(WorkflowId id, const CallStamp &stamp);
+    /// True if the call was received before the last request to accept the workflow that was noted,
+    /// or before this controller led.
+    bool precedesRequest(WorkflowId id, const CallStamp &stamp) const;
 
     /// \errors those of ReplicatedLog::propose(), also for the next four functions.
     void submit(WorkflowSpec spec, Done<CommandOutcome> done);
@@ -296,6 +301,7 @@
     std::deque<Pending> separate;
     bool wasSeparate = false; ///< the last batch was of these
     std::map<WorkflowId, Accepting> accepting; ///< workflows that are being stored
+    RecentTimes<WorkflowId> requests; ///< when the last one for each workflow was received
     /// The last change of each failure domain that was requested in this term: whether it is to be
     /// evacuated, and when the request arrived.
     std::map<std::string, std::pair<bool, Instant>> domainRequests;
--- a/src/workflows/controller/controllercancels.cpp
+++ b/src/workflows/controller/controllercancels.cpp
@@ -84,6 +84,23 @@
         >= Instant(Microseconds(stamp.controllerUs)) + IntakeLimits().attemptLifetime;
 }
 
+void Controller::noteRequest(WorkflowId id, const CallStamp &stamp)
+{
+    const bool isDated = stamp.isKnown() && this->isOwnStamp(stamp);
+    const Instant receivedAt =
+        isDated ? Instant(Microseconds(stamp.controllerUs)) : this->options.clock();
+    // Attempts may arrive in another order than they were received in.
+    this->requests.record(id, std::max(receivedAt, this->requests.latest(id)));
+}
+
+/// Guards against a cancel that an instance has held up while its client handed the workflow in
+/// again: that request was acknowledged, and the workflow would end all the same.
+bool Controller::precedesRequest(WorkflowId id, const CallStamp &stamp) const
+{
+    return stamp.isKnown() && this->isOwnStamp(stamp)
+        && Instant(Microseconds(stamp.controllerUs)) < this->requests.latest(id);
+}
+
 /// False also if that is not known.
 bool Controller::isSentAfter(const CallStamp &stamp, Instant time) const
 {
--- a/test/platform/outdatedcalltest.cpp
+++ b/test/platform/outdatedcalltest.cpp
@@ -123,6 +123,29 @@
     }) == WorkflowState::Queued);
 }
 
+// Guards against an acknowledged job that ends by an earlier cancel, which an instance has held up
+// for less than the time after which it would be dropped.
+TEST_CASE_METHOD(OutdatedFixture, "a late cancel does not undo a later request for its job",
+                 "[leaderservice][outdated]")
+{
+    const bool isLeaderChanged = GENERATE(false, true);
+    const bool isNewJob = GENERATE(false, true);
+    const auto at = [this](Instant receivedAt) {
+        return CallStamp{this->term, receivedAt.time_since_epoch().count()};
+    };
+    if (!isNewJob)
+        REQUIRE(this->submit("key", at(this->later())) == 200);
+    const Instant heldUp = this->later();
+    REQUIRE(this->submit("key", at(this->later())) == 200);
+    if (isLeaderChanged)
+        this->changeLeader();
+    CHECK(this->call("DELETE", jobPath, host, "", "key", at(heldUp)) == 503);
+    CHECK(this->machine.read([](const WorkflowStore &s) {
+        return s.workflows().begin()->second.state();
+    }) == WorkflowState::Queued);
+    CHECK(this->call("DELETE", jobPath, host, "", "key", at(this->later())) == 200);
+}
+
 // Guards against a client account that keeps jobs of another one from being accepted.
 TEST_CASE_METHOD(OutdatedFixture, "the cancel of an unknown job concerns its account alone",
                  "[leaderservice][outdated]")
