replicas: a spare that loses its disk before it has taken a place takes one place only

In the log, the group has six voters from the ninth second on: a spare had been admitted as a learner for a silent voter, and lost its disk a second later. Its new replica was admitted as the replacement of the old learner. Once the old learner was removed, it replaced nobody and was promoted at once, beside the silent voter. At the end two disks of the six voters were lost together, as the settings allow, and three of six elect nobody.

Cause: a learner that replaces a learner lost the place which that one was meant for, when the old one was removed: as superseded by its new disk, or as silent. This was possible before, but spares are learners for longer since they are admitted early, and silent learners are removed after 2.5 s.

Change: what is to replace a removed learner replaces what that one was to replace (RaftCore::withoutLearner).

Both new tests failed before, 6 voters of 5.

--- a/src/replicas/raftcore.h
+++ b/src/replicas/raftcore.h
@@ -197,7 +197,8 @@
     longestSilentVoter(Milliseconds timeout,
                        const std::function<bool(const MemberRecord &)> &isExcluded) const;
     static bool isNewDiskOf(const MemberRecord &learner, const MemberRecord &voter);
-    const MemberRecord *voterToReplace(const MemberRecord &learner) const;
+    static MemberList withoutLearner(MemberList list, const MemberRecord &learner);
+    const MemberRecord *memberToReplace(const MemberRecord &learner) const;
 
     RaftCoreOptions options;
     ReplicaId selfId;
--- a/src/replicas/raftmembership.cpp
+++ b/src/replicas/raftmembership.cpp
@@ -135,6 +135,20 @@
     return false;
 }
 
+/// The list without \a learner. One that has a new disk of the same instance inherits its place: it
+/// replaces what \a learner was to replace, and would otherwise be promoted beside that.
+MemberList RaftCore::withoutLearner(MemberList list, const MemberRecord &learner)
+{
+    const MemberRecord removed = learner;
+    list.members.erase(std::find_if(list.members.begin(), list.members.end(),
+                                    [&](const auto &m) { return m.replica == removed.replica; }));
+    for (MemberRecord &one : list.members) {
+        if (one.replaces == removed.replica)
+            one.replaces = removed.replaces;
+    }
+    return list;
+}
+
 /// Removes a learner whose disk was lost while it was replacing a voter, once the instance is a
 /// voter again by a later disk. It would keep the place of another instance for good.
 bool RaftCore::removeSupersededLearner()
@@ -147,11 +161,7 @@
         });
         if (learner.voter || !isSuperseded)
             continue;
-        const ReplicaId lost = learner.replica;
-        MemberList list = this->members();
-        list.members.erase(std::find_if(list.members.begin(), list.members.end(),
-                                        [&](const auto &m) { return m.replica == lost; }));
-        this->proposeMembers(list);
+        this->proposeMembers(withoutLearner(this->members(), learner));
         return true;
     }
     return false;
@@ -213,11 +223,7 @@
             && !this->hasReplied(member.replica, this->options.learnerTimeout);
         if (member.voter || !isSilent)
             continue;
-        const ReplicaId gone = member.replica;
-        MemberList list = this->members();
-        list.members.erase(std::find_if(list.members.begin(), list.members.end(),
-                                        [&](const auto &m) { return m.replica == gone; }));
-        this->proposeMembers(list);
+        this->proposeMembers(withoutLearner(this->members(), member));
         return true;
     }
     return false;
@@ -237,9 +243,10 @@
     return learner.replaces == voter.replica && learner.instance == voter.instance;
 }
 
-/// The voter whose place the learner is to take now, or null. A spare takes the place of whatever
-/// voter is gone, so that one that was admitted for a voter which has returned is not kept in vain.
-const MemberRecord *RaftCore::voterToReplace(const MemberRecord &learner) const
+/// The voter whose place the learner is to take now, or the learner whose new disk it is, or null.
+/// A spare takes the place of whatever voter is gone, so that one that was admitted for a voter
+/// which has returned is not kept in vain.
+const MemberRecord *RaftCore::memberToReplace(const MemberRecord &learner) const
 {
     const auto &all = this->members().members;
     const MemberRecord *intended = this->members().find(learner.replaces);
@@ -271,9 +278,13 @@
             this->proposeMembers(list);
             return true;
         }
-        const MemberRecord *gone = this->voterToReplace(member);
+        const MemberRecord *gone = this->memberToReplace(member);
         if (gone == nullptr)
             continue;
+        if (!gone->voter) {
+            this->proposeMembers(withoutLearner(std::move(list), *gone));
+            return true;
+        }
         list.members.erase(std::find_if(list.members.begin(), list.members.end(),
                                         [&](const auto &m) { return m.replica == gone->replica; }));
         for (MemberRecord &one : list.members) {
--- a/test/replicas/replacementtest.cpp
+++ b/test/replicas/replacementtest.cpp
@@ -195,3 +195,58 @@
         CHECK(f.voterCount() == voters);
     }
 }
+
+// Guards against a group that grows by a voter when the disk of a spare is lost before the spare
+// has taken its place: the larger group bears the loss of no more machines.
+TEST_CASE("a spare that loses its disk takes one place only", "[raft][replacement]")
+{
+    // The lost voter stays away, or returns before its place is taken.
+    const bool isBack = GENERATE(false, true);
+    // The spare is gone until it counts as silent, or comes back with its new disk at once.
+    const Milliseconds away = GENERATE(Milliseconds(50), Milliseconds(600));
+    ReplacementFixture f(5);
+    const std::size_t cut = (*f.simulation.leader() + 1) % voters;
+    const std::size_t spare = f.startSuccessor();
+    f.simulation.cutOff(cut);
+    f.simulation.run(goneAfter - Milliseconds(700));
+    f.simulation.eraseDisk(spare);
+    f.simulation.crash(spare);
+    f.simulation.run(away);
+    f.simulation.restart(spare);
+    if (isBack)
+        f.simulation.reconnect(cut);
+    f.simulation.run(Milliseconds(100));
+    for (int i = 0; i < 50; ++i) {
+        f.simulation.run(Milliseconds(100));
+        REQUIRE(f.voterCount() <= voters);
+    }
+    CHECK(f.isVoter(spare) != isBack);
+    CHECK(f.isVoter(cut) == isBack);
+    CHECK(f.voterCount() == voters);
+}
+
+// Guards against the same when the disk is lost while the group removes the spare as silent.
+TEST_CASE("a spare with a new disk waits for a place though its old replica is removed",
+          "[raft][replacement]")
+{
+    ReplacementFixture f(6);
+    const std::size_t cut = (*f.simulation.leader() + 1) % voters;
+    const std::size_t spare = f.startSuccessor();
+    f.simulation.cutOff(cut);
+    f.simulation.run(goneAfter - Milliseconds(500));
+    f.simulation.reconnect(cut);
+    f.simulation.run(Milliseconds(500));
+    f.simulation.eraseDisk(spare);
+    f.simulation.crash(spare);
+    f.simulation.run(goneAfter - Milliseconds(100));
+    f.simulation.restart(spare);
+    for (int i = 0; i < 50; ++i) {
+        f.simulation.run(Milliseconds(100));
+        REQUIRE(f.voterCount() == voters);
+    }
+    CHECK_FALSE(f.isVoter(spare));
+    f.lose((cut + 1) % voters);
+    f.simulation.run(catchUpTime);
+    CHECK(f.isVoter(spare));
+    CHECK(f.voterCount() == voters);
+}
