controller: cancels of unknown jobs that have expired do not count against their limits

Cause: expired cancels are dropped when the next one is stored, but the limits were checked before, against all that were still there. An account that reached 4,000 within a minute was answered 503 for each later cancel of an unknown job until another account stored one; 20,000 of all accounts together would have ended it for all.

Change: the limits count what is left once the new one is stored (UnknownCancels::leftAt).

The extended test failed before: 503 instead of 410 after a minute, with 4,001 cancels kept instead of 1.

--- a/src/workflows/controller/controllercancels.cpp
+++ b/src/workflows/controller/controllercancels.cpp
@@ -40,18 +40,18 @@
 
 void Controller::storeUnknownCancel(const CancelUnknown &command, const Done<CommandOutcome> &done)
 {
+    CancelUnknown stamped = command;
+    stamped.atMs = this->options.calendarMs();
     const bool isFull = this->machine.read([&](const WorkflowStore &store) {
-        const UnknownCancels &stored = store.unknownCancels();
+        const auto [all, own] = store.unknownCancels().leftAt(stamped.atMs, command.account);
         return store.find(command.id) == nullptr
-            && (stored.size() + this->unknownCancels.size() >= maxUnknownCancels
-                || stored.countOf(command.account) >= maxUnknownCancelsOfAccount);
+            && (all + this->unknownCancels.size() >= maxUnknownCancels
+                || own >= maxUnknownCancelsOfAccount);
     });
     if (isFull) {
         done(failure(ErrorCode::LimitExceeded, "too many unknown jobs were cancelled recently"));
         return;
     }
-    CancelUnknown stamped = command;
-    stamped.atMs = this->options.calendarMs();
     const auto received = this->unknownCancels.emplace(
         UnknownCancels::Key(command.account, command.id), this->options.clock());
     this->enqueueSeparately(stamped,
--- a/src/workflows/store/unknowncancels.h
+++ b/src/workflows/store/unknowncancels.h
@@ -62,6 +62,17 @@
         const auto found = this->counts.find(account);
         return found == this->counts.end() ? 0 : found->second;
     }
+    /// Those that will be left once one is added at \a atMs: of all accounts, and of \a account.
+    std::pair<std::size_t, std::size_t> leftAt(std::int64_t atMs, const std::string &account) const
+    {
+        std::pair left(this->size(), this->countOf(account));
+        const auto end = this->byTime.lower_bound(atMs - retentionMs);
+        for (auto expired = this->byTime.begin(); expired != end; ++expired) {
+            --left.first;
+            left.second -= expired->second.first == account ? 1 : 0;
+        }
+        return left;
+    }
 
     template<typename Archive>
     void save(Archive &archive) const
--- a/test/platform/leaderfixture.h
+++ b/test/platform/leaderfixture.h
@@ -7,6 +7,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -87,7 +88,7 @@
             this->posted.push_back(std::move(action));
         };
         options.runAfter = [](Microseconds, const std::function<void()> &) {};
-        options.calendarMs = [] { return 1000; };
+        options.calendarMs = [this] { return this->calendarNowMs; };
         return options;
     }
 
@@ -127,6 +128,7 @@
 
     Ran ran = Ran::No; ///< of the last error
     std::string body; ///< of the last answer
+    std::int64_t calendarNowMs = 1000;
     std::vector<std::function<void()>> posted;
     WorkflowStoreMachine machine;
     CountingLog log{this->machine};
--- a/test/platform/outdatedcalltest.cpp
+++ b/test/platform/outdatedcalltest.cpp
@@ -172,6 +172,11 @@
         REQUIRE(cancelOf(job, "key") == 410);
     CHECK(cancelOf(limit + 1, "key") == 503);
     CHECK(cancelOf(limit + 1, "other") == 410);
+    // They count for as long as they are kept.
+    this->calendarNowMs += UnknownCancels::retentionMs + 1;
+    CHECK(cancelOf(limit + 1, "key") == 410);
+    CHECK(this->machine.read([](const WorkflowStore &s) { return s.unknownCancels().size(); })
+          == 1);
 }
 
 // Guards against cancels of unknown jobs that stay in the replicated state, or are lost with it.
