controller: the queues of a document that cannot be read are not recorded

Cause: a controller that cannot read the document in force, since an other version has written it, keeps the policy of the one before, and recorded the queues of that policy under the new document's version. A version that can read the document would not have recorded its queues again, and a queue of it that is removed later would have left its accepted jobs without settings.

Change: queues are recorded only if the policy is the one of the document in force.

--- a/src/workflows/controller/controller.cpp
+++ b/src/workflows/controller/controller.cpp
@@ -131,17 +131,18 @@
         return store.documentVersion();
     });
     if (version != this->policyVersion && !document.empty())
-        this->readPolicy(version, document);
+        this->isPolicyRead = this->readPolicy(version, document);
     this->policyVersion = version;
     this->recordQueues();
 }
 
-void Controller::readPolicy(std::int64_t version, const std::string &document)
+/// Returns false, and leaves the policy as it is, if the document cannot be read.
+bool Controller::readPolicy(std::int64_t version, const std::string &document)
 {
     auto read = this->options.readPolicy(document);
     if (!read) {
         logConfigurationUnreadable(version, read.error());
-        return;
+        return false;
     }
     this->currentPolicy = std::move(read).value();
     this->machine.read([this](const WorkflowStore &store) {
@@ -152,12 +153,13 @@
     });
     logConfigurationInForce(version, document, this->currentPolicy);
     this->needsPlan = true;
+    return true;
 }
 
 /// Has the settings of the queues stored, before any later document can remove them.
 void Controller::recordQueues()
 {
-    if (!this->leads || this->policyVersion <= 0)
+    if (!this->leads || !this->isPolicyRead || this->policyVersion <= 0)
         return;
     const std::int64_t recorded =
         this->machine.read([](const WorkflowStore &store) { return store.queuesVersion(); });
--- a/src/workflows/controller/controller.h
+++ b/src/workflows/controller/controller.h
@@ -266,7 +266,7 @@
     std::vector<ExpectedRun> expectedRuns(const std::vector<RunningTask> &running) const;
     void moveStalled(IncarnationId incarnation, const ProgressMonitor &progress);
     void refreshPolicy();
-    void readPolicy(std::int64_t version, const std::string &document);
+    bool readPolicy(std::int64_t version, const std::string &document);
     void recordQueues();
     bool proposeAlone();
     void tick(std::uint64_t inTerm);
@@ -352,6 +352,7 @@
     std::map<StepAddress, Instant> incompleteGangsSince;
     Policy currentPolicy;
     std::int64_t policyVersion = -1;
+    bool isPolicyRead = false; ///< the policy is that of the document of this version
     Instant nextForget{};
     Instant nextPlanLog{};
     std::size_t openQueries = 0;
--- a/test/workflows/removedqueuetest.cpp
+++ b/test/workflows/removedqueuetest.cpp
@@ -75,6 +75,23 @@
     CHECK(this->fleet.failures == allowedFailures);
 }
 
+// Guards against a document that this version cannot read, and whose queues would be recorded as
+// those of the document before it.
+TEST_CASE_METHOD(RemovedQueueFixture, "the queues of an unreadable document are not recorded",
+                 "[removedqueue]")
+{
+    const auto recorded = [this] {
+        return this->machine.read([](const WorkflowStore &s) { return s.queuesVersion(); });
+    };
+    REQUIRE(recorded() == this->version);
+    this->isPolicyReadable = false;
+    this->put();
+    CHECK(recorded() == this->version - 1);
+    this->isPolicyReadable = true;
+    this->put();
+    CHECK(recorded() == this->version);
+}
+
 // Guards against the settings of removed queues that pile up with each change of the document.
 TEST_CASE("a removed queue without work is forgotten", "[removedqueue]")
 {
--- a/test/workflows/simulation.cpp
+++ b/test/workflows/simulation.cpp
@@ -49,7 +49,11 @@
     }
     auto newTerm = std::make_unique<ControllerTerm>(this->machine, this->loop, this->storeTime);
     ControllerOptions options;
-    options.readPolicy = [this](const std::string &) -> Result<Policy> { return this->policy; };
+    options.readPolicy = [this](const std::string &) -> Result<Policy> {
+        if (!this->isPolicyReadable)
+            return failure(ErrorCode::InvalidArgument, "unreadable");
+        return this->policy;
+    };
     options.post = [this](std::function<void()> action) { this->loop.post(std::move(action)); };
     options.runAfter = [this](Microseconds delay, std::function<void()> action) {
         this->loop.runAfter(delay, std::move(action));
--- a/test/workflows/simulation.h
+++ b/test/workflows/simulation.h
@@ -126,6 +126,7 @@
     VirtualLoop loop;
     SlowLog &log() { return this->terms.back()->log; }
     Milliseconds storeTime{0}; ///< commit delay of the next controller's log
+    bool isPolicyReadable = true;
     std::int64_t calendarStepMs = 1; ///< resolution of the calendar clock
     bool renamesRestarted = false; ///< crashed targets return under new names
     /// The port through which the next controller sends its orders; empty: the fleet itself.
