platform: a job of a removed route can be cancelled though its address selects a wider route

Kin of the removed route: its accepted jobs are carried out, and a DELETE cancels them. With another route whose prefix contains the removed one's, the address selects that one, and the path after its prefix is no job's identity: 404 as it should be, but the job ran on.

--- a/test/platform/renamedroutetest.cpp
+++ b/test/platform/renamedroutetest.cpp
@@ -81,6 +81,19 @@
     CHECK(this->job().isCancelled);
 }
 
+// Guards against the same when the address of the removed route selects a wider one.
+TEST_CASE_METHOD(RouteFixture, "a job can be cancelled though its address selects another route",
+                 "[leaderservice][routes]")
+{
+    REQUIRE(this->submit() == 200);
+    REQUIRE(this->put(4, "all", "/") == 200);
+    CHECK(this->ask("GET") == 404);
+    CHECK(this->call("DELETE", jobPath, "jobs.example", "", "other") == 404);
+    CHECK_FALSE(this->job().isCancelled);
+    CHECK(this->ask("DELETE") == 404);
+    CHECK(this->job().isCancelled);
+}
+
 // Guards against accepted jobs that are gone for their callers once their route needs no key any
 // more, or needs one again.
 TEST_CASE_METHOD(RouteFixture, "a job stays known when its route stops or begins to need a key",
