controller: what a peer names is kept for no longer than it is needed

Found by reading. Each failure domain that an order named was kept in the leader until its term ended, whatever the name: now until the order is stored, when the state machine knows the time of the change. A leader's account of silent members counts for voters alone, with times that can be.

--- a/src/replicas/raftfollower.cpp
+++ b/src/replicas/raftfollower.cpp
@@ -76,8 +76,12 @@
                                std::uint64_t token)
 {
     this->silentUnderLeader.clear();
-    for (const auto &[replica, silentForUs] : silent.silentForUs)
-        this->silentUnderLeader[replica] = this->now - Microseconds(silentForUs);
+    for (const auto &[replica, silentForUs] : silent.silentForUs) {
+        const bool isPossible =
+            silentForUs >= 0 && silentForUs <= this->now.time_since_epoch().count();
+        if (isPossible && this->members().isVoter(replica))
+            this->silentUnderLeader[replica] = this->now - Microseconds(silentForUs);
+    }
     this->silentReportedAt = this->now;
     this->reply(message, token, HeartbeatReply{});
 }
--- a/src/workflows/controller/controllerdomains.cpp
+++ b/src/workflows/controller/controllerdomains.cpp
@@ -19,11 +19,18 @@
         done(error);
         return;
     }
-    this->domainRequests[failureDomain] = {isEvacuated, this->options.clock()};
+    const Instant requestedAt = this->options.clock();
+    this->domainRequests[failureDomain] = {isEvacuated, requestedAt};
     this->enqueue(EvacuateDomain{failureDomain, isEvacuated},
-                  [this, failureDomain, isEvacuated, done](const Result<CommandOutcome> &outcome) {
+                  [this, failureDomain, isEvacuated, requestedAt,
+                   done](const Result<CommandOutcome> &outcome) {
                       if (outcome && this->leads)
                           this->domainChanged(failureDomain, isEvacuated, outcome.value());
+                      // From here on the state machine knows when it was changed.
+                      const auto request = this->domainRequests.find(failureDomain);
+                      if (outcome && request != this->domainRequests.end()
+                          && request->second.second == requestedAt)
+                          this->domainRequests.erase(request);
                       done(outcome);
                   });
 }
